--- /dev/null
+++ b/policy/ring.go
@@ -0,0 +1,48 @@
+package policy
+
+import "lichenroad/relay"
+
+// ring sums several figures over fixed buckets of time that are used again.
+type ring struct {
+	width  relay.Seconds
+	last   int64 // number of the newest bucket
+	sums   [][]float64
+	figure int
+}
+
+func newRing(width relay.Seconds, buckets, figures int) ring {
+	r := ring{width: width, last: -1, figure: figures, sums: make([][]float64, buckets)}
+	for i := range r.sums {
+		r.sums[i] = make([]float64, figures)
+	}
+	return r
+}
+
+// roll clears the buckets between the newest one and now, and returns the one of now.
+func (r *ring) roll(now relay.Seconds) []float64 {
+	n := max(int64(now/r.width), r.last, 0)
+	for i := max(r.last+1, n-int64(len(r.sums))+1); i <= n; i++ {
+		clear(r.sums[i%int64(len(r.sums))])
+	}
+	r.last = n
+	return r.sums[n%int64(len(r.sums))]
+}
+
+func (r *ring) add(now relay.Seconds, figure int, v float64) { r.roll(now)[figure] += v }
+
+// sum adds up the buckets that are at least from and less than to buckets old.
+func (r *ring) sum(now relay.Seconds, figure, from, to int) (total float64) {
+	r.roll(now)
+	for i := from; i < min(to, len(r.sums)); i++ {
+		if n := r.last - int64(i); n >= 0 {
+			total += r.sums[n%int64(len(r.sums))][figure]
+		}
+	}
+	return total
+}
+
+func (r *ring) reset() {
+	for _, b := range r.sums {
+		clear(b)
+	}
+}
