Pool counts at the fusers, leave broken machines out of evidence, gate by pace

Cause: a relay alone rarely has 20 outcomes a category of the trial's few units, so bad builds were released; dead and cut-off units flagged good builds; votes on came before any unit of the build was listed; the gate lagged behind collapses and then stayed shut. Change: memos carry counts, fusers judge the pooled ones too; a unit that fails most of everything is no evidence; a stage's time counts once its units are listed; the gate bounds open queries by Little's law; a query that can't be held to its due time is answered at once; keys are pinned to unannounced builds too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,16 +1,18 @@
 // Package policy holds every decision of a relay.
 //
 // How to call it: New(settings, seed) once, then Step(now, events) whenever something has happened; the
-// orders it returns are to be carried out in their order. Settings, events and orders are the types of
-// package relay. The module reads no clock, does no I/O, starts no goroutine and keeps no global.
+// orders it returns are to be carried out in their order, and the slice is good until the next Step.
+// Settings, events and orders are the types of package relay. The module reads no clock, does no I/O,
+// starts no goroutine and keeps no global.
 //
-// Inside, each part is a small actor: the roster, a unit for every server, the desk (queries and their
-// legs), the gate (denials), the trial (exposure, evidence, verdicts) and the fuser (votes). Parts change
-// each other only by notes; one loop (drain) empties all inboxes in the order of posting. They may read
-// each other's figures. ring.go sums figures over buckets of time, memo.go writes a verdict as bytes.
+// Inside, each part is a small actor: the roster, a unit for every server, the desk (queries, legs, final
+// answers), the gate (denials), the trial (exposure, evidence, verdicts) and the fuser (votes). Parts
+// change each other only by notes, which one loop takes from the inboxes; they may read each other's
+// figures. state.go has the types, ring.go sums over buckets of time, memo.go turns verdicts into bytes.
 package policy
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"sort"
@@ -18,103 +20,72 @@
 	"lichenroad/relay"
 )
 
-// Tuned values. Those marked DESIGN are the design page's starting values.
+// Tuned values, each with its unit and the reason for its size. DESIGN marks the design page's own.
 const (
-	tick         = 0.05 // s; overdue legs, held queries and votes are looked at this often: a small part of any due time
-	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over one tick
+	tick         = 0.05 // s between looks at overdue legs, held queries and votes: small beside any due time
+	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over a tick
 
 	capShare     = 0.8  // of the cap that the build on trial may get (DESIGN)
 	youngUnit    = 5.0  // s; outcomes of younger units are no evidence (DESIGN)
-	leastCount   = 20   // outcomes a build for a flag, and pooled outcomes for a vote on (DESIGN)
+	leastCount   = 20.0 // outcomes a build for a flag, and pooled ones for a vote on (DESIGN)
 	flagErrors   = 3.0  // standard errors that a share must be worse by (DESIGN)
 	flagOutcomes = 1.0  // failures that a share must be worse by (DESIGN)
 	flagPoints   = 0.05 // difference of shares that a flag needs (DESIGN)
 	halfKnown    = 20.0 // outcomes at which a bad build is flagged half the time (DESIGN)
 	falseAlarm   = 0.01 // false-alarm probability of one relay over all its categories (DESIGN)
 	prior        = 0.35 // of a build being bad (DESIGN)
-	alarmCost    = 1.0  // cost of sending a good build back (DESIGN: equal costs)
-	missCost     = 1.0  // cost of letting a bad build through (DESIGN)
+	alarmCost    = 1.0  // of sending a good build back (DESIGN: equal costs)
+	missCost     = 1.0  // of letting a bad build through (DESIGN)
 	verdictLife  = 6.0  // s that a verdict counts at a fuser (DESIGN)
 	verdictEvery = 1.0  // s between verdicts without a change (DESIGN)
 	leastFlags   = 2    // relays that must flag (DESIGN)
 	fuserCount   = 4    // lowest-numbered relays that fuse (DESIGN)
 	extraWait    = 3.0  // s past the least time that a fuser waits for outcomes (DESIGN)
 
-	evidenceWidth   = 0.5 // s a bucket of outcomes
-	evidenceBuckets = 24  // 12 s: a verdict's life twice over
-	evidenceRecent  = 12  // buckets taken as recent where a build is compared with its own earlier share
+	judgeEvery      = 0.25 // s between two looks at the evidence: a few outcomes apart
+	evidenceWidth   = 0.5  // s a bucket of outcomes
+	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
+	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
+	brokenShare     = 0.5  // failed part of all outcomes above which a unit, not its build, is at fault
+	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
+	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
+	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 
 	voteRenew = 0.5 // of a vote's life after which it is cast again: one lost renewal is survived
 	voteGap   = 0.4 // s at least between two votes of one relay
 	callGrace = 0.5 // s past the platform's own time-out before a vote counts as lost
 
-	badStep     = 0.25 // weight of one outcome in a unit's failure figure: two failures in a row make a suspect
-	badHalf     = 4.0  // s in which that figure halves: a suspect gets a leg every few seconds to earn its way back
+	badStep     = 0.25 // weight of one outcome in a unit's failure figure: two failures make a suspect
+	badHalf     = 4.0  // s in which that figure halves: a suspect gets a leg every few seconds to earn its way
 	suspectAt   = 0.3  // failure figure of a suspect
 	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
 	paceStep    = 0.2  // weight of one answer in a unit's pace
+	paceFleet   = 0.02 // the same in the fleet's
 	paceHalf    = 3.0  // s in which the pace of a silent unit goes half way back to the fleet's
 	quietShare  = 1.0  // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
+	crossCost   = 1.1  // times the cost in another zone, where crossing has a price
 
 	copyAt     = 0.45 // of the due time after which a second copy may start: early enough to end in time
 	copyBudget = 0.05 // second copies a query, so that overload is not fed
 	copySaved  = 3.0  // second copies that may be saved up for a burst
+	copyRoom   = 0.5  // of the gate's limit above which no copies start
 
 	coldPart  = 0.7 // of what rule 4 allows a cold unit that all relays together use
 	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
-	flowWidth = 0.5 // s a bucket of legs sent
+	flowWidth = 0.5 // s a bucket of legs and queries
 	flowCount = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
 
-	gateEvery   = 0.25 // s between two moves of the gate
-	gateHigh    = 0.75 // mean leg time over due time above which more is denied
-	gateLow     = 0.55 // below which less is denied
-	gateUp      = 0.06 // step up of the denied share: seconds to full, as a queue takes to build
-	gateDown    = 0.03 // step down
-	gateMost    = 0.9  // most that is denied
-	gateFewest  = 5.0  // legs in the gate's time below which it doesn't move up
-	overShare   = 1.15 // times its share of traffic at which a customer counts as beyond it
-	overWeight  = 3.0  // times the denied share that beyond-share customers bear
-	gateBuckets = 2    // buckets of flowWidth that the gate looks at
+	gateWait   = 0.45 // of the mean due time that a leg may take before the gate holds the inflow
+	gateSpare  = 4.0  // open queries beyond that, so that a small relay is not shut by one slow answer
+	gateLow    = 0.8  // part of the limit from which the category of least value is denied; the top: 1
+	gateOver   = 0.6  // part of the limit from which beyond-share customers are denied
+	overShare  = 1.15 // times its share of traffic at which a customer counts as beyond it
+	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
 	watchRetry = 1.0 // s before a failed watch is asked for again, with as much jitter on top
 	watchWait  = 4.0 // s without any answer after which a call to the roster is made again
 )
 
-type (
-	note any // what one part tells another
-
-	// actor is a part with an inbox.
-	actor interface{ take(n note) }
-
-	letter struct {
-		to   actor
-		body note
-	}
-)
-
-// Notes.
-type (
-	noteTick    struct{}
-	noteSent    struct{ at relay.Seconds }
-	noteOutcome struct {
-		category relay.Category
-		build    relay.Build
-		age      relay.Seconds // of the unit, when the leg was sent
-		how      relay.Outcome
-		took     relay.Seconds
-		sentAt   relay.Seconds
-		work     relay.Seconds
-		due      relay.Seconds // time allowed from sending
-		overdue  bool          // was told as overdue before
-	}
-	noteOverdue  noteOutcome // the leg is still out past its due time
-	noteVerdicts struct {
-		from relay.RelayNo
-		memo memo
-	}
-	noteStage struct{ fresh bool }
-)
-
 // row is what differs by category.
 type row struct {
 	repeat   relay.Repeat
@@ -123,7 +94,7 @@
 	due      relay.Seconds
 	stretch  float64
 	patience relay.Seconds
-	lean     float64 // share of the gate's denials that this category bears: low value, more
+	gate     float64 // part of the gate's limit from which the category is denied
 }
 
 // Policy is one relay's decisions.
@@ -135,33 +106,31 @@
 	mail []letter
 	out  []relay.Order
 
+	begun  bool
 	roster roster
 	desk   desk
 	gate   gate
 	trial  trial
 	fuser  fuser
-	begun  bool
 }
 
 // New returns the module of one relay, ready for its first Step.
 func New(set relay.Settings, seed int64) *Policy {
 	p := &Policy{set: set, rng: rand.New(rand.NewSource(seed))}
-	top := 0.0
+	top := 1e-9
 	for _, c := range set.Categories {
 		top = math.Max(top, c.Value)
 	}
 	for _, c := range set.Categories {
 		p.rows = append(p.rows, row{repeat: c.Repeat, group: c.Group, window: c.RepeatWindow, due: c.DueTime,
-			stretch: c.DueStretch, patience: c.Patience, lean: 1.5 - c.Value/math.Max(top, 1e-9)})
+			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
-	n := len(p.rows)
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}}
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, copies: copySaved,
 		flow: newRing(flowWidth, flowCount, 1)}
-	p.gate = gate{p: p, legs: newRing(flowWidth, flowCount, 2), mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, newer: newRing(evidenceWidth, evidenceBuckets, 3*n),
-		earlier: newRing(evidenceWidth, evidenceBuckets, 3*n), keys: map[relay.Key]bool{},
-		told: make([]verdict, n)}
+	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
+		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+1)}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
 }
@@ -180,20 +149,17 @@
 		switch e := e.(type) {
 		case relay.Woken:
 			p.do(relay.Wake{ID: 1, At: p.now + tick})
-			p.post(&p.roster, noteTick{})
-			p.post(&p.trial, noteTick{})
-			p.post(&p.fuser, noteTick{})
-			p.post(&p.gate, noteTick{})
-			p.post(&p.desk, noteTick{})
+			for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
+				p.post(a, noteTick{})
+			}
 		case relay.Roster:
 			p.post(&p.roster, e)
 		case relay.StageNews:
 			p.post(&p.trial, e)
-		case relay.JudgedWrong:
-			p.post(&p.trial, e)
+			p.post(&p.fuser, e)
 		case relay.Heard:
 			if m, err := decodeMemo(e.Body); err == nil {
-				p.post(&p.fuser, noteVerdicts{e.From, m})
+				p.post(&p.fuser, noteMemo{e.From, m})
 			}
 		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
 			p.post(&p.desk, e)
@@ -203,18 +169,6 @@
 	return p.out
 }
 
-func (p *Policy) post(to actor, n note) { p.mail = append(p.mail, letter{to, n}) }
-
-// drain empties the inboxes, in the order of posting.
-func (p *Policy) drain() {
-	for i := 0; i < len(p.mail); i++ {
-		p.mail[i].to.take(p.mail[i].body)
-	}
-	p.mail = p.mail[:0]
-}
-
-func (p *Policy) do(o relay.Order) { p.out = append(p.out, o) }
-
 // roster keeps the list of units and the watch on it.
 type roster struct {
 	p       *Policy
@@ -244,15 +198,13 @@
 			r.askAt = r.p.now + watchRetry*(1+r.p.rng.Float64())
 			return
 		}
-		if n.Form != relay.RosterCached {
-			r.watched = true
-		}
+		r.watched = r.watched || n.Form != relay.RosterCached
 		listed := map[relay.UnitID]bool{}
 		for _, e := range n.Units {
 			listed[e.Unit] = true
 			u := r.byID[e.Unit]
 			if u == nil {
-				u = &unit{p: r.p, id: e.Unit}
+				u = &unit{p: r.p, id: e.Unit, seen: newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)}
 				r.byID[e.Unit] = u
 				at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
 				r.units = append(r.units, nil)
@@ -261,13 +213,11 @@
 			}
 			r.p.post(u, e)
 		}
-		if n.Form != relay.RosterDelta {
-			for _, u := range r.units {
-				if !listed[u.id] && u.State != relay.Gone {
-					gone := u.UnitEntry
-					gone.State = relay.Gone
-					r.p.post(u, gone)
-				}
+		for _, u := range r.units {
+			if n.Form != relay.RosterDelta && !listed[u.id] && u.State != relay.Gone {
+				gone := u.UnitEntry
+				gone.State = relay.Gone
+				r.p.post(u, gone)
 			}
 		}
 	}
@@ -278,7 +228,8 @@
 	p  *Policy
 	id relay.UnitID
 	relay.UnitEntry
-	listed  relay.Seconds // when its present process was first listed
+	started relay.Seconds
+	met     bool
 	open    int           // own legs out
 	answer  relay.Seconds // last answer, or when the unit stopped being idle
 	bad     float64       // failure figure, as of badAt
@@ -287,16 +238,17 @@
 	paceAt  relay.Seconds
 	cold    float64 // legs that the cold budget holds, as of coldAt
 	coldAt  relay.Seconds
-	started relay.Seconds
+	seen    ring // evidence: counts by category
 }
 
 func (u *unit) take(n note) {
 	switch n := n.(type) {
 	case relay.UnitEntry:
-		// A fresh start or another build under an old id is a new process: nothing known of the old one holds.
-		if u.listed == 0 || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt || u.State == relay.Gone {
-			u.listed, u.bad, u.pace = u.p.now, 0, 0
+		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
+		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
+			u.met, u.bad, u.pace = true, 0, 0
 			u.cold, u.coldAt = u.p.rng.Float64(), u.p.now
+			u.seen.reset()
 		}
 		u.UnitEntry = n
 		u.started = math.Inf(-1)
@@ -310,24 +262,61 @@
 		u.open++
 	case noteOutcome:
 		u.open--
-		if n.how == relay.Cancelled || n.how == relay.NotSent {
-			return
-		}
-		u.answer = u.p.now
-		miss := 1.0
-		switch n.how {
-		case relay.Honoured:
-			miss = 0
-			ratio := n.took / math.Max(n.work, 1e-3)
-			u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
-			u.p.desk.pace += 0.02 * (ratio - u.p.desk.pace)
-		case relay.TurnedAway:
-			miss = suspectAt
-		}
-		u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
+		u.ended(n)
 	}
 }
 
+// ended learns from the end of a leg.
+func (u *unit) ended(n noteOutcome) {
+	if n.how == relay.Cancelled || n.how == relay.NotSent {
+		return
+	}
+	u.answer = u.p.now
+	miss, ratio := 1.0, n.took/math.Max(n.work, 1e-3)
+	usual := u.p.desk.usualPace(u.Kind)
+	switch n.how {
+	case relay.Honoured:
+		miss = 0
+		u.p.desk.learnPace(u, ratio)
+		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
+	case relay.TurnedAway:
+		miss = suspectAt
+	}
+	u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
+	if n.how.NeverRan() || n.leg.age < youngUnit || n.leg.build != u.Build {
+		return
+	}
+	at := int(n.category) * figures
+	u.seen.add(u.p.now, at+figCount, 1)
+	switch {
+	case n.how == relay.Errored || n.how == relay.Broken:
+		u.seen.add(u.p.now, at+figFailed, 1)
+	case n.took > n.due || n.how == relay.TimedOut:
+		u.seen.add(u.p.now, at+figLate, 1)
+		fallthrough
+	case usual > 0 && ratio > slowBar*usual:
+		u.seen.add(u.p.now, at+figSlow, 1)
+	}
+}
+
+// evidence is what the unit showed in one category in buckets from to to.
+func (u *unit) evidence(c, from, to int) (out counts) {
+	for f := range out {
+		out[f] = u.seen.sum(u.p.now, c*figures+f, from, to)
+	}
+	return out
+}
+
+// broken says that the unit fails most of what it gets, in every category: that is the machine's fault
+// or its way's (dead, cut off, failing fast), not its build's, as long as other units of the build differ.
+func (u *unit) broken() bool {
+	var sum counts
+	for c := range u.p.rows {
+		sum.add(u.evidence(c, 0, evidenceBuckets))
+	}
+	return sum[figFailed] > brokenShare*sum[figCount]
+}
+
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
@@ -355,64 +344,18 @@
 	if u.open > 0 {
 		c *= 1 + quietShare*(u.p.now-u.answer)/math.Max(u.p.desk.usual, 1e-3)
 	}
+	if u.Zone != u.p.set.Zone && u.p.set.Prices.CrossZone > 0 {
+		c *= crossCost
+	}
 	return c
 }
 
-// coldRate is the legs per second that rule 4 leaves this relay for a cold unit: its own flow to a warm
-// unit stands for its part of what such a unit can take.
-func (u *unit) coldRate() float64 {
-	r := &u.p.set.Rules
-	return u.p.desk.warmFlow * u.warmth() * r.FallMultiple * coldPart
-}
-
-// coldLeft is the cold budget by now.
+// coldLeft is the budget of legs for a cold unit by now. This relay's own flow to a warm unit stands for
+// its part of what such a unit can take, so all relays together keep rule 4 however unlike they are.
 func (u *unit) coldLeft() float64 {
-	rate := u.coldRate()
-	most := math.Max(1, rate*u.p.set.Rules.FallTime*coldBurst)
-	return math.Min(most, u.cold+rate*(u.p.now-u.coldAt))
-}
-
-// leg is one try of a query at a unit.
-type leg struct {
-	unit    *unit
-	zone    relay.Zone // of the unit when the leg was sent
-	cell    relay.Cell
-	build   relay.Build
-	at      relay.Seconds
-	age     relay.Seconds // of the unit then
-	open    bool
-	mayRan  bool // it is out, or ended without proof that it never ran
-	overdue bool
-}
-
-// query is one query that this relay has taken.
-type query struct {
-	relay.Query
-	row    *row
-	at     relay.Seconds
-	due    relay.Seconds
-	legs   []leg
-	over   bool // has its final answer, or needs none
-	held   bool // waits for a unit
-	stream bool // the client owns a leg: nothing more to decide
-}
-
-func (q *query) out() (n int) {
-	for i := range q.legs {
-		if q.legs[i].open {
-			n++
-		}
-	}
-	return n
-}
-
-func (q *query) mayHaveRun() bool {
-	for i := range q.legs {
-		if q.legs[i].mayRan {
-			return true
-		}
-	}
-	return false
+	r := &u.p.set.Rules
+	rate := u.p.desk.warmFlow * u.warmth() * r.FallMultiple * coldPart
+	return math.Min(math.Max(1, rate*r.FallTime*coldBurst), u.cold+rate*(u.p.now-u.coldAt))
 }
 
 // work is the query's expected work; without a hint, the due time stands in as a common yardstick.
@@ -427,18 +370,44 @@
 type desk struct {
 	p        *Policy
 	queries  map[relay.QueryID]*query
-	open     []*query // those with an answer owed or legs out, in order of arrival
-	copies   float64  // second copies that may be sent
-	pace     float64  // the fleet's leg time over expected work
+	open     []*query  // those with an answer owed or legs out, in order of arrival
+	owed     int       // of these, with an answer owed
+	copies   float64   // second copies that may be sent
+	pace     float64   // the fleet's leg time over expected work
+	kinds    []float64 // the same by kind of machine, of builds not on trial
 	usual    relay.Seconds
 	flow     ring // legs sent to warm units
 	warmFlow float64
 }
 
+func (d *desk) usualPace(k relay.Kind) float64 {
+	if k < 0 || int(k) >= len(d.kinds) {
+		return 0
+	}
+	return d.kinds[k]
+}
+
+func (d *desk) learnPace(u *unit, ratio float64) {
+	toward := func(x *float64) {
+		if *x == 0 {
+			*x = ratio
+		}
+		*x += paceFleet * (ratio - *x)
+	}
+	toward(&d.pace)
+	if t := &d.p.trial; t.judging() && u.Build >= t.news.Build || u.Kind < 0 {
+		return
+	}
+	for int(u.Kind) >= len(d.kinds) {
+		d.kinds = append(d.kinds, 0)
+	}
+	toward(&d.kinds[u.Kind])
+}
+
 func (d *desk) take(n note) {
 	switch n := n.(type) {
 	case relay.Query:
-		if _, twice := d.queries[n.ID]; twice {
+		if d.queries[n.ID] != nil {
 			return
 		}
 		if n.Category < 0 || int(n.Category) >= len(d.p.rows) {
@@ -449,6 +418,7 @@
 		q.due = q.at + math.Min(q.row.due+q.row.stretch*n.Work, math.Max(q.row.patience, q.row.due))
 		d.queries[n.ID] = q
 		d.open = append(d.open, q)
+		d.owed++
 		d.copies = math.Min(d.copies+copyBudget, copySaved)
 		d.p.trial.took(q)
 		if d.p.gate.denies(q) {
@@ -460,12 +430,12 @@
 		d.ended(n)
 	case relay.Streaming:
 		if q := d.queries[n.Query]; q != nil {
-			q.over, q.stream = true, true
+			q.stream = true
+			d.settle(q)
 		}
 	case relay.ClientLeft:
 		if q := d.queries[n.Query]; q != nil {
-			q.over = true
-			d.cancelRest(q)
+			d.settle(q)
 		}
 	case noteTick:
 		d.look()
@@ -474,34 +444,35 @@
 
 func (d *desk) ended(n relay.LegEnded) {
 	q := d.queries[n.Query]
-	if q == nil || int(n.Leg) >= len(q.legs) || !q.legs[n.Leg].open {
+	if q == nil || n.Leg < 0 || int(n.Leg) >= len(q.legs) || !q.legs[n.Leg].open {
 		return
 	}
 	l := &q.legs[n.Leg]
 	l.open, l.mayRan = false, !n.How.NeverRan()
-	o := noteOutcome{category: q.Category, build: l.build, age: l.age, how: n.How, took: n.Took, sentAt: l.at,
-		work: q.work(), due: q.due - q.at, overdue: l.overdue}
+	o := noteOutcome{category: q.Category, leg: *l, how: n.How, took: n.Took, work: q.work(), due: q.due - q.at}
 	d.p.post(l.unit, o)
-	d.p.post(&d.p.trial, o)
 	d.p.post(&d.p.gate, o)
 	if n.How == relay.Honoured {
-		d.usual += 0.02 * (n.Took - d.usual)
+		d.usual += paceFleet * (n.Took - d.usual)
 		d.p.trial.answered(q, l.build)
 	}
-	if n.Over {
-		q.over = true
-	}
-	if q.over {
-		d.cancelRest(q)
-		return
-	}
-	if q.out() == 0 {
+	switch {
+	case n.Over:
+		d.settle(q)
+	case q.over || q.out() > 0:
+	case n.How == relay.TurnedAway && float64(d.owed) > fullDenial*d.p.gate.limit():
+		d.finish(q) // the fleet is full: more legs would only feed it
+	default:
 		d.route(q)
 	}
 }
 
-// cancelRest ends the legs of a query that needs them no more.
-func (d *desk) cancelRest(q *query) {
+// settle marks a query as needing no more, and ends the legs that it still has out.
+func (d *desk) settle(q *query) {
+	if !q.over {
+		q.over = true
+		d.owed--
+	}
 	if !d.p.set.Limits.Cancel || q.stream {
 		return
 	}
@@ -512,7 +483,7 @@
 	}
 }
 
-// look goes over the open queries: legs past their due time, second copies, held queries, patience.
+// look goes over the open queries: second copies, held queries, patience.
 func (d *desk) look() {
 	warm := 0.0
 	for _, u := range d.p.roster.units {
@@ -520,25 +491,14 @@
 			warm++
 		}
 	}
-	d.warmFlow = d.flow.sum(d.p.now, 0, 0, flowCount) / (flowWidth * flowCount) / math.Max(warm, 1)
+	d.warmFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(warm, 1)
 	left := d.open[:0]
 	for _, q := range d.open {
-		for i := range q.legs {
-			if l := &q.legs[i]; l.open && !l.overdue && d.p.now-l.at > q.due-q.at {
-				l.overdue = true
-				d.p.post(&d.p.trial, noteOverdue{category: q.Category, build: l.build, age: l.age, sentAt: l.at})
-			}
-		}
-		if !q.over {
-			out := q.out()
-			switch {
-			case out == 0 && (d.p.now >= q.due || d.p.now >= q.Until-patienceEdge):
-				d.finish(q)
-			case out == 0:
-				d.route(q)
-			case out == 1 && len(q.legs) == 1 && d.p.now-q.at > copyAt*(q.due-q.at) && d.p.now < q.due:
-				d.copy(q)
-			}
+		out := q.out()
+		if !q.over && out == 0 {
+			d.route(q)
+		} else if !q.over && out == 1 && len(q.legs) == 1 && d.p.now-q.at > copyAt*(q.due-q.at) && d.p.now < q.due {
+			d.copy(q)
 		}
 		if q.over && q.out() == 0 {
 			delete(d.queries, q.ID)
@@ -553,26 +513,24 @@
 // copy sends a second copy of a query whose only leg is late: whatever keeps that leg (a pause, a slow or
 // dead unit, a long queue), another unit is likely to be free of it.
 func (d *desk) copy(q *query) {
-	if d.copies < 1 || q.row.repeat == relay.AtMostOnce || d.p.gate.level > 0 {
+	if d.copies < 1 || q.row.repeat == relay.AtMostOnce || float64(d.owed) > copyRoom*d.p.gate.limit() {
 		return
 	}
-	if u := d.pick(q); u != nil {
+	if u := d.pick(q); u != nil && !q.tried(u) {
 		d.copies--
 		d.send(q, u)
 	}
 }
 
-// route sends a query that has no leg out, holds it while no unit may take it, or gives it up.
+// route sends a query that has no leg out. It is held only while it is in time, has legs left and a unit
+// may yet come free for it; otherwise it is given up at once.
 func (d *desk) route(q *query) {
-	if u := d.pick(q); u != nil {
-		q.held = false
+	held := d.p.now < q.due && d.p.now < q.Until-patienceEdge
+	if u := d.pick(q); u != nil && held {
 		d.send(q, u)
 		return
 	}
-	// Held only while a unit may yet come free for it; with no legs left, or an effect that may have
-	// happened, there is nothing to wait for.
-	q.held = len(q.legs) < d.p.set.Limits.MaxLegs && !q.mayHaveRun()
-	if !q.held || d.p.now >= q.due {
+	if !held || len(q.legs) >= d.p.set.Limits.MaxLegs || q.row.repeat == relay.AtMostOnce && q.mayHaveRun() {
 		d.finish(q)
 	}
 }
@@ -582,7 +540,7 @@
 func (d *desk) pick(q *query) *unit {
 	var earlier, onTrial []*unit
 	for _, u := range d.p.roster.units {
-		if u.State != relay.Ready || !d.may(q, u) {
+		if !d.may(q, u) {
 			continue
 		}
 		if _, _, trial := d.p.trial.capOf(u.Build); trial {
@@ -608,52 +566,38 @@
 	if q.row.repeat == relay.AtMostOnce {
 		limit = suspectFirm
 	}
-	pool := make([]*unit, 0, len(units))
+	var sound, doubtful []*unit
 	for _, u := range units {
-		if u.badNow() < limit && !q.tried(u) {
-			pool = append(pool, u)
+		if q.tried(u) {
+			continue
 		}
-	}
-	for _, u := range units {
-		if len(pool) == 0 || pool[0].badNow() >= limit {
-			if u.badNow() >= limit && !q.tried(u) {
-				pool = append(pool, u)
-			}
+		if u.badNow() < limit {
+			sound = append(sound, u)
+		} else {
+			doubtful = append(doubtful, u)
 		}
 	}
+	pool := sound
+	if len(pool) == 0 {
+		pool = doubtful
+	}
 	if len(pool) == 0 {
 		pool = units
 	}
 	if len(pool) == 0 {
 		return nil
 	}
-	a := d.p.rng.Intn(len(pool))
-	if len(pool) == 1 {
-		return pool[a]
-	}
-	b := d.p.rng.Intn(len(pool) - 1)
-	if b >= a {
-		b++
-	}
-	if pool[b].cost() < pool[a].cost() {
-		a = b
-	}
-	return pool[a]
-}
-
-func (q *query) tried(u *unit) bool {
-	for i := range q.legs {
-		if q.legs[i].unit == u {
-			return true
-		}
+	a := pool[d.p.rng.Intn(len(pool))]
+	if b := pool[d.p.rng.Intn(len(pool))]; b.cost() < a.cost() {
+		return b
 	}
-	return false
+	return a
 }
 
 // may is the guard that every leg passes: rules 2 to 5.
 func (d *desk) may(q *query, u *unit) bool {
 	p := d.p
-	if q.over || u.State != relay.Ready || len(q.legs) >= p.set.Limits.MaxLegs || p.now >= q.Until {
+	if q.over || u.State != relay.Ready || len(q.legs) >= p.set.Limits.MaxLegs {
 		return false
 	}
 	for i := range q.legs {
@@ -692,7 +636,7 @@
 		d.flow.add(p.now, 0, 1)
 	}
 	p.trial.spend(q, u.Build)
-	p.post(u, noteSent{p.now})
+	p.post(u, noteSent{})
 	p.do(relay.SendLeg{Query: q.ID, Unit: u.id})
 }
 
@@ -702,153 +646,90 @@
 	if q.over {
 		return
 	}
-	q.over, q.held = true, false
 	harmless := q.row.repeat == relay.Reissuable || !q.mayHaveRun() ||
 		q.row.repeat == relay.Numbered && q.row.group == relay.GroupAll
-	if !harmless {
+	switch {
+	case !harmless:
 		d.p.do(relay.WriteOff{Query: q.ID})
-	} else if d.p.set.Limits.RetryAfter {
+	case d.p.set.Limits.RetryAfter:
 		d.p.do(relay.Deny{Query: q.ID, RetryAfter: d.p.set.Limits.MaxRetryAfter})
-	} else {
+	default:
 		d.p.do(relay.Deny{Query: q.ID})
 	}
-	d.cancelRest(q)
+	d.settle(q)
 }
 
-// gate denies new queries while answers come too late: it guards against any lasting lack of capacity.
+// gate denies new queries while more are open than can be answered in time at the pace of late. It guards
+// against any lack of capacity, and needs no cause: too much traffic, lost or slow units, costly queries.
 type gate struct {
-	p      *Policy
-	legs   ring    // figure 0: legs; 1: leg time over due time
-	mix    ring    // queries taken, by customer; the last figure: all
-	level  float64 // share that is denied
-	moveAt relay.Seconds
+	p       *Policy
+	answers ring // figure 0: answers; 1: their due times
+	mix     ring // queries taken, by customer; the last figure: all
 }
 
 func (g *gate) take(n note) {
-	switch n := n.(type) {
-	case noteOutcome:
-		if n.how == relay.Honoured || n.how == relay.TimedOut || n.how == relay.TurnedAway {
-			ratio := n.took / math.Max(n.due, 1e-3)
-			if n.how == relay.TurnedAway {
-				ratio = 1.5
-			}
-			g.legs.add(g.p.now, 0, 1)
-			g.legs.add(g.p.now, 1, math.Min(ratio, 2))
-		}
-	case noteTick:
-		if g.p.now < g.moveAt {
-			return
-		}
-		g.moveAt = g.p.now + gateEvery
-		count, sum := g.legs.sum(g.p.now, 0, 0, gateBuckets), g.legs.sum(g.p.now, 1, 0, gateBuckets)
-		for _, q := range g.p.desk.open {
-			if !q.over && g.p.now > q.due {
-				count, sum = count+1, sum+1.5
-			}
-		}
-		switch {
-		case count >= gateFewest && sum > gateHigh*count:
-			g.level = math.Min(g.level+gateUp, gateMost)
-		case sum < gateLow*math.Max(count, 1):
-			g.level = math.Max(g.level-gateDown, 0)
-		}
+	if n, ok := n.(noteOutcome); ok && n.how == relay.Honoured {
+		g.answers.add(g.p.now, 0, 1)
+		g.answers.add(g.p.now, 1, n.due)
 	}
 }
 
+// limit is how many queries may be open: by Little's law, the rate of answers times the time that they
+// may take, so that it falls with capacity and grows as fast as answers quicken.
+func (g *gate) limit() float64 {
+	return gateSpare + gateWait*g.answers.all(g.p.now, 1)/(flowWidth*flowCount)
+}
+
 // denies says whether a new query is turned away, and counts it.
 func (g *gate) denies(q *query) bool {
-	n := len(g.p.set.Customers)
-	c := int(q.Customer)
+	n, c := len(g.p.set.Customers), int(q.Customer)
 	g.mix.add(g.p.now, n, 1)
+	part := q.row.gate
 	if c < n {
 		g.mix.add(g.p.now, c, 1)
-	}
-	if g.level == 0 {
-		return false
-	}
-	share := g.level * q.row.lean
-	if c < n && g.p.set.Customers[c].Share > 0 {
-		own, all := g.mix.sum(g.p.now, c, 0, flowCount), g.mix.sum(g.p.now, n, 0, flowCount)
-		if own > overShare*g.p.set.Customers[c].Share*all {
-			share *= overWeight
+		if share := g.p.set.Customers[c].Share; g.mix.all(g.p.now, c) > overShare*share*g.mix.all(g.p.now, n) {
+			part = math.Min(part, gateOver)
 		}
 	}
-	return g.p.rng.Float64() < share
-}
-
-// exposure is what a relay may still send to one build on trial, by category where the rule counts so.
-type exposure struct {
-	build relay.Build
-	cap   float64
-	hard  []float64 // legs that the rule leaves
-	soft  []float64 // legs that the design's share of the cap leaves
+	return float64(g.p.desk.owed) > part*g.limit()
 }
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
 type trial struct {
-	p       *Policy
-	known   bool
-	news    relay.StageNews
-	since   relay.Seconds // when the present state began
-	limits  []*exposure
-	newer   ring // per category: outcomes, failures, late answers of the newest build
-	earlier ring // the same of the builds before it
-	keys    map[relay.Key]bool
-	told    []verdict
-	toldAt  relay.Seconds
+	p        *Policy
+	known    bool
+	news     relay.StageNews
+	since    relay.Seconds // when the present state began
+	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
+	limits   []*exposure
+	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
+	mine     []verdict                 // by category; the last: all categories together
+	judgeAt  relay.Seconds
+	toldAt   relay.Seconds
 }
 
-// Figures of an evidence ring, per category.
-const (
-	figCount = iota
-	figFailed
-	figLate
-	figures
-)
-
 func (t *trial) take(n note) {
 	switch n := n.(type) {
 	case relay.StageNews:
-		t.p.post(&t.p.fuser, n)
-		if n.Valid {
+		if n.Valid && (!t.known || n.Build >= t.news.Build) {
 			t.hear(n)
 		}
-	case noteOutcome:
-		if n.how == relay.Cancelled || n.how.NeverRan() {
-			return
-		}
-		t.count(n.build, n.age, n.category, figCount)
-		if n.how != relay.Honoured {
-			t.count(n.build, n.age, n.category, figFailed)
-		} else if n.took > n.due {
-			t.count(n.build, n.age, n.category, figLate)
-		}
 	case noteTick:
-		t.tell()
-	}
-}
-
-func (t *trial) count(b relay.Build, age relay.Seconds, c relay.Category, figure int) {
-	if !t.known || age < youngUnit {
-		return
-	}
-	r := &t.earlier
-	if b >= t.news.Build {
-		r = &t.newer
+		if t.p.now >= t.judgeAt && t.judging() {
+			t.judgeAt = t.p.now + judgeEvery
+			t.judge()
+		}
 	}
-	r.add(t.p.now, int(c)*figures+figure, 1)
 }
 
 func (t *trial) hear(n relay.StageNews) {
-	if !t.known || n.Build != t.news.Build {
-		t.newer.reset()
-		t.keys = map[relay.Key]bool{}
+	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
+		t.listedAt = 0
 	}
-	if t.known && n.Build < t.news.Build {
-		return // old news
-	}
-	if n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn {
-		t.keys = map[relay.Key]bool{}
+	for k, b := range t.keys {
+		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
+			delete(t.keys, k)
+		}
 	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
 	x := t.limit(n.Build)
@@ -866,16 +747,16 @@
 			return x
 		}
 	}
-	n := 1
-	if t.p.set.Rollout.PerCategory {
+	ro, n := &t.p.set.Rollout, 1
+	if ro.PerCategory {
 		n = len(t.p.rows)
 	}
 	x := &exposure{build: b, hard: make([]float64, n), soft: make([]float64, n)}
-	if c := t.p.set.Rollout.Caps; len(c) > 0 {
-		x.cap = c[0]
+	if len(ro.Caps) > 0 {
+		x.cap = ro.Caps[0]
 	}
 	for i := range x.hard {
-		x.hard[i], x.soft[i] = t.p.set.Rollout.Uncounted, t.p.set.Rollout.Uncounted
+		x.hard[i], x.soft[i] = ro.Uncounted, ro.Uncounted
 	}
 	t.limits = append(t.limits, x)
 	return x
@@ -895,8 +776,6 @@
 	return t.news.Cap, t.news.Stage, true
 }
 
-func (x *exposure) slot(c relay.Category) int { return min(int(c), len(x.hard)-1) }
-
 // took adds a query's part to the budgets. They are buckets that never hold more than the rule's
 // uncounted legs, so every window of any length keeps the cap.
 func (t *trial) took(q *query) {
@@ -911,7 +790,7 @@
 // may is the guard's part on exposure (rule 5).
 func (t *trial) may(q *query, b relay.Build) bool {
 	ro := &t.p.set.Rollout
-	if ro.KeysForward && t.known && b < t.news.Build && q.Key != 0 && t.keys[q.Key] {
+	if ro.KeysForward && q.Key != 0 && b < t.keys[q.Key] {
 		return false
 	}
 	cap, stage, onTrial := t.capOf(b)
@@ -941,9 +820,9 @@
 
 // answered pins a key to the newest build once it has answered there.
 func (t *trial) answered(q *query, b relay.Build) {
-	if t.p.set.Rollout.KeysForward && q.Key != 0 && t.known && b == t.news.Build &&
-		(t.news.Phase == relay.OnTrial || t.news.Phase == relay.Released) {
-		t.keys[q.Key] = true
+	if t.p.set.Rollout.KeysForward && q.Key != 0 && b > t.keys[q.Key] &&
+		(!t.known || b > t.news.Build || b == t.news.Build && t.judging()) {
+		t.keys[q.Key] = b
 	}
 }
 
@@ -952,54 +831,26 @@
 	return t.known && (t.news.Phase == relay.OnTrial || t.news.Phase == relay.Released)
 }
 
-// verdict forms this relay's verdict on one category.
-func (t *trial) verdict(c relay.Category) verdict {
-	at := int(c) * figures
-	now := t.p.now
-	n1 := t.newer.sum(now, at+figCount, 0, evidenceBuckets)
-	n0 := t.earlier.sum(now, at+figCount, 0, evidenceBuckets)
-	base, from, to := &t.earlier, 0, evidenceBuckets
-	recent := evidenceBuckets
-	if n0 < leastCount { // without earlier machines: this release's own earlier share
-		base, from, recent = &t.newer, evidenceRecent, evidenceRecent
-		n1, n0 = t.newer.sum(now, at+figCount, 0, recent), base.sum(now, at+figCount, from, to)
-	}
-	v := verdict{n: int(n1)}
-	if n1 < leastCount || n0 < leastCount {
-		return v
-	}
-	for _, fig := range []int{figFailed, figLate} {
-		x1, x0 := t.newer.sum(now, at+fig, 0, recent), base.sum(now, at+fig, from, to)
-		v.flag = v.flag || worse(x1, n1, x0, n0)
-	}
-	return v
-}
-
-// worse is the design's test of one share against another.
-func worse(x1, n1, x0, n0 float64) bool {
-	p1, p0 := x1/n1, x0/n0
-	err := math.Sqrt(p1*(1-p1)/n1 + p0*(1-p0)/n0)
-	return p1-p0 >= flagPoints && p1-p0 > flagErrors*err && x1-p0*n1 >= flagOutcomes
-}
-
-// tell sends this relay's verdicts to the fusers, on change and every so often.
-func (t *trial) tell() {
-	if !t.judging() {
-		return
-	}
-	m := memo{build: t.news.Build, stage: t.news.Stage}
+// judge forms this relay's verdicts and tells the fusers, on change and every so often.
+func (t *trial) judge() {
+	t.list()
 	changed := t.p.now-t.toldAt >= verdictEvery
+	all := &t.mine[len(t.p.rows)]
+	*all = verdict{}
 	for c := range t.p.rows {
-		v := t.verdict(relay.Category(c))
-		m.verdicts = append(m.verdicts, v)
-		changed = changed || v.flag != t.told[c].flag
+		v := t.verdict(c)
+		changed = changed || v.flag != t.mine[c].flag
+		t.mine[c] = v
+		all.newer.add(v.newer)
+		all.before.add(v.before)
 	}
+	all.flag = flagged(all.newer, all.before)
 	if !changed {
 		return
 	}
 	t.toldAt = t.p.now
-	copy(t.told, m.verdicts)
-	t.p.post(&t.p.fuser, noteVerdicts{t.p.set.Self, m})
+	m := memo{build: t.news.Build, stage: t.news.Stage, verdicts: append([]verdict(nil), t.mine...)}
+	t.p.post(&t.p.fuser, noteMemo{t.p.set.Self, m})
 	if !t.p.set.Limits.Messages {
 		return
 	}
@@ -1011,11 +862,82 @@
 	}
 }
 
-// heard is the last word of one relay.
-type heard struct {
-	memo
-	at  relay.Seconds
-	has bool
+// list notes when most units of the present stage are listed.
+func (t *trial) list() {
+	newer, earlier := 0.0, 0.0
+	for _, u := range t.p.roster.units {
+		if u.State == relay.Ready && u.Build >= t.news.Build {
+			newer++
+		} else if u.State == relay.Ready {
+			earlier++
+		}
+	}
+	if t.p.set.Rollout.InPlace {
+		earlier += newer
+	}
+	if s := t.p.set.Rollout.StageShares; t.listedAt == 0 && newer > 0 && int(t.news.Stage) < len(s) &&
+		newer >= listedPart*s[t.news.Stage]*earlier {
+		t.listedAt = t.p.now
+	}
+}
+
+// verdict forms this relay's verdict on one category.
+func (t *trial) verdict(c int) (v verdict) {
+	newer := t.gather(c, true, 0, evidenceBuckets)
+	v.newer, v.before = newer, t.gather(c, false, 0, evidenceBuckets)
+	if v.before[figCount] < leastCount {
+		// Without earlier machines: this release's own earlier share. Lateness then says more of the hour
+		// than of the build, and is left out.
+		v.newer, v.before = t.gather(c, true, 0, evidenceRecent), t.gather(c, true, evidenceRecent, evidenceBuckets)
+		for _, f := range []int{figLate, figSlow} {
+			v.newer[f], v.before[f] = 0, 0
+		}
+	}
+	v.flag = flagged(v.newer, v.before)
+	return v
+}
+
+// gather sums the evidence of the newest build's units, or of the earlier ones. Units that are broken as
+// machines are left out, unless most of the build's units look so.
+func (t *trial) gather(c int, newest bool, from, to int) (sound counts) {
+	var broken counts
+	ok, off := 0, 0
+	for _, u := range t.p.roster.units {
+		e := u.evidence(c, from, to)
+		if (u.Build >= t.news.Build) != newest || e[figCount] == 0 {
+			continue
+		}
+		if u.broken() {
+			off++
+			broken.add(e)
+		} else {
+			ok++
+			sound.add(e)
+		}
+	}
+	if off > ok {
+		sound.add(broken)
+	}
+	return sound
+}
+
+// flagged is the design's test of one build's shares against another's.
+func flagged(newer, before counts) bool {
+	if newer[figCount] < leastCount || before[figCount] < leastCount {
+		return false
+	}
+	for f := figFailed; f < figures; f++ {
+		points := flagPoints
+		if f == figSlow {
+			points = slowPoints
+		}
+		p1, p0 := newer[f]/newer[figCount], before[f]/before[figCount]
+		err := math.Sqrt(p1*(1-p1)/newer[figCount] + p0*(1-p0)/before[figCount])
+		if p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*newer[figCount] >= flagOutcomes {
+			return true
+		}
+	}
+	return false
 }
 
 // fuser weighs all relays' verdicts and votes.
@@ -1036,7 +958,7 @@
 
 func (f *fuser) take(n note) {
 	switch n := n.(type) {
-	case noteVerdicts:
+	case noteMemo:
 		if int(n.from) < len(f.heard) {
 			f.heard[n.from] = heard{n.memo, f.p.now, true}
 		}
@@ -1051,59 +973,72 @@
 	}
 }
 
-// fused sums the log likelihood ratios of the verdicts that hold now.
-func (f *fuser) fused() (sum float64, flaggers, pooled int) {
+// logRatio is what one verdict of n outcomes weighs.
+func logRatio(flag bool, n float64, categories int) float64 {
+	pd, pf := n/(n+halfKnown), falseAlarm/float64(max(categories, 1))
+	if flag {
+		return math.Log(pd / pf)
+	}
+	return math.Log((1 - pd) / (1 - pf))
+}
+
+// fused sums the log likelihood ratios of the present stage's verdicts, and pools their counts. The pooled
+// counts make a verdict of their own, one a category and one for all: where each relay alone has too few
+// outcomes to flag, they have them together. It stands for the relays in it, so it needs no second flagger.
+func (f *fuser) fused() (back bool, pooled float64) {
 	t := &f.p.trial
-	pf := falseAlarm / math.Max(float64(len(f.p.rows)), 1)
+	cats := len(f.p.rows)
+	sum, flaggers := 0.0, 0
+	pool := make([]verdict, cats+1)
 	for i := range f.heard {
 		h := &f.heard[i]
-		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || h.stage != t.news.Stage {
+		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != cats+1 {
 			continue
 		}
 		flags := false
-		for _, v := range h.verdicts {
-			n := float64(v.n)
-			pd := n / (n + halfKnown)
-			pooled += v.n
-			if v.flag {
-				flags = true
-				sum += math.Log(pd / pf)
-			} else {
-				sum += math.Log((1 - pd) / (1 - pf))
+		for c, v := range h.verdicts {
+			pool[c].newer.add(v.newer)
+			pool[c].before.add(v.before)
+			if c < cats && h.stage == t.news.Stage {
+				sum += logRatio(v.flag, v.newer[figCount], cats)
+				flags = flags || v.flag
 			}
 		}
 		if flags {
 			flaggers++
 		}
 	}
-	return sum, flaggers, pooled
+	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
+	back = sum >= threshold && flaggers >= leastFlags
+	for c, v := range pool {
+		if flagged(v.newer, v.before) && logRatio(true, v.newer[figCount], cats) >= threshold {
+			back = true
+			if f.cast.Verdict != relay.VoteBack {
+				f.p.do(relay.Log{Line: fmt.Sprint("pooled flag, category ", c, ": ", v.newer, " before ", v.before)})
+			}
+		}
+	}
+	return back, pool[cats].newer[figCount]
 }
 
-// threshold is log t of the paper.
-func threshold() float64 { return math.Log(alarmCost * (1 - prior) / (missCost * prior)) }
-
 // wish is the vote that this fuser wants to stand.
 func (f *fuser) wish() relay.Verdict {
-	t := &f.p.trial
+	t, r := &f.p.trial, &f.p.set.Rollout
 	if !t.judging() {
 		return relay.NoVote
 	}
-	sum, flaggers, pooled := f.fused()
-	if sum >= threshold() && flaggers >= leastFlags {
+	back, pooled := f.fused()
+	age := f.p.now - t.listedAt
+	switch {
+	case back:
 		return relay.VoteBack
-	}
-	if t.news.Phase == relay.Released {
+	case t.news.Phase == relay.Released:
 		return relay.NoVote
-	}
-	r := &f.p.set.Rollout
-	age := f.p.now - t.since
-	if r.Control == relay.Clock {
-		if pooled < leastCount && age < r.StepTime+extraWait {
-			return relay.VoteHold
-		}
+	case r.Control == relay.Clock && pooled < leastCount && f.p.now-t.since < r.StepTime+extraWait:
+		return relay.VoteHold
+	case r.Control == relay.Clock || t.listedAt == 0:
 		return relay.NoVote
-	}
-	if age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount {
+	case age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount:
 		return relay.VoteOn
 	}
 	return relay.NoVote
@@ -1124,10 +1059,15 @@
 	}
 	w := f.wish()
 	next := relay.Vote{Build: f.p.trial.news.Build, Stage: f.p.trial.news.Stage, Verdict: w}
-	same := next == f.cast || w == relay.NoVote && f.cast.Verdict == relay.NoVote
-	if same && (w == relay.NoVote || f.sure && f.p.now-f.castAt < voteRenew*r.VoteLife) {
+	if w == relay.NoVote && f.cast.Verdict == relay.NoVote {
 		return
 	}
+	if next == f.cast && f.sure && (w == relay.NoVote || f.p.now-f.castAt < voteRenew*r.VoteLife) {
+		return
+	}
+	if w == relay.VoteBack && f.cast.Verdict != w {
+		f.p.do(relay.Log{Line: "voting back"})
+	}
 	f.cast, f.castAt, f.pending, f.sure = next, f.p.now, true, false
 	f.p.do(next)
 }
--- a/policy/ring.go
+++ b/policy/ring.go
@@ -4,14 +4,13 @@
 
 // ring sums several figures over fixed buckets of time that are used again.
 type ring struct {
-	width  relay.Seconds
-	last   int64 // number of the newest bucket
-	sums   [][]float64
-	figure int
+	width relay.Seconds
+	last  int64 // number of the newest bucket
+	sums  [][]float64
 }
 
 func newRing(width relay.Seconds, buckets, figures int) ring {
-	r := ring{width: width, last: -1, figure: figures, sums: make([][]float64, buckets)}
+	r := ring{width: width, last: -1, sums: make([][]float64, buckets)}
 	for i := range r.sums {
 		r.sums[i] = make([]float64, figures)
 	}
@@ -41,6 +40,9 @@
 	return total
 }
 
+// all adds up every bucket.
+func (r *ring) all(now relay.Seconds, figure int) float64 { return r.sum(now, figure, 0, len(r.sums)) }
+
 func (r *ring) reset() {
 	for _, b := range r.sums {
 		clear(b)
