Take the standard error under equal shares; let mild pooled failures count

Cause: with errors near zero in the earlier build, the error of the two separate shares hides a mild bad build until it is released; and the gate denied at start, before any pace of answers was known. Change: null standard error in the flag; pooled failures flag from 2 points and more than 3 failures; the gate waits for a full window. Loses now: good builds sent back where machines fail.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	youngUnit    = 5.0  // s; outcomes of younger units are no evidence (DESIGN)
 	leastCount   = 20.0 // outcomes a build for a flag, and pooled ones for a vote on (DESIGN)
 	flagErrors   = 3.0  // standard errors that a share must be worse by (DESIGN)
-	flagOutcomes = 1.0  // failures that a share must be worse by (DESIGN)
+	flagOutcomes = 1.0  // failures that a share must be worse by, and more (DESIGN)
 	flagPoints   = 0.05 // difference of shares that a flag needs (DESIGN)
 	halfKnown    = 20.0 // outcomes at which a bad build is flagged half the time (DESIGN)
 	falseAlarm   = 0.01 // false-alarm probability of one relay over all its categories (DESIGN)
@@ -48,6 +48,8 @@
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	brokenShare     = 0.5  // failed part of all outcomes above which a unit, not its build, is at fault
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
+	poolOutcomes    = 3.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
+	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 
@@ -677,6 +679,9 @@
 // limit is how many queries may be open: by Little's law, the rate of answers times the time that they
 // may take, so that it falls with capacity and grows as fast as answers quicken.
 func (g *gate) limit() float64 {
+	if g.p.now < flowWidth*flowCount {
+		return math.Inf(1) // no pace is known yet
+	}
 	return gateSpare + gateWait*g.answers.all(g.p.now, 1)/(flowWidth*flowCount)
 }
 
@@ -844,7 +849,7 @@
 		all.newer.add(v.newer)
 		all.before.add(v.before)
 	}
-	all.flag = flagged(all.newer, all.before)
+	all.flag = flagged(all.newer, all.before, false)
 	if !changed {
 		return
 	}
@@ -893,7 +898,7 @@
 			v.newer[f], v.before[f] = 0, 0
 		}
 	}
-	v.flag = flagged(v.newer, v.before)
+	v.flag = flagged(v.newer, v.before, false)
 	return v
 }
 
@@ -921,19 +926,22 @@
 	return sound
 }
 
-// flagged is the design's test of one build's shares against another's.
-func flagged(newer, before counts) bool {
-	if newer[figCount] < leastCount || before[figCount] < leastCount {
+// flagged is the design's test of one build's shares against another's. Its standard error is that of two
+// equal shares, so that a few failures against hardly any count for what they are. Pooled counts need
+// fewer points for failures, but more of them.
+func flagged(newer, before counts, pooled bool) bool {
+	n1, n0 := newer[figCount], before[figCount]
+	if n1 < leastCount || n0 < leastCount {
 		return false
 	}
+	points, outcomes := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}, flagOutcomes
+	if pooled {
+		points[figFailed], outcomes = poolPoints, poolOutcomes
+	}
 	for f := figFailed; f < figures; f++ {
-		points := flagPoints
-		if f == figSlow {
-			points = slowPoints
-		}
-		p1, p0 := newer[f]/newer[figCount], before[f]/before[figCount]
-		err := math.Sqrt(p1*(1-p1)/newer[figCount] + p0*(1-p0)/before[figCount])
-		if p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*newer[figCount] >= flagOutcomes {
+		p1, p0, p := newer[f]/n1, before[f]/n0, (newer[f]+before[f])/(n1+n0)
+		err := math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
+		if p1-p0 >= points[f] && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes {
 			return true
 		}
 	}
@@ -1011,7 +1019,7 @@
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back = sum >= threshold && flaggers >= leastFlags
 	for c, v := range pool {
-		if flagged(v.newer, v.before) && logRatio(true, v.newer[figCount], cats) >= threshold {
+		if flagged(v.newer, v.before, true) && logRatio(true, v.newer[figCount], cats) >= threshold {
 			back = true
 			if f.cast.Verdict != relay.VoteBack {
 				f.p.do(relay.Log{Line: fmt.Sprint("pooled flag, category ", c, ": ", v.newer, " before ", v.before)})
