--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,12 +46,13 @@
 	evidenceWidth   = 0.5  // s a bucket of outcomes
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
-	brokenShare     = 0.5  // failed part of all outcomes above which a unit, not its build, is at fault
+	strayOutcomes   = 3.0  // bad outcomes of one unit that are more than chance
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 3.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
+	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
 	voteRenew = 0.5 // of a vote's life after which it is cast again: one lost renewal is survived
 	voteGap   = 0.4 // s at least between two votes of one relay
@@ -309,16 +310,6 @@
 	return out
 }
 
-// broken says that the unit fails most of what it gets, in every category: that is the machine's fault
-// or its way's (dead, cut off, failing fast), not its build's, as long as other units of the build differ.
-func (u *unit) broken() bool {
-	var sum counts
-	for c := range u.p.rows {
-		sum.add(u.evidence(c, 0, evidenceBuckets))
-	}
-	return sum[figFailed] > brokenShare*sum[figCount]
-}
-
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
@@ -902,28 +893,33 @@
 	return v
 }
 
-// gather sums the evidence of the newest build's units, or of the earlier ones. Units that are broken as
-// machines are left out, unless most of the build's units look so.
-func (t *trial) gather(c int, newest bool, from, to int) (sound counts) {
-	var broken counts
-	ok, off := 0, 0
+// gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
+// a build do is not the build's: the worst quarter of its units is left out of each figure, where such a
+// unit shows more than a stray outcome; and lateness at a single unit says nothing.
+func (t *trial) gather(c int, newest bool, from, to int) (sum counts) {
+	var seen []counts
 	for _, u := range t.p.roster.units {
-		e := u.evidence(c, from, to)
-		if (u.Build >= t.news.Build) != newest || e[figCount] == 0 {
-			continue
-		}
-		if u.broken() {
-			off++
-			broken.add(e)
-		} else {
-			ok++
-			sound.add(e)
+		if e := u.evidence(c, from, to); (u.Build >= t.news.Build) == newest && e[figCount] > 0 {
+			seen = append(seen, e)
+			sum.add(e)
 		}
 	}
-	if off > ok {
-		sound.add(broken)
+	n := sum[figCount]
+	for f := figFailed; f < figures && newest; f++ {
+		if len(seen) == 1 && f != figFailed {
+			sum[f] = 0
+		}
+		sort.SliceStable(seen, func(i, j int) bool { return seen[i][f]*seen[j][figCount] > seen[j][f]*seen[i][figCount] })
+		left := n
+		for i := 0; i < (len(seen)+3)/4 && len(seen) > 1; i++ {
+			if seen[i][f] >= strayOutcomes {
+				sum[f] -= seen[i][f]
+				left -= seen[i][figCount]
+			}
+		}
+		sum[f] *= n / math.Max(left, 1)
 	}
-	return sound
+	return sum
 }
 
 // flagged is the design's test of one build's shares against another's. Its standard error is that of two
@@ -1036,7 +1032,7 @@
 		return relay.NoVote
 	}
 	back, pooled := f.fused()
-	age := f.p.now - t.listedAt
+	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
 	switch {
 	case back:
 		return relay.VoteBack
