Leave recently suspect units out of evidence, unless most units of the build are suspect

Cause: dropping the worst unit for failures hid builds that turn bad with age, as their oldest unit fails first, while machines that fail fast still sent good builds back. Change: the routing's own suspicion decides; the worst quarter is left out of lateness only. Also covers dead and cut-off units; it could hide a build that makes only some machines fail. Open: builds that slow every server are released.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,9 +46,8 @@
 	evidenceWidth   = 0.5  // s a bucket of outcomes
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
-	strayOutcomes   = 3.0  // bad outcomes of one unit that are more than chance
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
-	poolOutcomes    = 3.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
+	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
@@ -231,17 +230,18 @@
 	p  *Policy
 	id relay.UnitID
 	relay.UnitEntry
-	started relay.Seconds
-	met     bool
-	open    int           // own legs out
-	answer  relay.Seconds // last answer, or when the unit stopped being idle
-	bad     float64       // failure figure, as of badAt
-	badAt   relay.Seconds
-	pace    float64 // leg time over expected work, as of paceAt
-	paceAt  relay.Seconds
-	cold    float64 // legs that the cold budget holds, as of coldAt
-	coldAt  relay.Seconds
-	seen    ring // evidence: counts by category
+	started   relay.Seconds
+	met       bool
+	open      int           // own legs out
+	answer    relay.Seconds // last answer, or when the unit stopped being idle
+	bad       float64       // failure figure, as of badAt
+	badAt     relay.Seconds
+	suspectOf relay.Seconds // when a failure last made it, or kept it, a suspect
+	pace      float64       // leg time over expected work, as of paceAt
+	paceAt    relay.Seconds
+	cold      float64 // legs that the cold budget holds, as of coldAt
+	coldAt    relay.Seconds
+	seen      ring // evidence: counts by category
 }
 
 func (u *unit) take(n note) {
@@ -249,7 +249,7 @@
 	case relay.UnitEntry:
 		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
-			u.met, u.bad, u.pace = true, 0, 0
+			u.met, u.bad, u.pace, u.suspectOf = true, 0, 0, 0
 			u.cold, u.coldAt = u.p.rng.Float64(), u.p.now
 			u.seen.reset()
 		}
@@ -286,6 +286,9 @@
 		miss = suspectAt
 	}
 	u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
+	if miss == 1 && u.bad >= suspectAt {
+		u.suspectOf = u.p.now
+	}
 	if n.how.NeverRan() || n.leg.age < youngUnit || n.leg.build != u.Build {
 		return
 	}
@@ -721,6 +724,9 @@
 func (t *trial) hear(n relay.StageNews) {
 	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
 		t.listedAt = 0
+		all := &t.mine[len(t.p.rows)]
+		t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d; so far newer %.0f before %.0f (legs failed late slow)",
+			n.Build, n.Stage, n.Phase, all.newer, all.before)})
 	}
 	for k, b := range t.keys {
 		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
@@ -894,28 +900,39 @@
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
-// a build do is not the build's: the worst quarter of its units is left out of each figure, where such a
-// unit shows more than a stray outcome; and lateness at a single unit says nothing.
-func (t *trial) gather(c int, newest bool, from, to int) (sum counts) {
-	var seen []counts
+// a build do is not the build's: a unit that was suspect of late is left out, unless most of the build's
+// units were; the worst quarter is left out of lateness, which at a single unit says nothing at all.
+func (t *trial) gather(c int, newest bool, from, to int) counts {
+	var seen, off []counts
 	for _, u := range t.p.roster.units {
-		if e := u.evidence(c, from, to); (u.Build >= t.news.Build) == newest && e[figCount] > 0 {
+		e := u.evidence(c, from, to)
+		switch {
+		case (u.Build >= t.news.Build) != newest || e[figCount] == 0:
+		case u.suspectOf > 0 && t.p.now-u.suspectOf < evidenceWidth*evidenceBuckets:
+			off = append(off, e)
+		default:
 			seen = append(seen, e)
-			sum.add(e)
 		}
 	}
+	if len(off) > len(seen) {
+		seen = append(seen, off...)
+	}
+	var sum counts
+	for _, e := range seen {
+		sum.add(e)
+	}
 	n := sum[figCount]
-	for f := figFailed; f < figures && newest; f++ {
-		if len(seen) == 1 && f != figFailed {
+	for f := figLate; f < figures && newest; f++ {
+		if len(seen) == 1 {
 			sum[f] = 0
 		}
-		sort.SliceStable(seen, func(i, j int) bool { return seen[i][f]*seen[j][figCount] > seen[j][f]*seen[i][figCount] })
+		sort.SliceStable(seen, func(i, j int) bool {
+			return seen[i][f]*seen[j][figCount] > seen[j][f]*seen[i][figCount]
+		})
 		left := n
 		for i := 0; i < (len(seen)+3)/4 && len(seen) > 1; i++ {
-			if seen[i][f] >= strayOutcomes {
-				sum[f] -= seen[i][f]
-				left -= seen[i][figCount]
-			}
+			sum[f] -= seen[i][f]
+			left -= seen[i][figCount]
 		}
 		sum[f] *= n / math.Max(left, 1)
 	}
@@ -930,7 +947,8 @@
 	if n1 < leastCount || n0 < leastCount {
 		return false
 	}
-	points, outcomes := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}, flagOutcomes
+	outcomes := flagOutcomes
+	points := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}
 	if pooled {
 		points[figFailed], outcomes = poolPoints, poolOutcomes
 	}
