Hold, then send back, a build under which the whole fleet slows

Told from overload by judging slowness on legs that had no queue of our own before them, against the usual pace of their kind of machine, held as it was before the trial. Change: while the fleet's slow share is 12 points above that before the trial no vote on is cast; after 7 s of it the build is sent back. Should also cover a build that hurts a shared dependency. Harm: a passing slowdown that outlasts 7 s within a trial sends a good build back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,10 +46,14 @@
 	evidenceWidth   = 0.5  // s a bucket of outcomes
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
+	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
+	fleetBuckets    = 8    // 4 s of outcomes that show the whole fleet's pace
+	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
+	fleetPatience   = 7.0  // s that it may last until the build is held for its cause: most passing troubles end
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -132,7 +136,7 @@
 		flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+1)}
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2)}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
 }
@@ -280,7 +284,7 @@
 	switch n.how {
 	case relay.Honoured:
 		miss = 0
-		u.p.desk.learnPace(u, ratio)
+		u.p.desk.learnPace(u, ratio, n.leg.alone)
 		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
 	case relay.TurnedAway:
 		miss = suspectAt
@@ -299,9 +303,12 @@
 		u.seen.add(u.p.now, at+figFailed, 1)
 	case n.took > n.due || n.how == relay.TimedOut:
 		u.seen.add(u.p.now, at+figLate, 1)
-		fallthrough
-	case usual > 0 && ratio > slowBar*usual:
-		u.seen.add(u.p.now, at+figSlow, 1)
+	}
+	if n.leg.alone && usual > 0 && n.how != relay.Errored && n.how != relay.Broken {
+		u.seen.add(u.p.now, at+figAlone, 1)
+		if ratio > slowBar*usual {
+			u.seen.add(u.p.now, at+figSlow, 1)
+		}
 	}
 }
 
@@ -370,7 +377,7 @@
 	owed     int       // of these, with an answer owed
 	copies   float64   // second copies that may be sent
 	pace     float64   // the fleet's leg time over expected work
-	kinds    []float64 // the same by kind of machine, of builds not on trial
+	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
 	usual    relay.Seconds
 	flow     ring // legs sent to warm units
 	warmFlow float64
@@ -383,7 +390,7 @@
 	return d.kinds[k]
 }
 
-func (d *desk) learnPace(u *unit, ratio float64) {
+func (d *desk) learnPace(u *unit, ratio float64, alone bool) {
 	toward := func(x *float64) {
 		if *x == 0 {
 			*x = ratio
@@ -391,7 +398,7 @@
 		*x += paceFleet * (ratio - *x)
 	}
 	toward(&d.pace)
-	if t := &d.p.trial; t.judging() && u.Build >= t.news.Build || u.Kind < 0 {
+	if d.p.trial.steady() || u.Kind < 0 || !alone {
 		return
 	}
 	for int(u.Kind) >= len(d.kinds) {
@@ -625,7 +632,7 @@
 func (d *desk) send(q *query, u *unit) {
 	p := d.p
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
-		age: p.now - u.started, open: true, mayRan: true})
+		age: p.now - u.started, open: true, mayRan: true, alone: u.open <= 1})
 	if u.warmth() < 1 {
 		u.cold, u.coldAt = u.coldLeft()-1, p.now
 	} else {
@@ -702,7 +709,8 @@
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category; the last: all categories together
+	mine     []verdict                 // by category; then all together; then the fleet against before
+	calm     counts                    // of all units when the build was first heard of
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
 }
@@ -725,14 +733,17 @@
 	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
 		t.listedAt = 0
 		all := &t.mine[len(t.p.rows)]
-		t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d; so far newer %.0f before %.0f (legs failed late slow)",
-			n.Build, n.Stage, n.Phase, all.newer, all.before)})
+		t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d: newer %.0f before %.0f fleet %.0f calm %.0f",
+			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.p.rows)+1].newer, t.calm)})
 	}
 	for k, b := range t.keys {
 		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
 			delete(t.keys, k)
 		}
 	}
+	if t.known && n.Build != t.news.Build {
+		t.calm = t.fleet(evidenceBuckets)
+	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
 	x := t.limit(n.Build)
 	if n.Cap < x.cap {
@@ -833,6 +844,12 @@
 	return t.known && (t.news.Phase == relay.OnTrial || t.news.Phase == relay.Released)
 }
 
+// steady says that the usual pace of each kind is held as it was before the trial, for comparison.
+func (t *trial) steady() bool {
+	return t.p.now > steadyTime/2 && t.judging() &&
+		(t.news.Phase == relay.OnTrial || t.p.now-t.since < steadyTime)
+}
+
 // judge forms this relay's verdicts and tells the fusers, on change and every so often.
 func (t *trial) judge() {
 	t.list()
@@ -847,6 +864,7 @@
 		all.before.add(v.before)
 	}
 	all.flag = flagged(all.newer, all.before, false)
+	t.mine[len(t.p.rows)+1] = verdict{newer: t.fleet(fleetBuckets), before: t.calm}
 	if !changed {
 		return
 	}
@@ -864,6 +882,19 @@
 	}
 }
 
+// fleet sums the lateness of all units, whatever their build.
+func (t *trial) fleet(buckets int) (sum counts) {
+	for _, u := range t.p.roster.units {
+		for c := range t.p.rows {
+			e := u.evidence(c, 0, buckets)
+			sum[figAlone] += e[figAlone]
+			sum[figSlow] += e[figSlow]
+		}
+	}
+	sum[figCount] = sum[figAlone]
+	return sum
+}
+
 // list notes when most units of the present stage are listed.
 func (t *trial) list() {
 	newer, earlier := 0.0, 0.0
@@ -921,20 +952,22 @@
 	for _, e := range seen {
 		sum.add(e)
 	}
-	n := sum[figCount]
 	for f := figLate; f < figures && newest; f++ {
 		if len(seen) == 1 {
 			sum[f] = 0
 		}
+		if f == figAlone {
+			continue
+		}
 		sort.SliceStable(seen, func(i, j int) bool {
-			return seen[i][f]*seen[j][figCount] > seen[j][f]*seen[i][figCount]
+			return seen[i][f]*seen[j].of(f) > seen[j][f]*seen[i].of(f)
 		})
-		left := n
+		left := sum.of(f)
 		for i := 0; i < (len(seen)+3)/4 && len(seen) > 1; i++ {
 			sum[f] -= seen[i][f]
-			left -= seen[i][figCount]
+			left -= seen[i].of(f)
 		}
-		sum[f] *= n / math.Max(left, 1)
+		sum[f] *= sum.of(f) / math.Max(left, 1)
 	}
 	return sum
 }
@@ -943,32 +976,37 @@
 // equal shares, so that a few failures against hardly any count for what they are. Pooled counts need
 // fewer points for failures, but more of them.
 func flagged(newer, before counts, pooled bool) bool {
-	n1, n0 := newer[figCount], before[figCount]
-	if n1 < leastCount || n0 < leastCount {
-		return false
-	}
 	outcomes := flagOutcomes
 	points := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}
 	if pooled {
 		points[figFailed], outcomes = poolPoints, poolOutcomes
 	}
-	for f := figFailed; f < figures; f++ {
-		p1, p0, p := newer[f]/n1, before[f]/n0, (newer[f]+before[f])/(n1+n0)
-		err := math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
-		if p1-p0 >= points[f] && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes {
+	for _, f := range []int{figFailed, figLate, figSlow} {
+		if worse(newer, before, f, points[f], outcomes) {
 			return true
 		}
 	}
 	return false
 }
 
+func worse(newer, before counts, f int, points, outcomes float64) bool {
+	n1, n0 := newer.of(f), before.of(f)
+	if n1 < leastCount || n0 < leastCount {
+		return false
+	}
+	p1, p0, p := newer[f]/n1, before[f]/n0, (newer[f]+before[f])/(n1+n0)
+	err := math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
+	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
+}
+
 // fuser weighs all relays' verdicts and votes.
 type fuser struct {
 	p       *Policy
 	heard   []heard
 	cast    relay.Vote // the vote that stands, or is under way
 	castAt  relay.Seconds
-	sure    bool // it was counted
+	sure    bool          // it was counted
+	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
 
@@ -1007,14 +1045,14 @@
 // fused sums the log likelihood ratios of the present stage's verdicts, and pools their counts. The pooled
 // counts make a verdict of their own, one a category and one for all: where each relay alone has too few
 // outcomes to flag, they have them together. It stands for the relays in it, so it needs no second flagger.
-func (f *fuser) fused() (back bool, pooled float64) {
+func (f *fuser) fused() (back, slower bool, pooled float64) {
 	t := &f.p.trial
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
-	pool := make([]verdict, cats+1)
+	pool := make([]verdict, cats+2)
 	for i := range f.heard {
 		h := &f.heard[i]
-		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != cats+1 {
+		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != len(pool) {
 			continue
 		}
 		flags := false
@@ -1032,7 +1070,7 @@
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back = sum >= threshold && flaggers >= leastFlags
-	for c, v := range pool {
+	for c, v := range pool[:cats+1] {
 		if flagged(v.newer, v.before, true) && logRatio(true, v.newer[figCount], cats) >= threshold {
 			back = true
 			if f.cast.Verdict != relay.VoteBack {
@@ -1040,7 +1078,9 @@
 			}
 		}
 	}
-	return back, pool[cats].newer[figCount]
+	fleet := pool[cats+1]
+	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes)
+	return back, slower, pool[cats].newer[figCount]
 }
 
 // wish is the vote that this fuser wants to stand.
@@ -1049,16 +1089,19 @@
 	if !t.judging() {
 		return relay.NoVote
 	}
-	back, pooled := f.fused()
+	back, slower, pooled := f.fused()
+	if !slower || t.news.Phase == relay.Released {
+		f.slowAt = f.p.now
+	}
 	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
 	switch {
-	case back:
+	case back || f.p.now-f.slowAt > fleetPatience:
 		return relay.VoteBack
 	case t.news.Phase == relay.Released:
 		return relay.NoVote
-	case r.Control == relay.Clock && pooled < leastCount && f.p.now-t.since < r.StepTime+extraWait:
+	case r.Control == relay.Clock && (pooled < leastCount || slower) && f.p.now-t.since < r.StepTime+extraWait:
 		return relay.VoteHold
-	case r.Control == relay.Clock || t.listedAt == 0:
+	case r.Control == relay.Clock || t.listedAt == 0 || slower:
 		return relay.NoVote
 	case age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount:
 		return relay.VoteOn
--- a/policy/state.go
+++ b/policy/state.go
@@ -49,15 +49,15 @@
 
 // leg is one try of a query at a unit. Zone, cell, build and age are the unit's when it was sent.
 type leg struct {
-	unit    *unit
-	zone    relay.Zone
-	cell    relay.Cell
-	build   relay.Build
-	at      relay.Seconds
-	age     relay.Seconds
-	open    bool
-	mayRan  bool // it is out, or ended without proof that it never ran
-	overdue bool // was out past the due time
+	unit   *unit
+	zone   relay.Zone
+	cell   relay.Cell
+	build  relay.Build
+	at     relay.Seconds
+	age    relay.Seconds
+	open   bool
+	mayRan bool // it is out, or ended without proof that it never ran
+	alone  bool // the unit held at most one other leg of this relay when it was sent: no queue of ours
 }
 
 // query is one query that this relay has taken.
@@ -115,17 +115,27 @@
 	has bool
 }
 
-// counts are outcomes of one build in one category: all, failed, late and slow ones.
+// counts are outcomes of one build in one category: all, failed and late ones; those that were alone, and
+// of these the slow ones.
 type counts [figures]float64
 
 const (
 	figCount = iota
 	figFailed
 	figLate
+	figAlone
 	figSlow
 	figures
 )
 
+// of gives the count that a figure is a share of.
+func (c *counts) of(figure int) float64 {
+	if figure == figSlow {
+		return c[figAlone]
+	}
+	return c[figCount]
+}
+
 func (c *counts) add(o counts) {
 	for i := range c {
 		c[i] += o[i]
