--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,7 @@
 	fleetBuckets    = 8    // 4 s of outcomes that show the whole fleet's pace
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
 	fleetPatience   = 7.0  // s that it may last until the build is held for its cause: most passing troubles end
+	leastSlow       = 60.0 // legs alone that a slow share needs: machines of one kind differ
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -267,6 +268,8 @@
 			u.answer = u.p.now
 		}
 		u.open++
+	case noteOverdue:
+		u.bad, u.badAt = u.badNow()+badStep*(1-u.badNow()), u.p.now
 	case noteOutcome:
 		u.open--
 		u.ended(n)
@@ -374,7 +377,7 @@
 	p        *Policy
 	queries  map[relay.QueryID]*query
 	open     []*query  // those with an answer owed or legs out, in order of arrival
-	owed     int       // of these, with an answer owed
+	inTime   int       // of these, with an answer owed that may still be in time
 	copies   float64   // second copies that may be sent
 	pace     float64   // the fleet's leg time over expected work
 	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
@@ -421,7 +424,7 @@
 		q.due = q.at + math.Min(q.row.due+q.row.stretch*n.Work, math.Max(q.row.patience, q.row.due))
 		d.queries[n.ID] = q
 		d.open = append(d.open, q)
-		d.owed++
+		d.inTime++
 		d.copies = math.Min(d.copies+copyBudget, copySaved)
 		d.p.trial.took(q)
 		if d.p.gate.denies(q) {
@@ -463,7 +466,7 @@
 	case n.Over:
 		d.settle(q)
 	case q.over || q.out() > 0:
-	case n.How == relay.TurnedAway && float64(d.owed) > fullDenial*d.p.gate.limit():
+	case n.How == relay.TurnedAway && float64(d.inTime) > fullDenial*d.p.gate.limit():
 		d.finish(q) // the fleet is full: more legs would only feed it
 	default:
 		d.route(q)
@@ -472,10 +475,10 @@
 
 // settle marks a query as needing no more, and ends the legs that it still has out.
 func (d *desk) settle(q *query) {
-	if !q.over {
-		q.over = true
-		d.owed--
+	if !q.over && !q.overdue {
+		d.inTime--
 	}
+	q.over = true
 	if !d.p.set.Limits.Cancel || q.stream {
 		return
 	}
@@ -498,6 +501,16 @@
 	left := d.open[:0]
 	for _, q := range d.open {
 		out := q.out()
+		if !q.over && !q.overdue && d.p.now > q.due {
+			// Too late to be worth a place in the gate's limit: legs that a unit swallows must not shut it.
+			q.overdue = true
+			d.inTime--
+			for i := range q.legs {
+				if q.legs[i].open {
+					d.p.post(q.legs[i].unit, noteOverdue{})
+				}
+			}
+		}
 		if !q.over && out == 0 {
 			d.route(q)
 		} else if !q.over && out == 1 && len(q.legs) == 1 && d.p.now-q.at > copyAt*(q.due-q.at) && d.p.now < q.due {
@@ -516,7 +529,7 @@
 // copy sends a second copy of a query whose only leg is late: whatever keeps that leg (a pause, a slow or
 // dead unit, a long queue), another unit is likely to be free of it.
 func (d *desk) copy(q *query) {
-	if d.copies < 1 || q.row.repeat == relay.AtMostOnce || float64(d.owed) > copyRoom*d.p.gate.limit() {
+	if d.copies < 1 || q.row.repeat == relay.AtMostOnce || float64(d.inTime) > copyRoom*d.p.gate.limit() {
 		return
 	}
 	if u := d.pick(q); u != nil && !q.tried(u) {
@@ -697,7 +710,7 @@
 			part = math.Min(part, gateOver)
 		}
 	}
-	return float64(g.p.desk.owed) > part*g.limit()
+	return float64(g.p.desk.inTime) > part*g.limit()
 }
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
@@ -932,7 +945,7 @@
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
 // a build do is not the build's: a unit that was suspect of late is left out, unless most of the build's
-// units were; the worst quarter is left out of lateness, which at a single unit says nothing at all.
+// units were; the worst quarter is left out of lateness; and a single unit shows no faults at all.
 func (t *trial) gather(c int, newest bool, from, to int) counts {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
@@ -952,10 +965,10 @@
 	for _, e := range seen {
 		sum.add(e)
 	}
+	if len(seen) == 1 && newest {
+		return counts{figCount: sum[figCount]} // one machine's faults say nothing of its build
+	}
 	for f := figLate; f < figures && newest; f++ {
-		if len(seen) == 1 {
-			sum[f] = 0
-		}
 		if f == figAlone {
 			continue
 		}
@@ -990,8 +1003,11 @@
 }
 
 func worse(newer, before counts, f int, points, outcomes float64) bool {
-	n1, n0 := newer.of(f), before.of(f)
-	if n1 < leastCount || n0 < leastCount {
+	n1, n0, least := newer.of(f), before.of(f), leastCount
+	if f == figSlow {
+		least = leastSlow
+	}
+	if n1 < least || n0 < least {
 		return false
 	}
 	p1, p0, p := newer[f]/n1, before[f]/n0, (newer[f]+before[f])/(n1+n0)
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,6 +33,7 @@
 type (
 	noteTick    struct{}
 	noteSent    struct{}
+	noteOverdue struct{} // a leg is still out past its query's due time
 	noteOutcome struct {
 		category relay.Category
 		leg      leg
@@ -63,12 +64,13 @@
 // query is one query that this relay has taken.
 type query struct {
 	relay.Query
-	row    *row
-	at     relay.Seconds
-	due    relay.Seconds
-	legs   []leg
-	over   bool // has its final answer, or needs none
-	stream bool // the client owns a leg: nothing more to decide
+	row     *row
+	at      relay.Seconds
+	due     relay.Seconds
+	legs    []leg
+	over    bool // has its final answer, or needs none
+	overdue bool // was open past its due time
+	stream  bool // the client owns a leg: nothing more to decide
 }
 
 func (q *query) out() (n int) {
