--- a/policy/policy.go
+++ b/policy/policy.go
@@ -93,34 +93,6 @@
 	watchWait  = 4.0 // s without any answer after which a call to the roster is made again
 )
 
-// row is what differs by category.
-type row struct {
-	repeat   relay.Repeat
-	group    relay.Group
-	window   relay.Seconds
-	due      relay.Seconds
-	stretch  float64
-	patience relay.Seconds
-	gate     float64 // part of the gate's limit from which the category is denied
-}
-
-// Policy is one relay's decisions.
-type Policy struct {
-	set  relay.Settings
-	rows []row
-	rng  *rand.Rand
-	now  relay.Seconds
-	mail []letter
-	out  []relay.Order
-
-	begun  bool
-	roster roster
-	desk   desk
-	gate   gate
-	trial  trial
-	fuser  fuser
-}
-
 // New returns the module of one relay, ready for its first Step.
 func New(set relay.Settings, seed int64) *Policy {
 	p := &Policy{set: set, rng: rand.New(rand.NewSource(seed))}
@@ -176,16 +148,6 @@
 	return p.out
 }
 
-// roster keeps the list of units and the watch on it.
-type roster struct {
-	p       *Policy
-	byID    map[relay.UnitID]*unit
-	units   []*unit // all ever listed, by id
-	watched bool
-	asked   relay.Seconds
-	askAt   relay.Seconds // when to ask again after a failure; 0: no need
-}
-
 func (r *roster) ask() {
 	r.asked, r.askAt = r.p.now, 0
 	r.p.do(relay.Watch{On: true})
@@ -206,49 +168,10 @@
 			return
 		}
 		r.watched = r.watched || n.Form != relay.RosterCached
-		listed := map[relay.UnitID]bool{}
-		for _, e := range n.Units {
-			listed[e.Unit] = true
-			u := r.byID[e.Unit]
-			if u == nil {
-				u = &unit{p: r.p, id: e.Unit, seen: newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)}
-				r.byID[e.Unit] = u
-				at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
-				r.units = append(r.units, nil)
-				copy(r.units[at+1:], r.units[at:])
-				r.units[at] = u
-			}
-			r.p.post(u, e)
-		}
-		for _, u := range r.units {
-			if n.Form != relay.RosterDelta && !listed[u.id] && u.State != relay.Gone {
-				gone := u.UnitEntry
-				gone.State = relay.Gone
-				r.p.post(u, gone)
-			}
-		}
+		r.merge(n)
 	}
 }
 
-// unit is one server as this relay sees it.
-type unit struct {
-	p  *Policy
-	id relay.UnitID
-	relay.UnitEntry
-	started   relay.Seconds
-	met       bool
-	open      int           // own legs out
-	answer    relay.Seconds // last answer, or when the unit stopped being idle
-	bad       float64       // failure figure, as of badAt
-	badAt     relay.Seconds
-	suspectOf relay.Seconds // when a failure last made it, or kept it, a suspect
-	pace      float64       // leg time over expected work, as of paceAt
-	paceAt    relay.Seconds
-	cold      float64 // legs that the cold budget holds, as of coldAt
-	coldAt    relay.Seconds
-	seen      ring // evidence: counts by category
-}
-
 func (u *unit) take(n note) {
 	switch n := n.(type) {
 	case relay.UnitEntry:
@@ -315,14 +238,6 @@
 	}
 }
 
-// evidence is what the unit showed in one category in buckets from to to.
-func (u *unit) evidence(c, from, to int) (out counts) {
-	for f := range out {
-		out[f] = u.seen.sum(u.p.now, c*figures+f, from, to)
-	}
-	return out
-}
-
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
@@ -372,27 +287,6 @@
 	return math.Max(q.row.due, 1e-3)
 }
 
-// desk takes queries, sends legs and gives final answers.
-type desk struct {
-	p        *Policy
-	queries  map[relay.QueryID]*query
-	open     []*query  // those with an answer owed or legs out, in order of arrival
-	inTime   int       // of these, with an answer owed that may still be in time
-	copies   float64   // second copies that may be sent
-	pace     float64   // the fleet's leg time over expected work
-	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
-	usual    relay.Seconds
-	flow     ring // legs sent to warm units
-	warmFlow float64
-}
-
-func (d *desk) usualPace(k relay.Kind) float64 {
-	if k < 0 || int(k) >= len(d.kinds) {
-		return 0
-	}
-	return d.kinds[k]
-}
-
 func (d *desk) learnPace(u *unit, ratio float64, alone bool) {
 	toward := func(x *float64) {
 		if *x == 0 {
@@ -675,14 +569,6 @@
 	d.settle(q)
 }
 
-// gate denies new queries while more are open than can be answered in time at the pace of late. It guards
-// against any lack of capacity, and needs no cause: too much traffic, lost or slow units, costly queries.
-type gate struct {
-	p       *Policy
-	answers ring // figure 0: answers; 1: their due times
-	mix     ring // queries taken, by customer; the last figure: all
-}
-
 func (g *gate) take(n note) {
 	if n, ok := n.(noteOutcome); ok && n.how == relay.Honoured {
 		g.answers.add(g.p.now, 0, 1)
@@ -713,21 +599,6 @@
 	return float64(g.p.desk.inTime) > part*g.limit()
 }
 
-// trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
-type trial struct {
-	p        *Policy
-	known    bool
-	news     relay.StageNews
-	since    relay.Seconds // when the present state began
-	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
-	limits   []*exposure
-	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category; then all together; then the fleet against before
-	calm     counts                    // of all units when the build was first heard of
-	judgeAt  relay.Seconds
-	toldAt   relay.Seconds
-}
-
 func (t *trial) take(n note) {
 	switch n := n.(type) {
 	case relay.StageNews:
@@ -746,8 +617,9 @@
 	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
 		t.listedAt = 0
 		all := &t.mine[len(t.p.rows)]
-		t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d: newer %.0f before %.0f fleet %.0f calm %.0f",
-			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.p.rows)+1].newer, t.calm)})
+		t.p.do(relay.Log{Line: fmt.Sprintf(
+			"build %d stage %d phase %d; newer, before, fleet, calm: %.0f %.0f %.0f %.0f",
+			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.mine)-1].newer, t.calm)})
 	}
 	for k, b := range t.keys {
 		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
@@ -895,19 +767,6 @@
 	}
 }
 
-// fleet sums the lateness of all units, whatever their build.
-func (t *trial) fleet(buckets int) (sum counts) {
-	for _, u := range t.p.roster.units {
-		for c := range t.p.rows {
-			e := u.evidence(c, 0, buckets)
-			sum[figAlone] += e[figAlone]
-			sum[figSlow] += e[figSlow]
-		}
-	}
-	sum[figCount] = sum[figAlone]
-	return sum
-}
-
 // list notes when most units of the present stage are listed.
 func (t *trial) list() {
 	newer, earlier := 0.0, 0.0
@@ -1015,17 +874,6 @@
 	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
 }
 
-// fuser weighs all relays' verdicts and votes.
-type fuser struct {
-	p       *Policy
-	heard   []heard
-	cast    relay.Vote // the vote that stands, or is under way
-	castAt  relay.Seconds
-	sure    bool          // it was counted
-	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
-	pending bool
-}
-
 // count is how many relays fuse: the lowest-numbered few, or as many as a share of votes needs.
 func (f *fuser) count() int {
 	r := &f.p.set.Rollout
--- a/policy/ring.go
+++ b/policy/ring.go
@@ -48,3 +48,31 @@
 		clear(b)
 	}
 }
+
+// evidence is what the unit showed in one category in buckets from to to.
+func (u *unit) evidence(c, from, to int) (out counts) {
+	for f := range out {
+		out[f] = u.seen.sum(u.p.now, c*figures+f, from, to)
+	}
+	return out
+}
+
+// fleet sums the lateness of all units, whatever their build.
+func (t *trial) fleet(buckets int) (sum counts) {
+	for _, u := range t.p.roster.units {
+		for c := range t.p.rows {
+			e := u.evidence(c, 0, buckets)
+			sum[figAlone] += e[figAlone]
+			sum[figSlow] += e[figSlow]
+		}
+	}
+	sum[figCount] = sum[figAlone]
+	return sum
+}
+
+func (d *desk) usualPace(k relay.Kind) float64 {
+	if k < 0 || int(k) >= len(d.kinds) {
+		return 0
+	}
+	return d.kinds[k]
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,11 @@
 package policy
 
-import "lichenroad/relay"
+import (
+	"math/rand"
+	"sort"
+
+	"lichenroad/relay"
+)
 
 // What the parts hold and tell each other. Nothing here decides.
 
@@ -143,3 +148,134 @@
 		c[i] += o[i]
 	}
 }
+
+// row is what differs by category.
+type row struct {
+	repeat   relay.Repeat
+	group    relay.Group
+	window   relay.Seconds
+	due      relay.Seconds
+	stretch  float64
+	patience relay.Seconds
+	gate     float64 // part of the gate's limit from which the category is denied
+}
+
+// Policy is one relay's decisions.
+type Policy struct {
+	set  relay.Settings
+	rows []row
+	rng  *rand.Rand
+	now  relay.Seconds
+	mail []letter
+	out  []relay.Order
+
+	begun  bool
+	roster roster
+	desk   desk
+	gate   gate
+	trial  trial
+	fuser  fuser
+}
+
+// roster keeps the list of units and the watch on it.
+type roster struct {
+	p       *Policy
+	byID    map[relay.UnitID]*unit
+	units   []*unit // all ever listed, by id
+	watched bool
+	asked   relay.Seconds
+	askAt   relay.Seconds // when to ask again after a failure; 0: no need
+}
+
+// unit is one server as this relay sees it.
+type unit struct {
+	p  *Policy
+	id relay.UnitID
+	relay.UnitEntry
+	started   relay.Seconds
+	met       bool
+	open      int           // own legs out
+	answer    relay.Seconds // last answer, or when the unit stopped being idle
+	bad       float64       // failure figure, as of badAt
+	badAt     relay.Seconds
+	suspectOf relay.Seconds // when a failure last made it, or kept it, a suspect
+	pace      float64       // leg time over expected work, as of paceAt
+	paceAt    relay.Seconds
+	cold      float64 // legs that the cold budget holds, as of coldAt
+	coldAt    relay.Seconds
+	seen      ring // evidence: counts by category
+}
+
+// desk takes queries, sends legs and gives final answers.
+type desk struct {
+	p        *Policy
+	queries  map[relay.QueryID]*query
+	open     []*query  // those with an answer owed or legs out, in order of arrival
+	inTime   int       // of these, with an answer owed that may still be in time
+	copies   float64   // second copies that may be sent
+	pace     float64   // the fleet's leg time over expected work
+	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
+	usual    relay.Seconds
+	flow     ring // legs sent to warm units
+	warmFlow float64
+}
+
+// gate denies new queries while more are open than can be answered in time at the pace of late. It guards
+// against any lack of capacity, and needs no cause: too much traffic, lost or slow units, costly queries.
+type gate struct {
+	p       *Policy
+	answers ring // figure 0: answers; 1: their due times
+	mix     ring // queries taken, by customer; the last figure: all
+}
+
+// trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
+type trial struct {
+	p        *Policy
+	known    bool
+	news     relay.StageNews
+	since    relay.Seconds // when the present state began
+	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
+	limits   []*exposure
+	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
+	mine     []verdict                 // by category; then all together; then the fleet against before
+	calm     counts                    // of all units when the build was first heard of
+	judgeAt  relay.Seconds
+	toldAt   relay.Seconds
+}
+
+// fuser weighs all relays' verdicts and votes.
+type fuser struct {
+	p       *Policy
+	heard   []heard
+	cast    relay.Vote // the vote that stands, or is under way
+	castAt  relay.Seconds
+	sure    bool          // it was counted
+	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
+	pending bool
+}
+
+// merge applies a list of the roster: units listed are told their line, and those that a whole list leaves
+// out that they are gone.
+func (r *roster) merge(n relay.Roster) {
+	listed := map[relay.UnitID]bool{}
+	for _, e := range n.Units {
+		listed[e.Unit] = true
+		u := r.byID[e.Unit]
+		if u == nil {
+			u = &unit{p: r.p, id: e.Unit, seen: newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)}
+			r.byID[e.Unit] = u
+			at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
+			r.units = append(r.units, nil)
+			copy(r.units[at+1:], r.units[at:])
+			r.units[at] = u
+		}
+		r.p.post(u, e)
+	}
+	for _, u := range r.units {
+		if n.Form != relay.RosterDelta && !listed[u.id] && u.State != relay.Gone {
+			gone := u.UnitEntry
+			gone.State = relay.Gone
+			r.p.post(u, gone)
+		}
+	}
+}
