--- a/policy/policy.go
+++ b/policy/policy.go
@@ -124,18 +124,22 @@
 			p.roster.ask()
 		}
 	}
+	// All of a batch has happened by now: what it tells of units and builds holds for its queries too.
 	for _, e := range events {
 		switch e := e.(type) {
-		case relay.Woken:
-			p.do(relay.Wake{ID: 1, At: p.now + tick})
-			for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
-				p.post(a, noteTick{})
-			}
 		case relay.Roster:
 			p.post(&p.roster, e)
 		case relay.StageNews:
 			p.post(&p.trial, e)
 			p.post(&p.fuser, e)
+		}
+		p.drain()
+	}
+	woken := false
+	for _, e := range events {
+		switch e := e.(type) {
+		case relay.Woken:
+			woken = true
 		case relay.Heard:
 			if m, err := decodeMemo(e.Body); err == nil {
 				p.post(&p.fuser, noteMemo{e.From, m})
@@ -145,6 +149,13 @@
 		}
 		p.drain()
 	}
+	if woken {
+		p.do(relay.Wake{ID: 1, At: p.now + tick})
+		for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
+			p.post(a, noteTick{})
+		}
+		p.drain()
+	}
 	return p.out
 }
 
@@ -638,28 +649,6 @@
 	x.cap = n.Cap
 }
 
-// limit returns the exposure kept for a build, started when the build is first met.
-func (t *trial) limit(b relay.Build) *exposure {
-	for _, x := range t.limits {
-		if x.build == b {
-			return x
-		}
-	}
-	ro, n := &t.p.set.Rollout, 1
-	if ro.PerCategory {
-		n = len(t.p.rows)
-	}
-	x := &exposure{build: b, hard: make([]float64, n), soft: make([]float64, n)}
-	if len(ro.Caps) > 0 {
-		x.cap = ro.Caps[0]
-	}
-	for i := range x.hard {
-		x.hard[i], x.soft[i] = ro.Uncounted, ro.Uncounted
-	}
-	t.limits = append(t.limits, x)
-	return x
-}
-
 // capOf gives the cap and stage of a build, and whether it is on trial. A build that the news doesn't
 // name yet counts as in the first stage.
 func (t *trial) capOf(b relay.Build) (cap float64, stage relay.Stage, onTrial bool) {
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,338 @@
+package policy
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lichenroad/relay"
+)
+
+// TestRulesHold plays random legal events under random settings and checks the rules after every step.
+func TestRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, drawSettings(t))
+		outcomes := []relay.Outcome{relay.Honoured, relay.Honoured, relay.Honoured, relay.Errored, relay.TurnedAway,
+			relay.TimedOut, relay.NoConnect, relay.Broken, relay.Cancelled, relay.NotSent}
+		w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
+			l.end = w.now + rapid.Float64Range(0.001, 4).Draw(t, "took")
+			return rapid.SampledFrom(outcomes).Draw(t, "outcome")
+		}
+		build, stage, phase := relay.Build(5), relay.Stage(0), relay.Released
+		news := func() relay.StageNews {
+			n := relay.StageNews{Valid: true, Build: build, Stage: stage, Phase: phase, Cap: 1}
+			if c := w.set.Rollout.Caps; phase == relay.OnTrial {
+				n.Cap = c[min(int(stage), len(c)-1)]
+			} else if phase != relay.Released {
+				n.Cap = 0
+			}
+			return n
+		}
+		w.step(relay.Roster{Form: relay.RosterCached, Units: entries(6, 5, 1)}, news())
+		for i := rapid.IntRange(20, 120).Draw(t, "steps"); i > 0; i-- {
+			w.now += rapid.SampledFrom([]float64{0.005, 0.01, 0.01, 0.015}).Draw(t, "dt")
+			events := w.due()
+			for j := rapid.IntRange(0, 6).Draw(t, "queries"); j > 0; j-- {
+				q := w.query(relay.Category(rapid.IntRange(0, 2).Draw(t, "category")),
+					relay.Key(rapid.IntRange(0, 4).Draw(t, "key")))
+				q.Until = w.now + rapid.Float64Range(0.001, 3).Draw(t, "patience")
+				events = append(events, q)
+			}
+			switch rapid.IntRange(0, 9).Draw(t, "other") {
+			case 0:
+				es := entries(2, build, rapid.IntRange(1, 12).Draw(t, "unit"))
+				for k := range es {
+					es[k].Build += relay.Build(rapid.IntRange(-1, 1).Draw(t, "of"))
+					es[k].State = relay.UnitState(rapid.IntRange(0, 2).Draw(t, "state"))
+					es[k].Started = rapid.Bool().Draw(t, "started")
+					es[k].StartedAt = w.now - rapid.Float64Range(0, 6).Draw(t, "age")
+				}
+				form := rapid.SampledFrom([]relay.RosterForm{relay.RosterDelta, relay.RosterDelta, relay.RosterFull,
+					relay.RosterFailed}).Draw(t, "form")
+				if form == relay.RosterFailed {
+					es = nil
+				}
+				events = append(events, relay.Roster{Form: form, Units: es})
+			case 1:
+				switch rapid.IntRange(0, 3).Draw(t, "news") {
+				case 0:
+					build, stage, phase = build+1, 0, relay.OnTrial
+				case 1:
+					stage = relay.Stage(rapid.IntRange(int(stage), 3).Draw(t, "stage"))
+				default:
+					phase = relay.Phase(rapid.IntRange(0, 3).Draw(t, "phase"))
+				}
+				n := news()
+				n.Reply = relay.Reply(rapid.IntRange(0, 3).Draw(t, "reply"))
+				events = append(events, n)
+			case 2:
+				m := memo{build: build, stage: stage, verdicts: make([]verdict, 5)}
+				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 99, Body: []byte{1}},
+					relay.StageNews{Reply: relay.MaybeCounted}, relay.Tally{}, relay.JudgedWrong{}, relay.Probed{})
+			case 3:
+				for id := relay.QueryID(0); id < w.next; id++ {
+					if q := w.queries[id]; q != nil && !q.over && len(q.legs) > 0 {
+						events = append(events, relay.ClientLeft{Query: id}, relay.ClientLeft{Query: 1 << 30})
+						break
+					}
+				}
+			}
+			w.step(events...)
+		}
+		w.run(5, nil)
+	})
+}
+
+// TestColdUnitIsSpared lets unlike relays share a fleet in which units start cold, and adds up all they send.
+func TestColdUnitIsSpared(t *testing.T) {
+	set := plainSettings()
+	set.Relays = 3
+	rates := []float64{60, 15, 5} // queries a second of each relay
+	const fleet, capacity = 8, 80.0 / 8 / 0.65
+	var worlds []*world
+	es := entries(fleet, 5, 1)
+	for i := range rates {
+		set.Self = relay.RelayNo(i)
+		w := newWorld(t, set)
+		w.ended = func(_ *wQuery, l *wLeg) relay.Outcome { // the unit that will start anew is by far the quickest
+			if l.end = w.now + 0.5; l.unit.Unit == 1 {
+				l.end = w.now + 0.02
+			}
+			return relay.Honoured
+		}
+		w.step(relay.Roster{Form: relay.RosterFull, Units: es},
+			relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
+		worlds = append(worlds, w)
+	}
+	feed := func(span relay.Seconds) {
+		for i, w := range worlds {
+			credit := 0.0
+			w.run(span, func() (out []relay.Event) {
+				for credit += rates[i] * 0.01; credit >= 1; credit-- {
+					out = append(out, w.query(0, 0))
+				}
+				return out
+			})
+		}
+	}
+	feed(4)
+	es[0].Started, es[0].StartedAt = true, worlds[0].now // it starts anew, idle, as the cheapest of all
+	for _, w := range worlds {
+		w.sent = nil
+		w.step(relay.Roster{Form: relay.RosterDelta, Units: es[:1]})
+	}
+	feed(set.Rules.FallTime)
+	sent := 0.0
+	for _, w := range worlds {
+		for _, o := range w.sent {
+			if o.Unit == es[0].Unit {
+				sent++
+			}
+		}
+	}
+	if most := set.Rules.FallMultiple * set.Rules.ColdFrom * capacity * set.Rules.FallTime; sent > most || sent == 0 {
+		t.Errorf("%v legs to the cold unit, at most %v bearable", sent, most)
+	}
+}
+
+func TestLikelihoodRatio(t *testing.T) {
+	// 20 outcomes, 4 categories: Pd = 20/40, Pf = 0.01/4; flagged 0.5/0.0025 = 200, clean 0.5/0.9975.
+	if got := math.Exp(logRatio(true, 20, 4)); math.Abs(got-200) > 1e-9 {
+		t.Error("flagged:", got)
+	}
+	if got := math.Exp(logRatio(false, 20, 4)); math.Abs(got-0.5/0.9975) > 1e-12 {
+		t.Error("clean:", got)
+	}
+}
+
+func TestFlag(t *testing.T) {
+	before := counts{figCount: 2000, figFailed: 20, figAlone: 2000, figSlow: 200}
+	for name, c := range map[string]struct {
+		newer  counts
+		pooled bool
+		want   bool
+	}{
+		"six of forty failed":               {counts{figCount: 40, figFailed: 6}, false, true},
+		"too few outcomes":                  {counts{figCount: 19, figFailed: 19}, false, false},
+		"under five points":                 {counts{figCount: 400, figFailed: 16}, false, false},
+		"the same, pooled":                  {counts{figCount: 400, figFailed: 16}, true, true},
+		"pooled, few failures":              {counts{figCount: 60, figFailed: 4}, true, false},
+		"late":                              {counts{figCount: 40, figLate: 6}, false, true},
+		"slow, few legs alone":              {counts{figCount: 100, figAlone: 40, figSlow: 30}, true, false},
+		"slow, many":                        {counts{figCount: 100, figAlone: 80, figSlow: 40}, true, true},
+		"a little slower, as good ones may": {counts{figCount: 100, figAlone: 80, figSlow: 20}, true, false},
+	} {
+		if got := flagged(c.newer, before, c.pooled); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// fusing returns a module that fuses at stage 1 of build 6, and hears the given verdicts of category 0.
+func fusing(verdicts ...verdict) *Policy {
+	set := plainSettings()
+	set.Relays = 4
+	p := New(set, 1)
+	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: entries(6, 5, 1)},
+		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4}})
+	for i, v := range verdicts {
+		m := memo{build: 6, stage: 1, verdicts: make([]verdict, 5)}
+		m.verdicts[0] = v
+		p.Step(1, []relay.Event{relay.Heard{From: relay.RelayNo(i), Body: m.encode()}})
+	}
+	return p
+}
+
+func TestFusion(t *testing.T) {
+	clean, bad := verdict{newer: counts{figCount: 30}}, verdict{flag: true, newer: counts{figCount: 30}}
+	few := verdict{newer: counts{figCount: 10, figFailed: 3}, before: counts{figCount: 100}}
+	for name, c := range map[string]struct {
+		verdicts []verdict
+		back     bool
+	}{
+		"all clean":                              {[]verdict{clean, clean, clean}, false},
+		"one flagger is not enough":              {[]verdict{bad, clean, clean}, false},
+		"two are":                                {[]verdict{bad, bad, clean}, true},
+		"none has enough outcomes, together yes": {[]verdict{few, few, few}, true},
+	} {
+		if back, _, _ := fusing(c.verdicts...).fuser.fused(); back != c.back {
+			t.Errorf("%s: back %v", name, back)
+		}
+	}
+}
+
+func TestMemo(t *testing.T) {
+	m := memo{build: 300, stage: 2, verdicts: []verdict{{true, counts{40, 3, 2, 1, 0}, counts{900}}, {}}}
+	b := m.encode()
+	got, err := decodeMemo(b)
+	if err != nil || got.build != m.build || got.stage != m.stage || len(got.verdicts) != 2 || got.verdicts[0] != m.verdicts[0] {
+		t.Fatal(got, err)
+	}
+	for n := range b {
+		if _, err := decodeMemo(b[:n]); err == nil {
+			t.Errorf("%d bytes were taken for a memo", n)
+		}
+	}
+}
+
+// A query whose patience ends before the next tick was held until it was lost.
+func TestShortPatienceIsAnswered(t *testing.T) {
+	w := newWorld(t, plainSettings())
+	w.step(relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
+	q := w.query(0, 0)
+	q.Until = w.now + 0.01
+	w.step(q)
+	if !w.queries[q.ID].over {
+		t.Error("held, with no unit to send it to")
+	}
+}
+
+// With no unit of the build listed yet, fusers voted it on until it was the whole fleet.
+func TestNoVoteOnBeforeUnitsAreListed(t *testing.T) {
+	w := newWorld(t, plainSettings())
+	w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
+		relay.StageNews{Valid: true, Build: 6, Cap: 0.1})
+	load := func() []relay.Event { return []relay.Event{w.query(0, 0)} }
+	w.run(12, load)
+	if len(w.votes) > 0 {
+		t.Fatal("voted", w.votes)
+	}
+	w.step(relay.Roster{Form: relay.RosterDelta, Units: entries(1, 6, 20)})
+	w.run(6, load)
+	if len(w.votes) == 0 || w.votes[0].Verdict != relay.VoteOn {
+		t.Error("no vote on once the unit was listed and clean:", w.votes)
+	}
+}
+
+// Legs that one unit swallowed filled the gate's limit, and it denied what the others could answer.
+func TestSwallowedLegsDoNotShutTheGate(t *testing.T) {
+	w := newWorld(t, plainSettings())
+	w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
+		if l.unit.Unit == 1 {
+			l.end = w.now + 100
+		}
+		return relay.Honoured
+	}
+	w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
+		relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
+	w.run(20, func() (out []relay.Event) {
+		if int(w.now*100)%4 == 0 {
+			out = append(out, w.query(2, 0))
+		}
+		return out
+	})
+	if w.denied > 5 {
+		t.Errorf("%d of %d denied", w.denied, w.next)
+	}
+}
+
+// trialRun puts a build of newUnits units on trial beside eight earlier ones; each leg ends as how says.
+func trialRun(t *testing.T, newUnits int, how func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds)) []relay.Vote {
+	set := plainSettings()
+	w := newWorld(t, set)
+	w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
+		o, took := how(l.unit, w.now)
+		l.end = w.now + took
+		return o
+	}
+	load := func() (out []relay.Event) { return []relay.Event{w.query(0, 0)} }
+	w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
+		relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
+	w.run(12, load)
+	w.step(relay.Roster{Form: relay.RosterDelta, Units: entries(newUnits, 6, 20)},
+		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4})
+	w.run(14, load)
+	return w.votes
+}
+
+func back(votes []relay.Vote) bool {
+	for _, v := range votes {
+		if v.Verdict == relay.VoteBack {
+			return true
+		}
+	}
+	return false
+}
+
+func TestWhichBuildsGoBack(t *testing.T) {
+	n := 0
+	every := func(k int) bool { n++; return n%k == 0 }
+	for name, c := range map[string]struct {
+		units int
+		how   func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds)
+		want  bool
+	}{
+		"a good one stays": {3, func(relay.UnitEntry, relay.Seconds) (relay.Outcome, relay.Seconds) {
+			return relay.Honoured, 0.1
+		}, false},
+		"one that fails a tenth goes": {3, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if u.Build == 6 && every(10) {
+				return relay.Errored, 0.1
+			}
+			return relay.Honoured, 0.1
+		}, true},
+		"its only unit's faults may be the machine's": {1, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if u.Build == 6 && every(3) {
+				return relay.Errored, 0.1
+			}
+			return relay.Honoured, 0.1
+		}, false},
+		"one failing machine of four is not the build": {4, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if u.Unit == 20 && every(2) {
+				return relay.Errored, 0.05
+			}
+			return relay.Honoured, 0.1
+		}, false},
+		"one under which all units slow goes": {3, func(_ relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if at > 14 {
+				return relay.Honoured, 0.3
+			}
+			return relay.Honoured, 0.1
+		}, true},
+	} {
+		if got := back(trialRun(t, c.units, c.how)); got != c.want {
+			t.Errorf("%s: voted back %v", name, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -279,3 +279,25 @@
 		}
 	}
 }
+
+// limit returns the exposure kept for a build, started when the build is first met.
+func (t *trial) limit(b relay.Build) *exposure {
+	for _, x := range t.limits {
+		if x.build == b {
+			return x
+		}
+	}
+	ro, n := &t.p.set.Rollout, 1
+	if ro.PerCategory {
+		n = len(t.p.rows)
+	}
+	x := &exposure{build: b, hard: make([]float64, n), soft: make([]float64, n)}
+	if len(ro.Caps) > 0 {
+		x.cap = ro.Caps[0]
+	}
+	for i := range x.hard {
+		x.hard[i], x.soft[i] = ro.Uncounted, ro.Uncounted
+	}
+	t.limits = append(t.limits, x)
+	return x
+}
