--- a/policy/policy.go
+++ b/policy/policy.go
@@ -109,7 +109,8 @@
 		flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2)}
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2),
+		last: make([]counts, len(p.rows))}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
 }
@@ -550,7 +551,10 @@
 func (d *desk) send(q *query, u *unit) {
 	p := d.p
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
-		age: p.now - u.started, open: true, mayRan: true, alone: u.open <= 1})
+		age: p.now - u.started, open: true, mayRan: true, alone: float64(u.open) <= math.Max(1, d.depth)})
+	if !p.trial.steady() {
+		d.depth += paceFleet * (float64(u.open) - d.depth)
+	}
 	if u.warmth() < 1 {
 		u.cold, u.coldAt = u.coldLeft()-1, p.now
 	} else {
@@ -639,6 +643,7 @@
 	}
 	if t.known && n.Build != t.news.Build {
 		t.calm = t.fleet(evidenceBuckets)
+		clear(t.last)
 	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
 	x := t.limit(n.Build)
@@ -779,13 +784,15 @@
 func (t *trial) verdict(c int) (v verdict) {
 	newer := t.gather(c, true, 0, evidenceBuckets)
 	v.newer, v.before = newer, t.gather(c, false, 0, evidenceBuckets)
-	if v.before[figCount] < leastCount {
-		// Without earlier machines: this release's own earlier share. Lateness then says more of the hour
-		// than of the build, and is left out.
-		v.newer, v.before = t.gather(c, true, 0, evidenceRecent), t.gather(c, true, evidenceRecent, evidenceBuckets)
-		for _, f := range []int{figLate, figSlow} {
-			v.newer[f], v.before[f] = 0, 0
+	if v.before[figCount] >= leastCount {
+		t.last[c] = v.before
+	} else {
+		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
+		// then says more of the hour than of the build, and is left out.
+		if v.before = t.last[c]; v.before[figCount] == 0 {
+			v.newer, v.before = t.gather(c, true, 0, evidenceRecent), t.gather(c, true, evidenceRecent, evidenceBuckets)
 		}
+		v.newer[figLate], v.newer[figSlow] = 0, 0
 	}
 	v.flag = flagged(v.newer, v.before, false)
 	return v
--- a/policy/state.go
+++ b/policy/state.go
@@ -215,6 +215,7 @@
 	copies   float64   // second copies that may be sent
 	pace     float64   // the fleet's leg time over expected work
 	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
+	depth    float64   // own legs that a unit usually holds, held like kinds
 	usual    relay.Seconds
 	flow     ring // legs sent to warm units
 	warmFlow float64
@@ -238,6 +239,7 @@
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
 	mine     []verdict                 // by category; then all together; then the fleet against before
+	last     []counts                  // what the earlier machines last showed, by category
 	calm     counts                    // of all units when the build was first heard of
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
