--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 	badStep     = 0.25 // weight of one outcome in a unit's failure figure: two failures make a suspect
 	badHalf     = 4.0  // s in which that figure halves: a suspect gets a leg every few seconds to earn its way
 	suspectAt   = 0.3  // failure figure of a suspect
+	brokenAt    = 0.5  // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
 	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
 	paceStep    = 0.2  // weight of one answer in a unit's pace
 	paceFleet   = 0.02 // the same in the fleet's
@@ -189,7 +190,7 @@
 	case relay.UnitEntry:
 		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
-			u.met, u.bad, u.pace, u.suspectOf = true, 0, 0, 0
+			u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
 			u.cold, u.coldAt = u.p.rng.Float64(), u.p.now
 			u.seen.reset()
 		}
@@ -228,8 +229,8 @@
 		miss = suspectAt
 	}
 	u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
-	if miss == 1 && u.bad >= suspectAt {
-		u.suspectOf = u.p.now
+	if u.misses += badStep * (miss - u.misses); miss == 1 && u.misses >= brokenAt {
+		u.brokenOn = u.p.now
 	}
 	if n.how.NeverRan() || n.leg.age < youngUnit || n.leg.build != u.Build {
 		return
@@ -790,7 +791,8 @@
 		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 		// then says more of the hour than of the build, and is left out.
 		if v.before = t.last[c]; v.before[figCount] == 0 {
-			v.newer, v.before = t.gather(c, true, 0, evidenceRecent), t.gather(c, true, evidenceRecent, evidenceBuckets)
+			v.newer = t.gather(c, true, 0, evidenceRecent)
+			v.before = t.gather(c, true, evidenceRecent, evidenceBuckets)
 		}
 		v.newer[figLate], v.newer[figSlow] = 0, 0
 	}
@@ -799,15 +801,15 @@
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
-// a build do is not the build's: a unit that was suspect of late is left out, unless most of the build's
-// units were; the worst quarter is left out of lateness; and a single unit shows no faults at all.
+// a build do is not the build's: a unit that failed most legs of late is left out, unless most of the build's
+// units did; the worst quarter is left out of lateness; and a single unit shows no faults at all.
 func (t *trial) gather(c int, newest bool, from, to int) counts {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
 		e := u.evidence(c, from, to)
 		switch {
 		case (u.Build >= t.news.Build) != newest || e[figCount] == 0:
-		case u.suspectOf > 0 && t.p.now-u.suspectOf < evidenceWidth*evidenceBuckets:
+		case u.brokenOn > 0 && t.p.now-u.brokenOn < evidenceWidth*evidenceBuckets:
 			off = append(off, e)
 		default:
 			seen = append(seen, e)
--- a/policy/state.go
+++ b/policy/state.go
@@ -192,18 +192,19 @@
 	p  *Policy
 	id relay.UnitID
 	relay.UnitEntry
-	started   relay.Seconds
-	met       bool
-	open      int           // own legs out
-	answer    relay.Seconds // last answer, or when the unit stopped being idle
-	bad       float64       // failure figure, as of badAt
-	badAt     relay.Seconds
-	suspectOf relay.Seconds // when a failure last made it, or kept it, a suspect
-	pace      float64       // leg time over expected work, as of paceAt
-	paceAt    relay.Seconds
-	cold      float64 // legs that the cold budget holds, as of coldAt
-	coldAt    relay.Seconds
-	seen      ring // evidence: counts by category
+	started  relay.Seconds
+	met      bool
+	open     int           // own legs out
+	answer   relay.Seconds // last answer, or when the unit stopped being idle
+	bad      float64       // failure figure, as of badAt
+	badAt    relay.Seconds
+	misses   float64       // part of its last legs that failed, whatever the time between
+	brokenOn relay.Seconds // when it last failed most of them
+	pace     float64       // leg time over expected work, as of paceAt
+	paceAt   relay.Seconds
+	cold     float64 // legs that the cold budget holds, as of coldAt
+	coldAt   relay.Seconds
+	seen     ring // evidence: counts by category
 }
 
 // desk takes queries, sends legs and gives final answers.
