Give the trial its share while evidence is short; let a pooled flag last; true means of the usual pace

Cause: a slow build was starved of queries by the choice of the cheaper unit and never judged; a burst of failures on some machines flagged a build within a second; the usual pace started from one sample.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,8 @@
 	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over a tick
 
 	capShare     = 0.8  // of the cap that the build on trial may get (DESIGN)
+	leanCost     = 2.0  // times the cost at which the build on trial gets its share while evidence is short
+	leanCount    = 60.0 // outcomes of the build at this relay up to which that holds: three flags' worth
 	youngUnit    = 5.0  // s; outcomes of younger units are no evidence (DESIGN)
 	leastCount   = 20.0 // outcomes a build for a flag, and pooled ones for a vote on (DESIGN)
 	flagErrors   = 3.0  // standard errors that a share must be worse by (DESIGN)
@@ -49,6 +51,7 @@
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
+	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
 	fleetBuckets    = 8    // 4 s of outcomes that show the whole fleet's pace
@@ -254,7 +257,7 @@
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
-	usual := math.Max(u.p.desk.pace, 1e-3)
+	usual := math.Max(u.p.desk.pace.v, 1e-3)
 	if u.pace == 0 {
 		return usual
 	}
@@ -276,7 +279,7 @@
 func (u *unit) cost() float64 {
 	c := u.paceNow() * float64(u.open+1) / u.warmth()
 	if u.open > 0 {
-		c *= 1 + quietShare*(u.p.now-u.answer)/math.Max(u.p.desk.usual, 1e-3)
+		c *= 1 + quietShare*(u.p.now-u.answer)/math.Max(u.p.desk.usual.v, 1e-3)
 	}
 	if u.Zone != u.p.set.Zone && u.p.set.Prices.CrossZone > 0 {
 		c *= crossCost
@@ -301,20 +304,14 @@
 }
 
 func (d *desk) learnPace(u *unit, ratio float64, alone bool) {
-	toward := func(x *float64) {
-		if *x == 0 {
-			*x = ratio
-		}
-		*x += paceFleet * (ratio - *x)
-	}
-	toward(&d.pace)
+	d.pace.add(ratio, paceFleet)
 	if d.p.trial.steady() || u.Kind < 0 || !alone {
 		return
 	}
 	for int(u.Kind) >= len(d.kinds) {
-		d.kinds = append(d.kinds, 0)
+		d.kinds = append(d.kinds, mean{})
 	}
-	toward(&d.kinds[u.Kind])
+	d.kinds[u.Kind].add(ratio, paceFleet)
 }
 
 func (d *desk) take(n note) {
@@ -366,7 +363,7 @@
 	d.p.post(l.unit, o)
 	d.p.post(&d.p.gate, o)
 	if n.How == relay.Honoured {
-		d.usual += paceFleet * (n.Took - d.usual)
+		d.usual.add(n.Took, paceFleet)
 		d.p.trial.answered(q, l.build)
 	}
 	switch {
@@ -476,8 +473,13 @@
 	if old != nil && (len(onTrial) == 0 || !d.p.trial.within(q)) {
 		return old
 	}
-	fresh := d.best(q, onTrial)
-	if old == nil || fresh != nil && fresh.cost() <= old.cost() {
+	// While this relay has few outcomes of the build, its share goes there though it be slower: a slow build
+	// starved of queries would never show.
+	fresh, lean := d.best(q, onTrial), 1.0
+	if d.p.trial.mine[len(d.p.rows)].newer[figCount] < leanCount {
+		lean = leanCost
+	}
+	if old == nil || fresh != nil && fresh.cost() <= lean*old.cost() {
 		return fresh
 	}
 	return old
@@ -552,9 +554,9 @@
 func (d *desk) send(q *query, u *unit) {
 	p := d.p
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
-		age: p.now - u.started, open: true, mayRan: true, alone: float64(u.open) <= math.Max(1, d.depth)})
+		age: p.now - u.started, open: true, mayRan: true, alone: float64(u.open) <= math.Max(1, d.depth.v)})
 	if !p.trial.steady() {
-		d.depth += paceFleet * (float64(u.open) - d.depth)
+		d.depth.add(float64(u.open), paceFleet)
 	}
 	if u.warmth() < 1 {
 		u.cold, u.coldAt = u.coldLeft()-1, p.now
@@ -912,6 +914,7 @@
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
 	pool := make([]verdict, cats+2)
+	f.pool = pool
 	for i := range f.heard {
 		h := &f.heard[i]
 		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != len(pool) {
@@ -931,15 +934,17 @@
 		}
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
-	back = sum >= threshold && flaggers >= leastFlags
-	for c, v := range pool[:cats+1] {
+	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
+	for _, v := range pool[:cats+1] {
 		if flagged(v.newer, v.before, true) && logRatio(true, v.newer[figCount], cats) >= threshold {
-			back = true
-			if f.cast.Verdict != relay.VoteBack {
-				f.p.do(relay.Log{Line: fmt.Sprint("pooled flag, category ", c, ": ", v.newer, " before ", v.before)})
-			}
+			pooledFlag = true
 		}
 	}
+	// A burst of failures ends as soon as routing knows the machines at fault; a bad build's go on.
+	if !pooledFlag {
+		f.cleanAt = f.p.now
+	}
+	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := pool[cats+1]
 	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes)
 	return back, slower, pool[cats].newer[figCount]
@@ -949,10 +954,11 @@
 func (f *fuser) wish() relay.Verdict {
 	t, r := &f.p.trial, &f.p.set.Rollout
 	if !t.judging() {
+		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
 	back, slower, pooled := f.fused()
-	if !slower || t.news.Phase == relay.Released {
+	if !slower || !t.steady() {
 		f.slowAt = f.p.now
 	}
 	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
@@ -993,7 +999,9 @@
 		return
 	}
 	if w == relay.VoteBack && f.cast.Verdict != w {
-		f.p.do(relay.Log{Line: "voting back"})
+		all := f.pool[len(f.p.rows)]
+		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: all relays newer %.0f, before %.0f",
+			next.Build, next.Stage, all.newer, all.before)})
 	}
 	f.cast, f.castAt, f.pending, f.sure = next, f.p.now, true, false
 	f.p.do(next)
--- a/policy/ring.go
+++ b/policy/ring.go
@@ -74,5 +74,13 @@
 	if k < 0 || int(k) >= len(d.kinds) {
 		return 0
 	}
-	return d.kinds[k]
+	return d.kinds[k].v
+}
+
+// mean is a running mean that forgets: at first the plain mean, later with a fixed weight for the newest.
+type mean struct{ v, n float64 }
+
+func (m *mean) add(x, weight float64) {
+	m.n++
+	m.v += max(weight, 1/m.n) * (x - m.v)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -211,14 +211,14 @@
 type desk struct {
 	p        *Policy
 	queries  map[relay.QueryID]*query
-	open     []*query  // those with an answer owed or legs out, in order of arrival
-	inTime   int       // of these, with an answer owed that may still be in time
-	copies   float64   // second copies that may be sent
-	pace     float64   // the fleet's leg time over expected work
-	kinds    []float64 // the same by kind of machine, of legs alone, held as it was before a trial
-	depth    float64   // own legs that a unit usually holds, held like kinds
-	usual    relay.Seconds
-	flow     ring // legs sent to warm units
+	open     []*query // those with an answer owed or legs out, in order of arrival
+	inTime   int      // of these, with an answer owed that may still be in time
+	copies   float64  // second copies that may be sent
+	pace     mean     // the fleet's leg time over expected work
+	kinds    []mean   // the same by kind of machine, of legs alone, held as it was before a trial
+	depth    mean     // own legs that a unit usually holds, held like kinds
+	usual    mean     // leg time
+	flow     ring     // legs sent to warm units
 	warmFlow float64
 }
 
@@ -253,6 +253,8 @@
 	cast    relay.Vote // the vote that stands, or is under way
 	castAt  relay.Seconds
 	sure    bool          // it was counted
+	pool    []verdict     // all relays' counts, by category; then all together; then the fleet
+	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
