--- a/policy/ring.go
+++ b/policy/measure.go
@@ -84,3 +84,15 @@
 	m.n++
 	m.v += max(weight, 1/m.n) * (x - m.v)
 }
+
+// learnPace learns from an answer how long legs take for their work.
+func (d *desk) learnPace(u *unit, ratio float64, alone bool) {
+	d.pace.add(ratio, paceFleet)
+	if d.p.trial.steady() || u.Kind < 0 || !alone {
+		return
+	}
+	for int(u.Kind) >= len(d.kinds) {
+		d.kinds = append(d.kinds, mean{})
+	}
+	d.kinds[u.Kind].add(ratio, paceFleet)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,7 +8,7 @@
 // Inside, each part is a small actor: the roster, a unit for every server, the desk (queries, legs, final
 // answers), the gate (denials), the trial (exposure, evidence, verdicts) and the fuser (votes). Parts
 // change each other only by notes, which one loop takes from the inboxes; they may read each other's
-// figures. state.go has the types, ring.go sums over buckets of time, memo.go turns verdicts into bytes.
+// figures. state.go has the types, measure.go sums over buckets of time, memo.go turns verdicts into bytes.
 package policy
 
 import (
@@ -303,17 +303,6 @@
 	return math.Max(q.row.due, 1e-3)
 }
 
-func (d *desk) learnPace(u *unit, ratio float64, alone bool) {
-	d.pace.add(ratio, paceFleet)
-	if d.p.trial.steady() || u.Kind < 0 || !alone {
-		return
-	}
-	for int(u.Kind) >= len(d.kinds) {
-		d.kinds = append(d.kinds, mean{})
-	}
-	d.kinds[u.Kind].add(ratio, paceFleet)
-}
-
 func (d *desk) take(n note) {
 	switch n := n.(type) {
 	case relay.Query:
