--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,7 +81,7 @@
 	copySaved  = 3.0  // second copies that may be saved up for a burst
 	copyRoom   = 0.5  // of the gate's limit above which no copies start
 
-	coldPart  = 0.7 // of what rule 4 allows a cold unit that all relays together use
+	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is below its capacity anyway
 	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
 	flowWidth = 0.5 // s a bucket of legs and queries
 	flowCount = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
