--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,7 +86,7 @@
 	flowWidth = 0.5 // s a bucket of legs and queries
 	flowCount = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
 
-	gateWait   = 0.45 // of the mean due time that a leg may take before the gate holds the inflow
+	gateWait   = 0.5  // of the mean due time that a leg may take before the gate holds the inflow
 	gateSpare  = 4.0  // open queries beyond that, so that a small relay is not shut by one slow answer
 	gateLow    = 0.8  // part of the limit from which the category of least value is denied; the top: 1
 	gateOver   = 0.6  // part of the limit from which beyond-share customers are denied
@@ -947,7 +947,7 @@
 		return relay.NoVote
 	}
 	back, slower, pooled := f.fused()
-	if !slower || !t.steady() {
+	if !slower || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
 	}
 	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
