Judge lateness on legs alone and the last 4 s; take broken legs for the machine's

Cause: queues at the trial's few machines, a slowdown that the build's younger outcomes saw more of, and resets of a lost site each sent good builds back. Change: also a relay's own flag is back to the error of its own two shares, as the design reads; pooled counts keep that of two equal ones.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -1,6 +1,10 @@
 package policy
 
-import "lichenroad/relay"
+import (
+	"math"
+
+	"lichenroad/relay"
+)
 
 // ring sums several figures over fixed buckets of time that are used again.
 type ring struct {
@@ -52,16 +56,19 @@
 // evidence is what the unit showed in one category in buckets from to to.
 func (u *unit) evidence(c, from, to int) (out counts) {
 	for f := range out {
+		if f == figAlone {
+			to = min(to, from+lateBuckets)
+		}
 		out[f] = u.seen.sum(u.p.now, c*figures+f, from, to)
 	}
 	return out
 }
 
 // fleet sums the lateness of all units, whatever their build.
-func (t *trial) fleet(buckets int) (sum counts) {
+func (t *trial) fleet() (sum counts) {
 	for _, u := range t.p.roster.units {
 		for c := range t.p.rows {
-			e := u.evidence(c, 0, buckets)
+			e := u.evidence(c, 0, lateBuckets)
 			sum[figAlone] += e[figAlone]
 			sum[figSlow] += e[figSlow]
 		}
@@ -96,3 +103,21 @@
 	}
 	d.kinds[u.Kind].add(ratio, paceFleet)
 }
+
+// warmth is the least part of its capacity that the unit can have by now.
+func (u *unit) warmth() float64 {
+	r := &u.p.set.Rules
+	age := u.p.now - u.started
+	if age >= r.WarmUp {
+		return 1
+	}
+	return r.ColdFrom + (1-r.ColdFrom)*math.Max(age, 0)/r.WarmUp
+}
+
+// work is the query's expected work; without a hint, the due time stands in as a common yardstick.
+func (q *query) work() relay.Seconds {
+	if q.HasWork && q.Work > 0 {
+		return q.Work
+	}
+	return math.Max(q.row.due, 1e-3)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,12 +49,12 @@
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
+	lateBuckets     = 8    // 4 s of outcomes that show lateness: the hour changes faster than builds do
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
-	fleetBuckets    = 8    // 4 s of outcomes that show the whole fleet's pace
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
 	fleetPatience   = 7.0  // s that it may last until the build is held for its cause: most passing troubles end
 	leastSlow       = 60.0 // legs alone that a slow share needs: machines of one kind differ
@@ -81,7 +81,7 @@
 	copySaved  = 3.0  // second copies that may be saved up for a burst
 	copyRoom   = 0.5  // of the gate's limit above which no copies start
 
-	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is below its capacity anyway
+	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is within capacity
 	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
 	flowWidth = 0.5 // s a bucket of legs and queries
 	flowCount = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
@@ -232,7 +232,7 @@
 		miss = suspectAt
 	}
 	u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
-	if u.misses += badStep * (miss - u.misses); miss == 1 && u.misses >= brokenAt {
+	if u.misses += badStep * (miss - u.misses); miss == 1 && u.misses >= brokenAt || n.how == relay.Broken {
 		u.brokenOn = u.p.now
 	}
 	if n.how.NeverRan() || n.leg.age < youngUnit || n.leg.build != u.Build {
@@ -243,11 +243,11 @@
 	switch {
 	case n.how == relay.Errored || n.how == relay.Broken:
 		u.seen.add(u.p.now, at+figFailed, 1)
-	case n.took > n.due || n.how == relay.TimedOut:
-		u.seen.add(u.p.now, at+figLate, 1)
-	}
-	if n.leg.alone && usual > 0 && n.how != relay.Errored && n.how != relay.Broken {
+	case n.leg.alone && usual > 0:
 		u.seen.add(u.p.now, at+figAlone, 1)
+		if n.took > n.due || n.how == relay.TimedOut {
+			u.seen.add(u.p.now, at+figLate, 1)
+		}
 		if ratio > slowBar*usual {
 			u.seen.add(u.p.now, at+figSlow, 1)
 		}
@@ -264,16 +264,6 @@
 	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
 }
 
-// warmth is the least part of its capacity that the unit can have by now.
-func (u *unit) warmth() float64 {
-	r := &u.p.set.Rules
-	age := u.p.now - u.started
-	if age >= r.WarmUp {
-		return 1
-	}
-	return r.ColdFrom + (1-r.ColdFrom)*math.Max(age, 0)/r.WarmUp
-}
-
 // cost is what one more leg here is expected to cost, for comparison with other units. A unit that holds
 // legs and answers nothing gets dearer by the moment: pauses, stalls and silent losses look alike so far.
 func (u *unit) cost() float64 {
@@ -295,14 +285,6 @@
 	return math.Min(math.Max(1, rate*r.FallTime*coldBurst), u.cold+rate*(u.p.now-u.coldAt))
 }
 
-// work is the query's expected work; without a hint, the due time stands in as a common yardstick.
-func (q *query) work() relay.Seconds {
-	if q.HasWork && q.Work > 0 {
-		return q.Work
-	}
-	return math.Max(q.row.due, 1e-3)
-}
-
 func (d *desk) take(n note) {
 	switch n := n.(type) {
 	case relay.Query:
@@ -634,7 +616,7 @@
 		}
 	}
 	if t.known && n.Build != t.news.Build {
-		t.calm = t.fleet(evidenceBuckets)
+		t.calm = t.fleet()
 		clear(t.last)
 	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
@@ -735,7 +717,7 @@
 		all.before.add(v.before)
 	}
 	all.flag = flagged(all.newer, all.before, false)
-	t.mine[len(t.p.rows)+1] = verdict{newer: t.fleet(fleetBuckets), before: t.calm}
+	t.mine[len(t.p.rows)+1] = verdict{newer: t.fleet(), before: t.calm}
 	if !changed {
 		return
 	}
@@ -792,8 +774,8 @@
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
-// a build do is not the build's: a unit that failed most legs of late is left out, unless most of the build's
-// units did; the worst quarter is left out of lateness; and a single unit shows no faults at all.
+// a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless
+// most of the build's units did; the worst quarter is left out of lateness; and a single unit shows no faults at all.
 func (t *trial) gather(c int, newest bool, from, to int) counts {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
@@ -816,10 +798,7 @@
 	if len(seen) == 1 && newest {
 		return counts{figCount: sum[figCount]} // one machine's faults say nothing of its build
 	}
-	for f := figLate; f < figures && newest; f++ {
-		if f == figAlone {
-			continue
-		}
+	for f := figLate; f <= figSlow && newest; f++ {
 		sort.SliceStable(seen, func(i, j int) bool {
 			return seen[i][f]*seen[j].of(f) > seen[j][f]*seen[i].of(f)
 		})
@@ -833,9 +812,9 @@
 	return sum
 }
 
-// flagged is the design's test of one build's shares against another's. Its standard error is that of two
-// equal shares, so that a few failures against hardly any count for what they are. Pooled counts need
-// fewer points for failures, but more of them.
+// flagged is the design's test of one build's shares against another's. Pooled counts need fewer points for
+// failures but more of them, and their standard error is that of two equal shares, so that some failures
+// against hardly any count for what they are.
 func flagged(newer, before counts, pooled bool) bool {
 	outcomes := flagOutcomes
 	points := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}
@@ -843,14 +822,14 @@
 		points[figFailed], outcomes = poolPoints, poolOutcomes
 	}
 	for _, f := range []int{figFailed, figLate, figSlow} {
-		if worse(newer, before, f, points[f], outcomes) {
+		if worse(newer, before, f, points[f], outcomes, pooled) {
 			return true
 		}
 	}
 	return false
 }
 
-func worse(newer, before counts, f int, points, outcomes float64) bool {
+func worse(newer, before counts, f int, points, outcomes float64, pooled bool) bool {
 	n1, n0, least := newer.of(f), before.of(f), leastCount
 	if f == figSlow {
 		least = leastSlow
@@ -858,8 +837,12 @@
 	if n1 < least || n0 < least {
 		return false
 	}
-	p1, p0, p := newer[f]/n1, before[f]/n0, (newer[f]+before[f])/(n1+n0)
-	err := math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
+	p1, p0 := newer[f]/n1, before[f]/n0
+	err := math.Sqrt(p1*(1-p1)/n1 + p0*(1-p0)/n0)
+	if pooled {
+		p := (newer[f] + before[f]) / (n1 + n0)
+		err = math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
+	}
 	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
 }
 
@@ -903,7 +886,6 @@
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
 	pool := make([]verdict, cats+2)
-	f.pool = pool
 	for i := range f.heard {
 		h := &f.heard[i]
 		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != len(pool) {
@@ -924,18 +906,22 @@
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
-	for _, v := range pool[:cats+1] {
+	for c, v := range pool[:cats+1] {
 		if flagged(v.newer, v.before, true) && logRatio(true, v.newer[figCount], cats) >= threshold {
 			pooledFlag = true
+			f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, v.newer, v.before)
 		}
 	}
 	// A burst of failures ends as soon as routing knows the machines at fault; a bad build's go on.
 	if !pooledFlag {
 		f.cleanAt = f.p.now
 	}
+	if back {
+		f.why = "flags of several relays"
+	}
 	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := pool[cats+1]
-	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes)
+	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes, true)
 	return back, slower, pool[cats].newer[figCount]
 }
 
@@ -949,6 +935,8 @@
 	back, slower, pooled := f.fused()
 	if !slower || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
+	} else if !back {
+		f.why = "the whole fleet is slower than before"
 	}
 	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
 	switch {
@@ -988,9 +976,7 @@
 		return
 	}
 	if w == relay.VoteBack && f.cast.Verdict != w {
-		all := f.pool[len(f.p.rows)]
-		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: all relays newer %.0f, before %.0f",
-			next.Build, next.Stage, all.newer, all.before)})
+		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", next.Build, next.Stage, f.why)})
 	}
 	f.cast, f.castAt, f.pending, f.sure = next, f.p.now, true, false
 	f.p.do(next)
--- a/policy/state.go
+++ b/policy/state.go
@@ -122,22 +122,22 @@
 	has bool
 }
 
-// counts are outcomes of one build in one category: all, failed and late ones; those that were alone, and
-// of these the slow ones.
+// counts are outcomes of one build in one category: all and failed ones; those that were alone, and of
+// these the late and the slow ones.
 type counts [figures]float64
 
 const (
 	figCount = iota
 	figFailed
-	figLate
 	figAlone
+	figLate
 	figSlow
 	figures
 )
 
 // of gives the count that a figure is a share of.
 func (c *counts) of(figure int) float64 {
-	if figure == figSlow {
+	if figure > figAlone {
 		return c[figAlone]
 	}
 	return c[figCount]
@@ -250,10 +250,10 @@
 type fuser struct {
 	p       *Policy
 	heard   []heard
+	why     string     // what speaks for going back
 	cast    relay.Vote // the vote that stands, or is under way
 	castAt  relay.Seconds
 	sure    bool          // it was counted
-	pool    []verdict     // all relays' counts, by category; then all together; then the fleet
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
