--- a/policy/state.go
+++ b/policy/state.go
@@ -239,7 +239,7 @@
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category; then all together; then the fleet against before
+	mine     []verdict                 // by category; then all; the fleet against before; all with faulty units
 	last     []counts                  // what the earlier machines last showed, by category
 	calm     counts                    // of all units when the build was first heard of
 	judgeAt  relay.Seconds
@@ -255,6 +255,7 @@
 	castAt  relay.Seconds
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
+	sureAt  relay.Seconds // when no unit of the newest build, sound or not, was last in doubt
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
