--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,8 +26,6 @@
 	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over a tick
 
 	capShare     = 0.8  // of the cap that the build on trial may get (DESIGN)
-	leanCost     = 2.0  // times the cost at which the build on trial gets its share while evidence is short
-	leanCount    = 60.0 // outcomes of the build at this relay up to which that holds: three flags' worth
 	youngUnit    = 5.0  // s; outcomes of younger units are no evidence (DESIGN)
 	leastCount   = 20.0 // outcomes a build for a flag, and pooled ones for a vote on (DESIGN)
 	flagErrors   = 3.0  // standard errors that a share must be worse by (DESIGN)
@@ -75,12 +73,7 @@
 	paceFleet   = 0.02 // the same in the fleet's
 	paceHalf    = 3.0  // s in which the pace of a silent unit goes half way back to the fleet's
 	quietShare  = 1.0  // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
-	crossCost   = 1.1  // times the cost in another zone, where crossing has a price
-
-	copyAt     = 0.45 // of the due time after which a second copy may start: early enough to end in time
-	copyBudget = 0.05 // second copies a query, so that overload is not fed
-	copySaved  = 3.0  // second copies that may be saved up for a burst
-	copyRoom   = 0.5  // of the gate's limit above which no copies start
+	crossCost   = 1.6  // times the cost in another zone, where crossing has a price
 
 	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is within capacity
 	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
@@ -110,7 +103,7 @@
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}}
-	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, copies: copySaved,
+	p.desk = desk{p: p, queries: map[relay.QueryID]*query{},
 		flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
@@ -301,7 +294,6 @@
 		d.queries[n.ID] = q
 		d.open = append(d.open, q)
 		d.inTime++
-		d.copies = math.Min(d.copies+copyBudget, copySaved)
 		d.p.trial.took(q)
 		if d.p.gate.denies(q) {
 			d.finish(q)
@@ -365,7 +357,7 @@
 	}
 }
 
-// look goes over the open queries: second copies, held queries, patience.
+// look goes over the open queries: held ones, due times, patience.
 func (d *desk) look() {
 	warm := 0.0
 	for _, u := range d.p.roster.units {
@@ -389,8 +381,6 @@
 		}
 		if !q.over && out == 0 {
 			d.route(q)
-		} else if !q.over && out == 1 && len(q.legs) == 1 && d.p.now-q.at > copyAt*(q.due-q.at) && d.p.now < q.due {
-			d.copy(q)
 		}
 		if q.over && q.out() == 0 {
 			delete(d.queries, q.ID)
@@ -402,18 +392,6 @@
 	d.open = left
 }
 
-// copy sends a second copy of a query whose only leg is late: whatever keeps that leg (a pause, a slow or
-// dead unit, a long queue), another unit is likely to be free of it.
-func (d *desk) copy(q *query) {
-	if d.copies < 1 || q.row.repeat == relay.AtMostOnce || float64(d.inTime) > copyRoom*d.p.gate.limit() {
-		return
-	}
-	if u := d.pick(q); u != nil && !q.tried(u) {
-		d.copies--
-		d.send(q, u)
-	}
-}
-
 // route sends a query that has no leg out. It is held only while it is in time, has legs left and a unit
 // may yet come free for it; otherwise it is given up at once.
 func (d *desk) route(q *query) {
@@ -445,13 +423,8 @@
 	if old != nil && (len(onTrial) == 0 || !d.p.trial.within(q)) {
 		return old
 	}
-	// While this relay has few outcomes of the build, its share goes there though it be slower: a slow build
-	// starved of queries would never show.
-	fresh, lean := d.best(q, onTrial), 1.0
-	if d.p.trial.mine[len(d.p.rows)].newer[figCount] < leanCount {
-		lean = leanCost
-	}
-	if old == nil || fresh != nil && fresh.cost() <= lean*old.cost() {
+	fresh := d.best(q, onTrial)
+	if old == nil || fresh != nil && fresh.cost() <= old.cost() {
 		return fresh
 	}
 	return old
--- a/policy/state.go
+++ b/policy/state.go
@@ -213,7 +213,6 @@
 	queries  map[relay.QueryID]*query
 	open     []*query // those with an answer owed or legs out, in order of arrival
 	inTime   int      // of these, with an answer owed that may still be in time
-	copies   float64  // second copies that may be sent
 	pace     mean     // the fleet's leg time over expected work
 	kinds    []mean   // the same by kind of machine, of legs alone, held as it was before a trial
 	depth    mean     // own legs that a unit usually holds, held like kinds
