Judge slowness at equal depth, before the last stage; deny beyond-share customers later

Change: usual paces by depth of own legs; lateness isn't compared once earlier machines are nearly gone; the fleet's slowness counts before the last stage, for 6 s; beyond-share customers meet 0.9 of the limit.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,15 +48,18 @@
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
 	lateBuckets     = 8    // 4 s of outcomes that show lateness: the hour changes faster than builds do
+	depths          = 8    // own legs at a unit that paces are told apart by: more are rare where it runs well
+	leastPace       = 10.0 // legs from which a usual pace is known
 	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
+	bothPart        = 0.25 // earlier units listed for each new one, below which they are as good as gone
 	doubtPatience   = 8.0  // s that faults of single machines stop a vote on, until others had time to show them
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
-	fleetPatience   = 7.0  // s that it may last until the build is held for its cause: most passing troubles end
-	leastSlow       = 60.0 // legs alone that a slow share needs: machines of one kind differ
+	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
+	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -83,7 +86,7 @@
 	gateWait   = 0.5  // of the mean due time that a leg may take before the gate holds the inflow
 	gateSpare  = 4.0  // open queries beyond that, so that a small relay is not shut by one slow answer
 	gateLow    = 0.8  // part of the limit from which the category of least value is denied; the top: 1
-	gateOver   = 0.6  // part of the limit from which beyond-share customers are denied
+	gateOver   = 0.9  // part of the limit from which beyond-share customers are denied
 	overShare  = 1.15 // times its share of traffic at which a customer counts as beyond it
 	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
@@ -216,11 +219,11 @@
 	}
 	u.answer = u.p.now
 	miss, ratio := 1.0, n.took/math.Max(n.work, 1e-3)
-	usual := u.p.desk.usualPace(u.Kind)
+	usual := u.p.desk.usualPace(u.Kind, n.leg.depth)
 	switch n.how {
 	case relay.Honoured:
 		miss = 0
-		u.p.desk.learnPace(u, ratio, n.leg.alone)
+		u.p.desk.learnPace(u, ratio, n.leg.depth)
 		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
 	case relay.TurnedAway:
 		miss = suspectAt
@@ -237,11 +240,14 @@
 	switch {
 	case n.how == relay.Errored || n.how == relay.Broken:
 		u.seen.add(u.p.now, at+figFailed, 1)
-	case n.leg.alone && usual > 0:
+	case n.leg.alone:
 		u.seen.add(u.p.now, at+figAlone, 1)
 		if n.took > n.due || n.how == relay.TimedOut {
 			u.seen.add(u.p.now, at+figLate, 1)
 		}
+	}
+	if usual > 0 && n.how != relay.Errored && n.how != relay.Broken {
+		u.seen.add(u.p.now, at+figPaced, 1)
 		if ratio > slowBar*usual {
 			u.seen.add(u.p.now, at+figSlow, 1)
 		}
@@ -499,7 +505,8 @@
 func (d *desk) send(q *query, u *unit) {
 	p := d.p
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
-		age: p.now - u.started, open: true, mayRan: true, alone: float64(u.open) <= math.Max(1, d.depth.v)})
+		age: p.now - u.started, open: true, mayRan: true, depth: u.open,
+		alone: float64(u.open) <= math.Max(1, d.depth.v)})
 	if !p.trial.steady() {
 		d.depth.add(float64(u.open), paceFleet)
 	}
@@ -710,7 +717,7 @@
 	}
 }
 
-// list notes when most units of the present stage are listed.
+// list notes when most units of the present stage are listed, and whether earlier ones still are.
 func (t *trial) list() {
 	newer, earlier := 0.0, 0.0
 	for _, u := range t.p.roster.units {
@@ -720,6 +727,7 @@
 			earlier++
 		}
 	}
+	t.both = earlier >= bothPart*newer
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
@@ -735,7 +743,8 @@
 	v.before, _ = t.gather(c, false, 0, evidenceBuckets)
 	if v.before[figCount] >= leastCount {
 		t.last[c] = v.before
-	} else {
+	}
+	if v.before[figCount] < leastCount || !t.both {
 		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 		// then says more of the hour than of the build, and is left out.
 		if v.before = t.last[c]; v.before[figCount] == 0 {
@@ -776,7 +785,7 @@
 	if len(seen) == 1 && newest {
 		return counts{figCount: sound[figCount]}, every
 	}
-	for f := figLate; f <= figSlow && newest; f++ {
+	for f := figLate; f <= figSlow && newest; f += figSlow - figLate {
 		sort.SliceStable(seen, func(i, j int) bool {
 			return seen[i][f]*seen[j].of(f) > seen[j][f]*seen[i].of(f)
 		})
@@ -916,7 +925,7 @@
 	}
 	back, slower, pooled := f.fused()
 	doubt := f.p.now-f.sureAt > 0 && f.p.now-f.sureAt < doubtPatience
-	if !slower || t.news.Phase == relay.Released {
+	if last := int(t.news.Stage) >= len(r.StageShares)-1; !slower || last || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
 	} else if !back {
 		f.why = "the whole fleet is slower than before"
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,6 +63,7 @@
 	age    relay.Seconds
 	open   bool
 	mayRan bool // it is out, or ended without proof that it never ran
+	depth  int  // own legs that the unit held when it was sent
 	alone  bool // the unit held at most one other leg of this relay when it was sent: no queue of ours
 }
 
@@ -122,8 +123,8 @@
 	has bool
 }
 
-// counts are outcomes of one build in one category: all and failed ones; those that were alone, and of
-// these the late and the slow ones.
+// counts are outcomes of one build in one category: all and failed ones; those alone, and of these the late
+// ones; those whose usual pace is known, and of these the slow ones.
 type counts [figures]float64
 
 const (
@@ -131,14 +132,18 @@
 	figFailed
 	figAlone
 	figLate
+	figPaced
 	figSlow
 	figures
 )
 
 // of gives the count that a figure is a share of.
 func (c *counts) of(figure int) float64 {
-	if figure > figAlone {
+	switch figure {
+	case figLate:
 		return c[figAlone]
+	case figSlow:
+		return c[figPaced]
 	}
 	return c[figCount]
 }
@@ -211,13 +216,13 @@
 type desk struct {
 	p        *Policy
 	queries  map[relay.QueryID]*query
-	open     []*query // those with an answer owed or legs out, in order of arrival
-	inTime   int      // of these, with an answer owed that may still be in time
-	pace     mean     // the fleet's leg time over expected work
-	kinds    []mean   // the same by kind of machine, of legs alone, held as it was before a trial
-	depth    mean     // own legs that a unit usually holds, held like kinds
-	usual    mean     // leg time
-	flow     ring     // legs sent to warm units
+	open     []*query       // those with an answer owed or legs out, in order of arrival
+	inTime   int            // of these, with an answer owed that may still be in time
+	pace     mean           // the fleet's leg time over expected work
+	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
+	depth    mean           // own legs that a unit usually holds, held like kinds
+	usual    mean           // leg time
+	flow     ring           // legs sent to warm units
 	warmFlow float64
 }
 
@@ -235,6 +240,7 @@
 	known    bool
 	news     relay.StageNews
 	since    relay.Seconds // when the present state began
+	both     bool          // builds have units enough to be compared
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
