--- a/policy/state.go
+++ b/policy/state.go
@@ -231,7 +231,7 @@
 type gate struct {
 	p       *Policy
 	answers ring // figure 0: answers; 1: their due times
-	mix     ring // queries taken, by customer; the last figure: all
+	mix     ring // queries taken, by customer; then all; then all first tries
 }
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
@@ -247,6 +247,7 @@
 	mine     []verdict                 // by category; then all; the fleet against before; all with faulty units
 	last     []counts                  // what the earlier machines last showed, by category
 	calm     counts                    // of all units when the build was first heard of
+	calmRate float64                   // queries per second then
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
 }
@@ -261,6 +262,7 @@
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	sureAt  relay.Seconds // when no unit of the newest build, sound or not, was last in doubt
+	surge   bool          // traffic had risen when the fleet slowed
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
