--- a/policy/measure.go
+++ b/policy/measure.go
@@ -121,18 +121,3 @@
 	}
 	return math.Max(q.row.due, 1e-3)
 }
-
-func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
-
-func (u *unit) paceNow() float64 {
-	usual := math.Max(u.p.desk.pace.v, 1e-3)
-	if u.pace == 0 {
-		return usual
-	}
-	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
-}
-
-// rate is the queries taken per second, without what clients mark as a repeat.
-func (g *gate) rate() float64 {
-	return g.mix.all(g.p.now, len(g.p.set.Customers)+1) / (flowWidth * flowCount)
-}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,7 +58,6 @@
 	bothPart        = 0.25 // earlier units listed for each new one, below which they are as good as gone
 	doubtPatience   = 8.0  // s that faults of single machines stop a vote on, until others had time to show them
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
-	surgePart       = 2.1  // times the queries before the trial at which these explain slowness
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
@@ -110,7 +109,7 @@
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{},
 		flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
-		mix: newRing(flowWidth, flowCount, len(set.Customers)+2)}
+		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+3),
 		last: make([]counts, len(p.rows))}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
@@ -255,6 +254,16 @@
 	}
 }
 
+func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
+
+func (u *unit) paceNow() float64 {
+	usual := math.Max(u.p.desk.pace.v, 1e-3)
+	if u.pace == 0 {
+		return usual
+	}
+	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
+}
+
 // cost is what one more leg here is expected to cost, for comparison with other units. A unit that holds
 // legs and answers nothing gets dearer by the moment: pauses, stalls and silent losses look alike so far.
 func (u *unit) cost() float64 {
@@ -550,9 +559,6 @@
 func (g *gate) denies(q *query) bool {
 	n, c := len(g.p.set.Customers), int(q.Customer)
 	g.mix.add(g.p.now, n, 1)
-	if !q.Again {
-		g.mix.add(g.p.now, n+1, 1)
-	}
 	part := q.row.gate
 	if c < n {
 		g.mix.add(g.p.now, c, 1)
@@ -591,7 +597,7 @@
 		}
 	}
 	if t.known && n.Build != t.news.Build {
-		t.calm, t.calmRate = t.fleet(), t.p.gate.rate()
+		t.calm = t.fleet()
 		clear(t.last)
 	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
@@ -918,13 +924,9 @@
 		return relay.NoVote
 	}
 	back, slower, pooled := f.fused()
-	if slower && f.surge { // traffic rose first, and explains it
-		slower, f.slowAt = false, f.p.now
-	}
 	doubt := f.p.now-f.sureAt > 0 && f.p.now-f.sureAt < doubtPatience
 	if last := int(t.news.Stage) >= len(r.StageShares)-1; !slower || last || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
-		f.surge = f.p.gate.rate() > surgePart*t.calmRate
 	} else if !back {
 		f.why = "the whole fleet is slower than before"
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -231,7 +231,7 @@
 type gate struct {
 	p       *Policy
 	answers ring // figure 0: answers; 1: their due times
-	mix     ring // queries taken, by customer; then all; then all first tries
+	mix     ring // queries taken, by customer; the last figure: all
 }
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
@@ -247,7 +247,6 @@
 	mine     []verdict                 // by category; then all; the fleet against before; all with faulty units
 	last     []counts                  // what the earlier machines last showed, by category
 	calm     counts                    // of all units when the build was first heard of
-	calmRate float64                   // queries per second then
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
 }
@@ -262,7 +261,6 @@
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	sureAt  relay.Seconds // when no unit of the newest build, sound or not, was last in doubt
-	surge   bool          // traffic had risen when the fleet slowed
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
