--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,8 +55,6 @@
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
-	bothPart        = 0.25 // earlier units listed for each new one, below which they are as good as gone
-	doubtPatience   = 8.0  // s that faults of single machines stop a vote on, until others had time to show them
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
@@ -110,7 +108,7 @@
 		flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+3),
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2),
 		last: make([]counts, len(p.rows))}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
@@ -589,7 +587,7 @@
 		all := &t.mine[len(t.p.rows)]
 		t.p.do(relay.Log{Line: fmt.Sprintf(
 			"build %d stage %d phase %d; newer, before, fleet, calm: %.0f %.0f %.0f %.0f",
-			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.mine)-2].newer, t.calm)})
+			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.mine)-1].newer, t.calm)})
 	}
 	for k, b := range t.keys {
 		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
@@ -688,18 +686,16 @@
 func (t *trial) judge() {
 	t.list()
 	changed := t.p.now-t.toldAt >= verdictEvery
-	all, doubt := verdict{}, verdict{}
+	all := verdict{}
 	for c := range t.p.rows {
-		v, every := t.verdict(c)
+		v := t.verdict(c)
 		changed = changed || v.flag != t.mine[c].flag
 		t.mine[c] = v
 		all.newer.add(v.newer)
 		all.before.add(v.before)
-		doubt.newer.add(every)
 	}
-	doubt.before = all.before
 	n := len(t.p.rows)
-	t.mine[n], t.mine[n+1], t.mine[n+2] = all, verdict{newer: t.fleet(), before: t.calm}, doubt
+	t.mine[n], t.mine[n+1] = all, verdict{newer: t.fleet(), before: t.calm}
 	if !changed {
 		return
 	}
@@ -717,7 +713,7 @@
 	}
 }
 
-// list notes when most units of the present stage are listed, and whether earlier ones still are.
+// list notes when most units of the present stage are listed.
 func (t *trial) list() {
 	newer, earlier := 0.0, 0.0
 	for _, u := range t.p.roster.units {
@@ -727,7 +723,6 @@
 			earlier++
 		}
 	}
-	t.both = earlier >= bothPart*newer
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
@@ -738,37 +733,35 @@
 }
 
 // verdict forms this relay's verdict on one category.
-func (t *trial) verdict(c int) (v verdict, every counts) {
-	v.newer, every = t.gather(c, true, 0, evidenceBuckets)
-	v.before, _ = t.gather(c, false, 0, evidenceBuckets)
+func (t *trial) verdict(c int) (v verdict) {
+	v.newer = t.gather(c, true, 0, evidenceBuckets)
+	v.before = t.gather(c, false, 0, evidenceBuckets)
 	if v.before[figCount] >= leastCount {
 		t.last[c] = v.before
 	}
-	if v.before[figCount] < leastCount || !t.both {
+	if v.before[figCount] < leastCount {
 		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 		// then says more of the hour than of the build, and is left out.
 		if v.before = t.last[c]; v.before[figCount] == 0 {
-			v.newer, every = t.gather(c, true, 0, evidenceRecent)
-			v.before, _ = t.gather(c, true, evidenceRecent, evidenceBuckets)
+			v.newer = t.gather(c, true, 0, evidenceRecent)
+			v.before = t.gather(c, true, evidenceRecent, evidenceBuckets)
 		}
 		v.newer[figLate], v.newer[figSlow] = 0, 0
 	}
 	v.flag = flagged(v.newer, v.before, false)
-	return v, every
+	return v
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
 // a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless
 // most of the build's units did; the worst quarter is left out of lateness; a single unit shows no faults.
-// The faults of every unit are still a reason to wait with a vote on.
-func (t *trial) gather(c int, newest bool, from, to int) (sound, every counts) {
+func (t *trial) gather(c int, newest bool, from, to int) (sound counts) {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
 		e := u.evidence(c, from, to)
 		if (u.Build >= t.news.Build) != newest || e[figCount] == 0 {
 			continue
 		}
-		every.add(e)
 		switch {
 		case u.brokenOn > 0 && t.p.now-u.brokenOn < evidenceWidth*evidenceBuckets:
 			off = append(off, e)
@@ -783,7 +776,7 @@
 		sound.add(e)
 	}
 	if len(seen) == 1 && newest {
-		return counts{figCount: sound[figCount]}, every
+		return counts{figCount: sound[figCount]}
 	}
 	for f := figLate; f <= figSlow && newest; f += figSlow - figLate {
 		sort.SliceStable(seen, func(i, j int) bool {
@@ -796,7 +789,7 @@
 		}
 		sound[f] *= sound.of(f) / math.Max(left, 1)
 	}
-	return sound, every
+	return sound
 }
 
 // flagged is the design's test of one build's shares against another's. Pooled counts need fewer points for
@@ -872,7 +865,7 @@
 	t := &f.p.trial
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
-	pool := make([]verdict, cats+3)
+	pool := make([]verdict, cats+2)
 	for i := range f.heard {
 		h := &f.heard[i]
 		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != len(pool) {
@@ -907,10 +900,6 @@
 		f.why = "flags of several relays"
 	}
 	back = back || f.p.now-f.cleanAt > flagLasts
-	doubt := pool[cats+2]
-	if !worse(doubt.newer, doubt.before, figFailed, poolPoints, poolOutcomes, true) {
-		f.sureAt = f.p.now
-	}
 	fleet := pool[cats+1]
 	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes, true)
 	return back, slower, pool[cats].newer[figCount]
@@ -920,11 +909,10 @@
 func (f *fuser) wish() relay.Verdict {
 	t, r := &f.p.trial, &f.p.set.Rollout
 	if !t.judging() {
-		f.cleanAt, f.slowAt, f.sureAt = f.p.now, f.p.now, f.p.now
+		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
 	back, slower, pooled := f.fused()
-	doubt := f.p.now-f.sureAt > 0 && f.p.now-f.sureAt < doubtPatience
 	if last := int(t.news.Stage) >= len(r.StageShares)-1; !slower || last || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
 	} else if !back {
@@ -936,10 +924,10 @@
 		return relay.VoteBack
 	case t.news.Phase == relay.Released:
 		return relay.NoVote
-	case r.Control == relay.Clock && (pooled < leastCount || slower || doubt) &&
+	case r.Control == relay.Clock && (pooled < leastCount || slower) &&
 		f.p.now-t.since < r.StepTime+extraWait:
 		return relay.VoteHold
-	case r.Control == relay.Clock || t.listedAt == 0 || slower || doubt:
+	case r.Control == relay.Clock || t.listedAt == 0 || slower:
 		return relay.NoVote
 	case age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount:
 		return relay.VoteOn
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -70,7 +70,7 @@
 				n.Reply = relay.Reply(rapid.IntRange(0, 3).Draw(t, "reply"))
 				events = append(events, n)
 			case 2:
-				m := memo{build: build, stage: stage, verdicts: make([]verdict, 6)}
+				m := memo{build: build, stage: stage, verdicts: make([]verdict, 5)}
 				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 99, Body: []byte{1}},
 					relay.StageNews{Reply: relay.MaybeCounted}, relay.Tally{}, relay.JudgedWrong{}, relay.Probed{})
 			case 3:
@@ -181,7 +181,7 @@
 	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: entries(6, 5, 1)},
 		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4}})
 	for i, v := range verdicts {
-		m := memo{build: 6, stage: 1, verdicts: make([]verdict, 6)}
+		m := memo{build: 6, stage: 1, verdicts: make([]verdict, 5)}
 		m.verdicts[0] = v
 		p.Step(1, []relay.Event{relay.Heard{From: relay.RelayNo(i), Body: m.encode()}})
 	}
@@ -342,32 +342,3 @@
 		}
 	}
 }
-
-// A build's one failing unit may be a machine's fault, or the first of a build that turns bad with age.
-func TestDoubtDelaysTheVoteOn(t *testing.T) {
-	first := func(failing bool) relay.Seconds {
-		set := plainSettings()
-		w := newWorld(t, set)
-		n := 0
-		w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
-			if n++; failing && l.unit.Build == 6 && n%2 == 0 {
-				return relay.Errored
-			}
-			return relay.Honoured
-		}
-		w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
-			relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
-		load := func() []relay.Event { return []relay.Event{w.query(0, 0)} }
-		w.run(8, load)
-		w.step(relay.Roster{Form: relay.RosterDelta, Units: entries(1, 6, 20)},
-			relay.StageNews{Valid: true, Build: 6, Cap: 0.4})
-		start := w.now
-		for len(w.votes) == 0 && w.now < start+30 {
-			w.run(0.1, load)
-		}
-		return w.now - start
-	}
-	if clean, doubtful := first(false), first(true); clean > 6 || doubtful < clean+3 || doubtful > 20 {
-		t.Errorf("votes on after %v s clean, %v s in doubt", clean, doubtful)
-	}
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -240,11 +240,10 @@
 	known    bool
 	news     relay.StageNews
 	since    relay.Seconds // when the present state began
-	both     bool          // builds have units enough to be compared
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category; then all; the fleet against before; all with faulty units
+	mine     []verdict                 // by category; then all; then the fleet against before
 	last     []counts                  // what the earlier machines last showed, by category
 	calm     counts                    // of all units when the build was first heard of
 	judgeAt  relay.Seconds
@@ -260,7 +259,6 @@
 	castAt  relay.Seconds
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
-	sureAt  relay.Seconds // when no unit of the newest build, sound or not, was last in doubt
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
 	pending bool
 }
