--- a/policy/policy.go
+++ b/policy/policy.go
@@ -762,10 +762,9 @@
 		if (u.Build >= t.news.Build) != newest || e[figCount] == 0 {
 			continue
 		}
-		switch {
-		case u.brokenOn > 0 && t.p.now-u.brokenOn < evidenceWidth*evidenceBuckets:
+		if u.brokenOn > 0 && t.p.now-u.brokenOn < evidenceWidth*evidenceBuckets {
 			off = append(off, e)
-		default:
+		} else {
 			seen = append(seen, e)
 		}
 	}
