Clean up: a test counter shared across cases, a figure nobody read, evidence summed in vain

The table of builds that go back shared one counter over cases run in map order, so a run wasn't the same each time; each case has its own now. The gate summed answers it never read; gather summed evidence of units before asking for their build; the fleet's pace summed six figures for two; a doubled condition and stale comments.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// evidence is what the unit showed in one category in buckets from to to.
+// evidence is what the unit showed in one category in buckets from to to; lateness, and the counts that it is
+// a share of, in the youngest few of these.
 func (u *unit) evidence(c, from, to int) (out counts) {
 	for f := range out {
 		if f == figAlone {
@@ -68,9 +69,9 @@
 func (t *trial) fleet() (sum counts) {
 	for _, u := range t.p.roster.units {
 		for c := range t.p.rows {
-			e := u.evidence(c, 0, lateBuckets)
-			sum[figPaced] += e[figPaced]
-			sum[figSlow] += e[figSlow]
+			for _, f := range []int{figPaced, figSlow} {
+				sum[f] += u.seen.sum(t.p.now, c*figures+f, 0, lateBuckets)
+			}
 		}
 	}
 	sum[figCount] = sum[figPaced]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,9 +104,8 @@
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}}
-	p.desk = desk{p: p, queries: map[relay.QueryID]*query{},
-		flow: newRing(flowWidth, flowCount, 1)}
-	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 2),
+	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1)}
+	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2),
 		last: make([]counts, len(p.rows))}
@@ -539,8 +538,7 @@
 
 func (g *gate) take(n note) {
 	if n, ok := n.(noteOutcome); ok && n.how == relay.Honoured {
-		g.answers.add(g.p.now, 0, 1)
-		g.answers.add(g.p.now, 1, n.due)
+		g.answers.add(g.p.now, 0, n.due)
 	}
 }
 
@@ -550,7 +548,7 @@
 	if g.p.now < flowWidth*flowCount {
 		return math.Inf(1) // no pace is known yet
 	}
-	return gateSpare + gateWait*g.answers.all(g.p.now, 1)/(flowWidth*flowCount)
+	return gateSpare + gateWait*g.answers.all(g.p.now, 0)/(flowWidth*flowCount)
 }
 
 // denies says whether a new query is turned away, and counts it.
@@ -738,8 +736,7 @@
 	v.before = t.gather(c, false, 0, evidenceBuckets)
 	if v.before[figCount] >= leastCount {
 		t.last[c] = v.before
-	}
-	if v.before[figCount] < leastCount {
+	} else {
 		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 		// then says more of the hour than of the build, and is left out.
 		if v.before = t.last[c]; v.before[figCount] == 0 {
@@ -758,8 +755,11 @@
 func (t *trial) gather(c int, newest bool, from, to int) (sound counts) {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
+		if (u.Build >= t.news.Build) != newest {
+			continue
+		}
 		e := u.evidence(c, from, to)
-		if (u.Build >= t.news.Build) != newest || e[figCount] == 0 {
+		if e[figCount] == 0 {
 			continue
 		}
 		if u.brokenOn > 0 && t.p.now-u.brokenOn < evidenceWidth*evidenceBuckets {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -274,9 +274,8 @@
 }
 
 // trialRun puts a build of newUnits units on trial beside eight earlier ones; each leg ends as how says.
-func trialRun(t *testing.T, newUnits int, how func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds)) []relay.Vote {
-	set := plainSettings()
-	w := newWorld(t, set)
+func trialRun(t *testing.T, newUnits int, how ending) []relay.Vote {
+	w := newWorld(t, plainSettings())
 	w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
 		o, took := how(l.unit, w.now)
 		l.end = w.now + took
@@ -301,35 +300,35 @@
 	return false
 }
 
-func TestWhichBuildsGoBack(t *testing.T) {
+// ending says how a leg sent to a unit at some time ends, and after how long.
+type ending func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds)
+
+// fails lets every kth leg that hits fail after took; all others are answered.
+func fails(k int, took relay.Seconds, hits func(u relay.UnitEntry) bool) ending {
 	n := 0
-	every := func(k int) bool { n++; return n%k == 0 }
+	return func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
+		if hits(u) {
+			if n++; n%k == 0 {
+				return relay.Errored, took
+			}
+		}
+		return relay.Honoured, 0.1
+	}
+}
+
+func TestWhichBuildsGoBack(t *testing.T) {
+	newest := func(u relay.UnitEntry) bool { return u.Build == 6 }
 	for name, c := range map[string]struct {
 		units int
-		how   func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds)
+		how   ending
 		want  bool
 	}{
-		"a good one stays": {3, func(relay.UnitEntry, relay.Seconds) (relay.Outcome, relay.Seconds) {
-			return relay.Honoured, 0.1
-		}, false},
-		"one that fails a tenth goes": {3, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
-			if u.Build == 6 && every(10) {
-				return relay.Errored, 0.1
-			}
-			return relay.Honoured, 0.1
-		}, true},
-		"its only unit's faults may be the machine's": {1, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
-			if u.Build == 6 && every(3) {
-				return relay.Errored, 0.1
-			}
-			return relay.Honoured, 0.1
-		}, false},
-		"one failing machine of four is not the build": {4, func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
-			if u.Unit == 20 && every(2) {
-				return relay.Errored, 0.05
-			}
-			return relay.Honoured, 0.1
-		}, false},
+		"a good one stays":                            {3, fails(1, 0, func(relay.UnitEntry) bool { return false }), false},
+		"one that fails a tenth goes":                 {3, fails(10, 0.1, newest), true},
+		"its only unit's faults may be the machine's": {1, fails(3, 0.1, newest), false},
+		"one failing machine of four is not the build": {4, fails(2, 0.05, func(u relay.UnitEntry) bool {
+			return u.Unit == 20
+		}), false},
 		"one under which all units slow goes": {3, func(_ relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
 			if at > 14 {
 				return relay.Honoured, 0.3
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,7 +64,7 @@
 	open   bool
 	mayRan bool // it is out, or ended without proof that it never ran
 	depth  int  // own legs that the unit held when it was sent
-	alone  bool // the unit held at most one other leg of this relay when it was sent: no queue of ours
+	alone  bool // that was no more than usual: no longer queue of ours
 }
 
 // query is one query that this relay has taken.
@@ -220,7 +220,7 @@
 	inTime   int            // of these, with an answer owed that may still be in time
 	pace     mean           // the fleet's leg time over expected work
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
-	depth    mean           // own legs that a unit usually holds, held like kinds
+	depth    mean           // own legs that a unit usually holds, held like paces
 	usual    mean           // leg time
 	flow     ring           // legs sent to warm units
 	warmFlow float64
@@ -230,7 +230,7 @@
 // against any lack of capacity, and needs no cause: too much traffic, lost or slow units, costly queries.
 type gate struct {
 	p       *Policy
-	answers ring // figure 0: answers; 1: their due times
+	answers ring // due times of the answers
 	mix     ring // queries taken, by customer; the last figure: all
 }
 
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -67,9 +67,8 @@
 
 type wQuery struct {
 	relay.Query
-	legs   []*wLeg
-	over   bool // ended by the module, or told as over
-	finals int
+	legs []*wLeg
+	over bool // ended by the module, or told as over
 }
 
 func newWorld(t interface{ Fatalf(string, ...any) }, set relay.Settings) *world {
