Tell verdicts to few fusers with legs by unit, and their finding to all; naming ill units off

Now the four lowest-numbered relays not lost fuse; they pool legs by unit and tell one finding a second; relays follow most of them, by turns.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -6,71 +6,93 @@
 	"lichenroad/relay"
 )
 
-// ring sums several figures over fixed buckets of time that are used again.
+// ring sums several figures over fixed buckets of time that are used again. Its buckets are made when the
+// first figure is added: most units are never met by most relays.
 type ring struct {
-	width relay.Seconds
-	last  int64 // number of the newest bucket
-	sums  [][]float64
+	width            relay.Seconds
+	buckets, figures int
+	last             int64 // number of the newest bucket
+	sums             []float32
 }
 
 func newRing(width relay.Seconds, buckets, figures int) ring {
-	r := ring{width: width, last: -1, sums: make([][]float64, buckets)}
-	for i := range r.sums {
-		r.sums[i] = make([]float64, figures)
-	}
-	return r
+	return ring{width: width, buckets: buckets, figures: figures, last: -1}
+}
+
+// bucket gives the figures of one bucket by its number.
+func (r *ring) bucket(n int64) []float32 {
+	i := int(n%int64(r.buckets)) * r.figures
+	return r.sums[i : i+r.figures]
 }
 
 // roll clears the buckets between the newest one and now, and returns the one of now.
-func (r *ring) roll(now relay.Seconds) []float64 {
+func (r *ring) roll(now relay.Seconds) []float32 {
+	if r.sums == nil {
+		r.sums = make([]float32, r.buckets*r.figures)
+	}
 	n := max(int64(now/r.width), r.last, 0)
-	for i := max(r.last+1, n-int64(len(r.sums))+1); i <= n; i++ {
-		clear(r.sums[i%int64(len(r.sums))])
+	for i := max(r.last+1, n-int64(r.buckets)+1); i <= n; i++ {
+		clear(r.bucket(i))
 	}
 	r.last = n
-	return r.sums[n%int64(len(r.sums))]
+	return r.bucket(n)
 }
 
-func (r *ring) add(now relay.Seconds, figure int, v float64) { r.roll(now)[figure] += v }
+func (r *ring) add(now relay.Seconds, figure int, v float64) { r.roll(now)[figure] += float32(v) }
 
 // sum adds up the buckets that are at least from and less than to buckets old.
 func (r *ring) sum(now relay.Seconds, figure, from, to int) (total float64) {
+	if r.sums == nil {
+		return 0
+	}
 	r.roll(now)
-	for i := from; i < min(to, len(r.sums)); i++ {
+	for i := from; i < min(to, r.buckets); i++ {
 		if n := r.last - int64(i); n >= 0 {
-			total += r.sums[n%int64(len(r.sums))][figure]
+			total += float64(r.bucket(n)[figure])
 		}
 	}
 	return total
 }
 
 // all adds up every bucket.
-func (r *ring) all(now relay.Seconds, figure int) float64 { return r.sum(now, figure, 0, len(r.sums)) }
+func (r *ring) all(now relay.Seconds, figure int) float64 { return r.sum(now, figure, 0, r.buckets) }
 
-func (r *ring) reset() {
-	for _, b := range r.sums {
-		clear(b)
-	}
+// idle says that nothing has been added within the ring's time.
+func (r *ring) idle(now relay.Seconds) bool {
+	return r.sums == nil || int64(now/r.width)-r.last >= int64(r.buckets)
 }
 
-// evidence is what the unit showed in one category in buckets from to to; lateness, and the counts that it is
-// a share of, in the youngest few of these.
-func (u *unit) evidence(c, from, to int) (out counts) {
-	for f := range out {
-		if f == figAlone {
-			to = min(to, from+lateBuckets)
+func (r *ring) reset() { r.sums, r.last = nil, -1 }
+
+// evidence is what the unit showed in one category in buckets from to to, to this relay alone or with what
+// others told; lateness, and the counts that it is a share of, in the youngest few of these.
+func (u *unit) evidence(pooled bool, c, from, to int) (out counts) {
+	for i := range u.seen {
+		r := &u.seen[i]
+		if i == told && !pooled || r.idle(u.p.now) {
+			continue
+		}
+		for f, until := 0, to; f < figures; f++ {
+			if f == figAlone {
+				until = min(to, from+lateBuckets)
+			}
+			out[f] += r.sum(u.p.now, c*figures+f, from, until)
 		}
-		out[f] = u.seen.sum(u.p.now, c*figures+f, from, to)
 	}
 	return out
 }
 
-// fleet sums the lateness of all units, whatever their build.
+// fleet sums the lateness of all units, whatever their build and whoever saw it.
 func (t *trial) fleet() (sum counts) {
 	for _, u := range t.p.roster.units {
-		for c := range t.p.rows {
-			for _, f := range []int{figPaced, figSlow} {
-				sum[f] += u.seen.sum(t.p.now, c*figures+f, 0, lateBuckets)
+		for i := range u.seen {
+			if u.seen[i].idle(t.p.now) {
+				continue
+			}
+			for c := range t.p.rows {
+				for _, f := range []int{figPaced, figSlow} {
+					sum[f] += u.seen[i].sum(t.p.now, c*figures+f, 0, lateBuckets)
+				}
 			}
 		}
 	}
--- a/policy/memo.go
+++ b/policy/memo.go
@@ -3,79 +3,175 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 
 	"lichenroad/relay"
 )
 
-// memo is what relays tell each other: one relay's verdicts on one build at one stage, with the counts
-// behind them.
+// memo is what a relay tells the fusers: its verdicts on one build at one stage, and how its legs ended
+// since the last memo, so that the fusers can pool them by unit.
 type memo struct {
 	build    relay.Build
 	stage    relay.Stage
 	verdicts []verdict // by category
+	seen     []sighting
 }
 
-// verdict is one relay's word on one category: flagged as bad or not, and the outcomes it rests on.
+// verdict is one relay's word on one category: flagged as bad or not, and the outcomes of the newest build
+// that it rests on; none where it has too few to say.
 type verdict struct {
-	flag          bool
-	newer, before counts
+	flag bool
+	n    float64
 }
 
+// sighting is how one leg ended.
+type sighting struct {
+	unit     mark
+	category relay.Category
+	how      relay.Outcome
+	newest   bool // the unit ran the newest build
+	young    bool // the unit had just started
+	alone    bool // the unit held no more of the relay's legs than usual
+	late     bool
+	depth    int     // own legs that the unit held; more than depths-1 stands as that, without a pace
+	pace     float64 // leg time over expected work, to an eighth of a doubling; 0: not known
+}
+
+// finding is what a fuser tells every relay: the vote that should stand, and the units that fail or are
+// slow by all relays' legs.
+type finding struct {
+	build relay.Build
+	stage relay.Stage
+	vote  relay.Verdict
+	ill   []mark
+}
+
+// mark is a unit's id in few bytes.
+type mark uint32
+
+func markOf(id relay.UnitID) mark { return mark(uint64(id) * 0x9e3779b97f4a7c15 >> 40) }
+
 const (
-	memoMark = 0x4c // first byte of every memo, with the form's number behind it
-	memoForm = 2
-	memoMost = 1 << 20 // counts above this are not believed
+	memoMark    = 0x4c // first byte of every memo, with the form's number behind it
+	memoForm    = 3
+	findingForm = 4
+	memoMost    = 1 << 20 // figures above this are not believed
+	memoLegs    = 36      // sightings in one memo, which may hold 256 bytes
+	findingIll  = 80      // units in one finding
 )
 
 var errMemo = errors.New("not a memo of this form")
 
+func header(form byte, build relay.Build, stage relay.Stage) []byte {
+	b := binary.AppendUvarint([]byte{memoMark, form}, uint64(build))
+	return binary.AppendUvarint(b, uint64(stage))
+}
+
+func appendMark(b []byte, m mark) []byte { return append(b, byte(m), byte(m>>8), byte(m>>16)) }
+
+func bit(v bool, shift int) byte {
+	if v {
+		return 1 << shift
+	}
+	return 0
+}
+
 func (m memo) encode() []byte {
-	b := []byte{memoMark, memoForm}
-	b = binary.AppendUvarint(b, uint64(m.build))
-	b = binary.AppendUvarint(b, uint64(m.stage))
+	b := header(memoForm, m.build, m.stage)
 	b = binary.AppendUvarint(b, uint64(len(m.verdicts)))
 	for _, v := range m.verdicts {
-		f := uint64(0)
-		if v.flag {
-			f = 1
-		}
-		b = binary.AppendUvarint(b, f)
-		for _, c := range []counts{v.newer, v.before} {
-			for _, x := range c {
-				b = binary.AppendUvarint(b, uint64(max(x, 0)))
-			}
+		b = binary.AppendUvarint(b, uint64(v.n)<<1|uint64(bit(v.flag, 0)))
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.seen)))
+	for _, s := range m.seen {
+		b = appendMark(b, s.unit)
+		b = binary.AppendUvarint(b, uint64(s.category)<<2|uint64(bit(s.young, 1)|bit(s.newest, 0)))
+		pace := byte(0)
+		if s.pace > 0 {
+			pace = byte(math.Min(math.Max(math.Round(8*math.Log2(s.pace))+128, 1), 255))
 		}
+		b = append(b, byte(s.how)&7|byte(s.depth)&7<<3|bit(s.alone, 6)|bit(s.late, 7), pace)
 	}
 	return b
 }
 
-func decodeMemo(b []byte) (m memo, err error) {
-	if len(b) < 2 || b[0] != memoMark || b[1] != memoForm {
-		return memo{}, errMemo
+func (f finding) encode() []byte {
+	b := append(header(findingForm, f.build, f.stage), byte(f.vote), byte(len(f.ill)))
+	for _, m := range f.ill {
+		b = appendMark(b, m)
 	}
-	b = b[2:]
-	next := func() uint64 {
-		v, n := binary.Uvarint(b)
-		if n <= 0 || v > memoMost {
-			err, b = errMemo, nil
-			return 0
-		}
-		b = b[n:]
-		return v
+	return b
+}
+
+// cursor reads a memo; what it reads past the end is zero, and an error.
+type cursor struct {
+	b   []byte
+	err error
+}
+
+func (c *cursor) number() uint64 {
+	v, n := binary.Uvarint(c.b)
+	if n <= 0 || v > memoMost {
+		c.b, c.err = nil, errMemo
+		return 0
 	}
-	m.build, m.stage = relay.Build(next()), relay.Stage(next())
-	for i := next(); i > 0 && err == nil; i-- {
-		v := verdict{flag: next() == 1}
-		for j := range v.newer {
-			v.newer[j] = float64(next())
-		}
-		for j := range v.before {
-			v.before[j] = float64(next())
+	c.b = c.b[n:]
+	return v
+}
+
+func (c *cursor) take(n int) []byte {
+	if len(c.b) < n {
+		c.b, c.err = nil, errMemo
+		return make([]byte, n)
+	}
+	b := c.b[:n]
+	c.b = c.b[n:]
+	return b
+}
+
+func (c *cursor) mark() mark {
+	b := c.take(3)
+	return mark(b[0]) | mark(b[1])<<8 | mark(b[2])<<16
+}
+
+// end is the error of the whole, which must have been read to its last byte.
+func (c *cursor) end() error {
+	if len(c.b) > 0 {
+		return errMemo
+	}
+	return c.err
+}
+
+// decode reads a memo or a finding, as a note from a relay.
+func decode(from relay.RelayNo, body []byte) (note, error) {
+	if len(body) < 2 || body[0] != memoMark || body[1] != memoForm && body[1] != findingForm {
+		return nil, errMemo
+	}
+	c := &cursor{b: body[2:]}
+	build, stage := relay.Build(c.number()), relay.Stage(c.number())
+	if body[1] == findingForm {
+		f := finding{build: build, stage: stage, vote: relay.Verdict(c.take(1)[0])}
+		for i := c.take(1)[0]; i > 0 && c.err == nil; i-- {
+			f.ill = append(f.ill, c.mark())
 		}
-		m.verdicts = append(m.verdicts, v)
+		return noteFinding{from, f}, c.end()
 	}
-	if err == nil && len(b) > 0 {
-		err = errMemo
+	m := memo{build: build, stage: stage}
+	for i := c.number(); i > 0 && c.err == nil; i-- {
+		v := c.number()
+		m.verdicts = append(m.verdicts, verdict{flag: v&1 == 1, n: float64(v >> 1)})
+	}
+	for i := c.number(); i > 0 && c.err == nil; i-- {
+		s := sighting{unit: c.mark()}
+		v := c.number()
+		s.category, s.young, s.newest = relay.Category(v>>2), v&2 != 0, v&1 != 0
+		b := c.take(2)
+		s.how, s.depth = relay.Outcome(b[0]&7), int(b[0]>>3&7)
+		s.alone, s.late = b[0]&64 != 0, b[0]&128 != 0
+		if b[1] > 0 {
+			s.pace = math.Exp2((float64(b[1]) - 128) / 8)
+		}
+		m.seen = append(m.seen, s)
 	}
-	return m, err
+	return noteMemo{from, m}, c.end()
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,15 +61,21 @@
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
-	voteRenew = 0.5 // of a vote's life after which it is cast again: one lost renewal is survived
-	voteGap   = 0.4 // s at least between two votes of one relay
-	callGrace = 0.5 // s past the platform's own time-out before a vote counts as lost
+	fuserSilence = 3.0 // s without a finding after which a fuser counts as lost: three findings
+	voteRenew    = 0.5 // of a vote's life after which it is cast again: one lost renewal is survived
+	voteGap      = 0.4 // s at least between two votes of one relay
+	voteSpare    = 1.0 // s after which relays beyond the needed number vote too: news of a success is there by then
+	voteOver     = 1.1 // times the needed votes that are cast at once: some relays are dead or cut off
+	callGrace    = 0.5 // s past the platform's own time-out before a vote counts as lost
 
 	badStep     = 0.25 // weight of one outcome in a unit's failure figure: two failures make a suspect
 	badHalf     = 4.0  // s in which that figure halves: a suspect gets a leg every few seconds to earn its way
 	suspectAt   = 0.3  // failure figure of a suspect
 	brokenAt    = 0.5  // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
 	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
+	illStep     = 0.12 // badStep for all relays' legs together: there are many, so three in a row are needed
+	illLegs     = 0.5  // part of the units that may be named as ill: beyond it, the cause is not the units
+	doubtLife   = 3.0  // s that a unit named as ill is avoided: three findings
 	paceStep    = 0.2  // weight of one answer in a unit's pace
 	paceFleet   = 0.02 // the same in the fleet's
 	paceHalf    = 3.0  // s in which the pace of a silent unit goes half way back to the fleet's
@@ -103,12 +109,12 @@
 		p.rows = append(p.rows, row{repeat: c.Repeat, group: c.Group, window: c.RepeatWindow, due: c.DueTime,
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
-	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}}
+	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)+2),
-		last: make([]counts, len(p.rows))}
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
+		last: [2][]counts{make([]counts, len(p.rows)), make([]counts, len(p.rows))}}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
 }
@@ -140,8 +146,8 @@
 		case relay.Woken:
 			woken = true
 		case relay.Heard:
-			if m, err := decodeMemo(e.Body); err == nil {
-				p.post(&p.fuser, noteMemo{e.From, m})
+			if n, err := decode(e.From, e.Body); err == nil {
+				p.post(&p.fuser, n)
 			}
 		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
 			p.post(&p.desk, e)
@@ -188,8 +194,10 @@
 		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
 			u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
+			u.ill, u.allPace, u.doubtAt = 0, 0, 0
 			u.cold, u.coldAt = u.p.rng.Float64(), u.p.now
-			u.seen.reset()
+			u.seen[own].reset()
+			u.seen[told].reset()
 		}
 		u.UnitEntry = n
 		u.started = math.Inf(-1)
@@ -215,42 +223,79 @@
 		return
 	}
 	u.answer = u.p.now
-	miss, ratio := 1.0, n.took/math.Max(n.work, 1e-3)
-	usual := u.p.desk.usualPace(u.Kind, n.leg.depth)
-	switch n.how {
-	case relay.Honoured:
-		miss = 0
-		u.p.desk.learnPace(u, ratio, n.leg.depth)
+	ratio := n.took / math.Max(n.work, 1e-3)
+	if n.how == relay.Honoured {
 		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
+	}
+	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
+	if n.leg.build != u.Build {
+		return
+	}
+	s := sighting{unit: markOf(u.id), category: n.category, how: n.how, newest: u.newest(),
+		young: n.leg.age < youngUnit, alone: n.leg.alone, late: n.took > n.due || n.how == relay.TimedOut,
+		depth: min(n.leg.depth, depths-1)}
+	if n.leg.depth < depths && n.how != relay.Errored && n.how != relay.Broken && !n.how.NeverRan() {
+		s.pace = ratio
+	}
+	u.witness(s, own)
+	if u.p.set.Limits.Messages && u.p.set.Relays > 1 {
+		u.p.trial.untold = append(u.p.trial.untold, s)
+	}
+}
+
+// miss is what an outcome adds to a failure figure. A unit that is full is no suspect for that alone.
+func miss(how relay.Outcome) float64 {
+	switch how {
+	case relay.Honoured:
+		return 0
 	case relay.TurnedAway:
-		miss = suspectAt
+		return suspectAt
 	}
-	u.bad, u.badAt = u.badNow()+badStep*(miss-u.badNow()), u.p.now
-	if u.misses += badStep * (miss - u.misses); miss == 1 && u.misses >= brokenAt || n.how == relay.Broken {
+	return 1
+}
+
+func (u *unit) newest() bool { return u.Build >= u.p.trial.news.Build }
+
+// witness learns what a leg shows of the unit and its build, whichever relay sent it.
+func (u *unit) witness(s sighting, by int) {
+	m := miss(s.how)
+	if u.misses += badStep * (m - u.misses); m == 1 && u.misses >= brokenAt || s.how == relay.Broken {
 		u.brokenOn = u.p.now
 	}
-	if n.how.NeverRan() || n.leg.age < youngUnit || n.leg.build != u.Build {
+	u.ill, u.illAt = u.illNow()+illStep*(m-u.illNow()), u.p.now
+	usual := u.p.desk.usualPace(u.Kind, s.depth)
+	if s.how == relay.Honoured && s.pace > 0 {
+		u.p.desk.learnPace(u, s.pace, s.depth)
+		if u.allPace == 0 {
+			u.allPace = usual
+		}
+		u.allPace += paceStep * (s.pace - u.allPace)
+	}
+	c := int(s.category)
+	if s.how.NeverRan() || s.young || s.newest != u.newest() || c < 0 || c >= len(u.p.rows) {
 		return
 	}
-	at := int(n.category) * figures
-	u.seen.add(u.p.now, at+figCount, 1)
+	seen, at := &u.seen[by], c*figures
+	seen.add(u.p.now, at+figCount, 1)
 	switch {
-	case n.how == relay.Errored || n.how == relay.Broken:
-		u.seen.add(u.p.now, at+figFailed, 1)
-	case n.leg.alone:
-		u.seen.add(u.p.now, at+figAlone, 1)
-		if n.took > n.due || n.how == relay.TimedOut {
-			u.seen.add(u.p.now, at+figLate, 1)
+	case s.how == relay.Errored || s.how == relay.Broken:
+		seen.add(u.p.now, at+figFailed, 1)
+	case s.alone:
+		seen.add(u.p.now, at+figAlone, 1)
+		if s.late {
+			seen.add(u.p.now, at+figLate, 1)
 		}
 	}
-	if usual > 0 && n.how != relay.Errored && n.how != relay.Broken {
-		u.seen.add(u.p.now, at+figPaced, 1)
-		if ratio > slowBar*usual {
-			u.seen.add(u.p.now, at+figSlow, 1)
+	if usual > 0 && s.pace > 0 {
+		seen.add(u.p.now, at+figPaced, 1)
+		if s.pace > slowBar*usual {
+			seen.add(u.p.now, at+figSlow, 1)
 		}
 	}
 }
 
+func (u *unit) illNow() float64 { return u.ill * math.Exp2(-(u.p.now-u.illAt)/badHalf) }
+
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
@@ -433,29 +478,31 @@
 	return old
 }
 
-// best is the cheaper of two random choices among the units that look sound; among all, where none does.
+// best is the cheaper of two random choices among the units that look sound; where none does, among those
+// that only a fuser names as ill, then among all. What others say so never empties the choice.
 func (d *desk) best(q *query, units []*unit) *unit {
 	limit := suspectAt
 	if q.row.repeat == relay.AtMostOnce {
 		limit = suspectFirm
 	}
-	var sound, doubtful []*unit
+	var pools [3][]*unit
 	for _, u := range units {
-		if q.tried(u) {
+		i := 0
+		switch {
+		case q.tried(u):
 			continue
+		case u.badNow() >= limit:
+			i = 2
+		case u.doubtAt > 0 && d.p.now-u.doubtAt < doubtLife:
+			i = 1
 		}
-		if u.badNow() < limit {
-			sound = append(sound, u)
-		} else {
-			doubtful = append(doubtful, u)
-		}
-	}
-	pool := sound
-	if len(pool) == 0 {
-		pool = doubtful
+		pools[i] = append(pools[i], u)
 	}
-	if len(pool) == 0 {
-		pool = units
+	pool := units
+	for i := len(pools) - 1; i >= 0; i-- {
+		if len(pools[i]) > 0 {
+			pool = pools[i]
+		}
 	}
 	if len(pool) == 0 {
 		return nil
@@ -572,7 +619,7 @@
 			t.hear(n)
 		}
 	case noteTick:
-		if t.p.now >= t.judgeAt && t.judging() {
+		if t.p.now >= t.judgeAt && t.known {
 			t.judgeAt = t.p.now + judgeEvery
 			t.judge()
 		}
@@ -582,10 +629,9 @@
 func (t *trial) hear(n relay.StageNews) {
 	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
 		t.listedAt = 0
-		all := &t.mine[len(t.p.rows)]
-		t.p.do(relay.Log{Line: fmt.Sprintf(
-			"build %d stage %d phase %d; newer, before, fleet, calm: %.0f %.0f %.0f %.0f",
-			n.Build, n.Stage, n.Phase, all.newer, all.before, t.mine[len(t.mine)-1].newer, t.calm)})
+		if t.p.set.Self == 0 {
+			t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d", n.Build, n.Stage, n.Phase)})
+		}
 	}
 	for k, b := range t.keys {
 		if b < n.Build || b == n.Build && (n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn) {
@@ -594,7 +640,8 @@
 	}
 	if t.known && n.Build != t.news.Build {
 		t.calm = t.fleet()
-		clear(t.last)
+		clear(t.last[own])
+		clear(t.last[told])
 	}
 	t.known, t.news, t.since = true, n, t.p.now-n.Age
 	x := t.limit(n.Build)
@@ -626,7 +673,7 @@
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
 		x.hard[i] = math.Min(x.hard[i]+x.cap, most)
-		x.soft[i] = math.Min(x.soft[i]+capShare*x.cap, most)
+		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.part), most)
 	}
 }
 
@@ -683,44 +730,50 @@
 // judge forms this relay's verdicts and tells the fusers, on change and every so often.
 func (t *trial) judge() {
 	t.list()
-	changed := t.p.now-t.toldAt >= verdictEvery
-	all := verdict{}
+	changed := len(t.untold) > 0 && t.p.now-t.toldAt >= verdictEvery
 	for c := range t.p.rows {
 		v := t.verdict(c)
 		changed = changed || v.flag != t.mine[c].flag
 		t.mine[c] = v
-		all.newer.add(v.newer)
-		all.before.add(v.before)
 	}
-	n := len(t.p.rows)
-	t.mine[n], t.mine[n+1] = all, verdict{newer: t.fleet(), before: t.calm}
 	if !changed {
 		return
 	}
 	t.toldAt = t.p.now
 	m := memo{build: t.news.Build, stage: t.news.Stage, verdicts: append([]verdict(nil), t.mine...)}
 	t.p.post(&t.p.fuser, noteMemo{t.p.set.Self, m})
-	if !t.p.set.Limits.Messages {
-		return
-	}
-	body := m.encode()
-	for i := 0; i < t.p.fuser.count(); i++ {
-		if relay.RelayNo(i) != t.p.set.Self {
-			t.p.do(relay.Tell{To: relay.RelayNo(i), Body: body})
+	for t.p.set.Limits.Messages && t.p.set.Relays > 1 {
+		n := min(len(t.untold), memoLegs)
+		m.seen = t.untold[:n]
+		body := m.encode()
+		for _, no := range t.p.fuser.set() {
+			if no != t.p.set.Self {
+				t.p.do(relay.Tell{To: no, Body: body})
+			}
+		}
+		if t.untold = t.untold[n:]; len(t.untold) == 0 {
+			break
 		}
 	}
+	t.untold = nil
 }
 
-// list notes when most units of the present stage are listed.
+// list notes when most units of the present stage are listed, and what part of the fleet they can take.
 func (t *trial) list() {
-	newer, earlier := 0.0, 0.0
+	newer, earlier, warm, all := 0.0, 0.0, 0.0, 0.0
 	for _, u := range t.p.roster.units {
-		if u.State == relay.Ready && u.Build >= t.news.Build {
+		if u.State != relay.Ready {
+			continue
+		}
+		all += u.warmth()
+		if u.newest() {
 			newer++
-		} else if u.State == relay.Ready {
+			warm += u.warmth()
+		} else {
 			earlier++
 		}
 	}
+	t.part = warm / math.Max(all, 1)
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
@@ -730,35 +783,44 @@
 	}
 }
 
-// verdict forms this relay's verdict on one category.
+// verdict forms this relay's verdict on one category. With too few outcomes it says nothing.
 func (t *trial) verdict(c int) (v verdict) {
-	v.newer = t.gather(c, true, 0, evidenceBuckets)
-	v.before = t.gather(c, false, 0, evidenceBuckets)
-	if v.before[figCount] >= leastCount {
-		t.last[c] = v.before
-	} else {
-		// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
-		// then says more of the hour than of the build, and is left out.
-		if v.before = t.last[c]; v.before[figCount] == 0 {
-			v.newer = t.gather(c, true, 0, evidenceRecent)
-			v.before = t.gather(c, true, evidenceRecent, evidenceBuckets)
-		}
-		v.newer[figLate], v.newer[figSlow] = 0, 0
+	newer, before := t.compare(own, c)
+	if newer[figCount] < leastCount || before[figCount] < leastCount {
+		return verdict{}
 	}
-	v.flag = flagged(v.newer, v.before, false)
-	return v
+	return verdict{flagged(newer, before, false), newer[figCount]}
+}
+
+// compare sets the newest build's outcomes in one category against the earlier ones'.
+func (t *trial) compare(by, c int) (newer, before counts) {
+	pooled := by == told
+	newer = t.gather(pooled, c, true, 0, evidenceBuckets)
+	before = t.gather(pooled, c, false, 0, evidenceBuckets)
+	if before[figCount] >= leastCount {
+		t.last[by][c] = before
+		return newer, before
+	}
+	// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
+	// then says more of the hour than of the build, and is left out.
+	if before = t.last[by][c]; before[figCount] == 0 {
+		newer = t.gather(pooled, c, true, 0, evidenceRecent)
+		before = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets)
+	}
+	newer[figLate], newer[figSlow] = 0, 0
+	return newer, before
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
 // a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless
 // most of the build's units did; the worst quarter is left out of lateness; a single unit shows no faults.
-func (t *trial) gather(c int, newest bool, from, to int) (sound counts) {
+func (t *trial) gather(pooled bool, c int, newest bool, from, to int) (sound counts) {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
-		if (u.Build >= t.news.Build) != newest {
+		if u.newest() != newest {
 			continue
 		}
-		e := u.evidence(c, from, to)
+		e := u.evidence(pooled, c, from, to)
 		if e[figCount] == 0 {
 			continue
 		}
@@ -825,27 +887,118 @@
 	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
 }
 
-// count is how many relays fuse: the lowest-numbered few, or as many as a share of votes needs.
-func (f *fuser) count() int {
-	r := &f.p.set.Rollout
-	return min(max(fuserCount, r.VotesOn, r.VotesBack, r.VotesHold), f.p.set.Relays)
+// set gives the relays that fuse: the lowest-numbered few, of those that are not lost. Each of them is heard
+// of every second; one that falls silent is passed over until it is heard again.
+func (f *fuser) set() (nos []relay.RelayNo) {
+	for i := 0; i < f.p.set.Relays && len(nos) < fuserCount; i++ {
+		h := &f.heard[i]
+		if h.since == 0 {
+			h.since = f.p.now
+		}
+		if relay.RelayNo(i) == f.p.set.Self || f.p.now-math.Max(h.since, h.foundAt) < fuserSilence {
+			nos = append(nos, relay.RelayNo(i))
+		}
+	}
+	return nos
 }
 
 func (f *fuser) take(n note) {
 	switch n := n.(type) {
 	case noteMemo:
 		if int(n.from) < len(f.heard) {
-			f.heard[n.from] = heard{n.memo, f.p.now, true}
+			h := &f.heard[n.from]
+			h.memo, h.at, h.has = n.memo, f.p.now, true
+			for _, s := range n.memo.seen {
+				if u := f.p.roster.byMark[s.unit]; u != nil {
+					u.witness(s, told)
+				}
+			}
+			h.seen = nil
+		}
+	case noteFinding:
+		if int(n.from) < len(f.heard) {
+			f.heard[n.from].found, f.heard[n.from].foundAt = n.finding, f.p.now
+			for _, m := range n.finding.ill {
+				if u := f.p.roster.byMark[m]; u != nil {
+					u.doubtAt = f.p.now
+				}
+			}
 		}
 	case relay.StageNews:
 		if n.Reply != relay.Unasked {
 			f.pending, f.sure = false, n.Reply == relay.Counted
+			if n.Reply == relay.NotCounted {
+				f.nextAt = f.p.now + voteGap*(1+f.p.rng.Float64())
+			}
 		}
 	case noteTick:
-		if int(f.p.set.Self) < f.count() {
-			f.vote()
+		if f.p.now >= f.lookAt {
+			f.lookAt = f.p.now + judgeEvery
+			f.look()
+		}
+		f.vote()
+	}
+}
+
+// look renews what this relay wants to vote: as a fuser by all that it was told, else by what most fusers
+// find, and by its own legs where it hears none. A fuser tells every relay.
+func (f *fuser) look() {
+	t := &f.p.trial
+	f.fusing = false
+	for _, no := range f.set() {
+		f.fusing = f.fusing || no == f.p.set.Self
+	}
+	want := relay.Vote{Build: t.news.Build, Stage: t.news.Stage}
+	votes, found := [relay.VoteBack + 1]int{}, 0
+	for i := range f.heard {
+		h := &f.heard[i]
+		if h.foundAt == 0 || f.p.now-h.foundAt > fuserSilence || h.found.vote > relay.VoteBack {
+			continue
+		}
+		found++
+		if h.found.build == want.Build && (h.found.stage == want.Stage || h.found.vote == relay.VoteBack) {
+			votes[h.found.vote]++
+		}
+	}
+	if f.fusing || found == 0 {
+		want.Verdict = f.wish()
+	} else if t.judging() {
+		f.cleanAt, f.slowAt = f.p.now, f.p.now
+		for v, n := range votes {
+			if 2*n > found {
+				want.Verdict, f.why = relay.Verdict(v), "most fusers find so"
+			}
 		}
 	}
+	if want != f.want {
+		f.want, f.wantAt = want, f.p.now
+	}
+	if f.fusing && f.p.set.Limits.Messages && f.p.set.Relays > 1 &&
+		(f.found != want || f.p.now-f.foundAt >= verdictEvery) {
+		f.found, f.foundAt = want, f.p.now
+		m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict, ill: f.ill()}
+		f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
+	}
+}
+
+// ill names the units that fail or are slow by all relays' legs, for relays that see each too seldom. Where
+// most units would be named, none is: the cause is then not theirs.
+func (f *fuser) ill() (marks []mark) {
+	ready := 0.0
+	for _, u := range f.p.roster.units {
+		if u.State != relay.Ready {
+			continue
+		}
+		ready++
+		usual := f.p.desk.usualPace(u.Kind, 0)
+		if u.illNow() >= suspectAt || f.p.now-u.illAt < badHalf && usual > 0 && u.allPace > slowBar*usual {
+			marks = append(marks, markOf(u.id))
+		}
+	}
+	if true || float64(len(marks)) > illLegs*ready || len(marks) > findingIll {
+		return nil
+	}
+	return marks
 }
 
 // logRatio is what one verdict of n outcomes weighs.
@@ -857,25 +1010,24 @@
 	return math.Log((1 - pd) / (1 - pf))
 }
 
-// fused sums the log likelihood ratios of the present stage's verdicts, and pools their counts. The pooled
-// counts make a verdict of their own, one a category and one for all: where each relay alone has too few
-// outcomes to flag, they have them together. It stands for the relays in it, so it needs no second flagger.
+// fused sums the log likelihood ratios of the present stage's verdicts. A relay with too few outcomes to
+// flag says nothing: hundreds of such verdicts would drown the others. All relays' legs, pooled by unit, make
+// a verdict of their own, one a category and one for all: where each relay alone has too few outcomes to
+// flag, they have them together. It stands for the relays in it, so it needs no second flagger.
 func (f *fuser) fused() (back, slower bool, pooled float64) {
 	t := &f.p.trial
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
-	pool := make([]verdict, cats+2)
 	for i := range f.heard {
 		h := &f.heard[i]
-		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || len(h.verdicts) != len(pool) {
+		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || h.stage != t.news.Stage ||
+			len(h.verdicts) != cats {
 			continue
 		}
 		flags := false
-		for c, v := range h.verdicts {
-			pool[c].newer.add(v.newer)
-			pool[c].before.add(v.before)
-			if c < cats && h.stage == t.news.Stage {
-				sum += logRatio(v.flag, v.newer[figCount], cats)
+		for _, v := range h.verdicts {
+			if v.n > 0 {
+				sum += logRatio(v.flag, v.n, cats)
 				flags = flags || v.flag
 			}
 		}
@@ -885,10 +1037,17 @@
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
-	for c, v := range pool[:cats+1] {
-		if flagged(v.newer, v.before, true) && logRatio(true, v.newer[figCount], cats) >= threshold {
+	var all [2]counts
+	for c := 0; c <= cats; c++ {
+		newer, before := all[0], all[1]
+		if c < cats {
+			newer, before = t.compare(told, c)
+			all[0].add(newer)
+			all[1].add(before)
+		}
+		if flagged(newer, before, true) && logRatio(true, newer[figCount], cats) >= threshold {
 			pooledFlag = true
-			f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, v.newer, v.before)
+			f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, newer, before)
 		}
 	}
 	// A burst of failures ends as soon as routing knows the machines at fault; a bad build's go on.
@@ -899,9 +1058,8 @@
 		f.why = "flags of several relays"
 	}
 	back = back || f.p.now-f.cleanAt > flagLasts
-	fleet := pool[cats+1]
-	slower = worse(fleet.newer, fleet.before, figSlow, fleetPoints, poolOutcomes, true)
-	return back, slower, pool[cats].newer[figCount]
+	slower = worse(t.fleet(), t.calm, figSlow, fleetPoints, poolOutcomes, true)
+	return back, slower, all[0][figCount]
 }
 
 // wish is the vote that this fuser wants to stand.
@@ -934,30 +1092,39 @@
 	return relay.NoVote
 }
 
-// vote casts the wish, renews it before it lapses and casts it again when it was lost.
-func (f *fuser) vote() {
+// turn is how long this relay lets others vote first. As many relays as are needed vote at once, a few more
+// for those that are lost; the rest only when that has not been enough, no faster than votes are taken.
+func (f *fuser) turn(v relay.Verdict) relay.Seconds {
 	r := &f.p.set.Rollout
-	if f.pending && f.p.now-f.castAt > r.CallTimeout+callGrace {
-		f.pending, f.sure = false, false
+	need := [...]int{relay.VoteOn: r.VotesOn, relay.VoteHold: r.VotesHold, relay.VoteBack: r.VotesBack}[v]
+	extra := float64(f.p.set.Self) - math.Max(fuserCount, voteOver*float64(need))
+	if v == relay.NoVote || extra < 0 {
+		return 0
 	}
-	gap := voteGap
-	if r.VotesPerSec > 0 {
-		gap = math.Max(gap, 2*float64(f.count())/r.VotesPerSec)
+	return voteSpare + extra/math.Max(r.VotesPerSec, 1)
+}
+
+// vote casts what is wanted, renews it before it lapses and casts it again when it was lost.
+func (f *fuser) vote() {
+	r, now, w := &f.p.set.Rollout, f.p.now, f.want
+	if f.pending && now-f.castAt > r.CallTimeout+callGrace {
+		f.pending, f.sure = false, false
 	}
-	if f.pending || f.castAt > 0 && f.p.now-f.castAt < gap {
+	if f.pending || now < f.nextAt || now-f.wantAt < f.turn(w.Verdict) {
 		return
 	}
-	w := f.wish()
-	next := relay.Vote{Build: f.p.trial.news.Build, Stage: f.p.trial.news.Stage, Verdict: w}
-	if w == relay.NoVote && f.cast.Verdict == relay.NoVote {
+	moot := f.cast.Verdict == relay.NoVote || f.cast.Build != w.Build || !f.p.trial.judging() ||
+		f.cast.Verdict != relay.VoteBack && (f.cast.Stage != w.Stage || f.p.trial.news.Phase == relay.Released)
+	if w.Verdict == relay.NoVote && moot {
+		f.cast = w
 		return
 	}
-	if next == f.cast && f.sure && (w == relay.NoVote || f.p.now-f.castAt < voteRenew*r.VoteLife) {
+	if w == f.cast && f.sure && (w.Verdict == relay.NoVote || now-f.castAt < voteRenew*r.VoteLife) {
 		return
 	}
-	if w == relay.VoteBack && f.cast.Verdict != w {
-		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", next.Build, next.Stage, f.why)})
+	if w.Verdict == relay.VoteBack && f.cast.Verdict != w.Verdict && f.fusing {
+		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", w.Build, w.Stage, f.why)})
 	}
-	f.cast, f.castAt, f.pending, f.sure = next, f.p.now, true, false
-	f.p.do(next)
+	f.cast, f.castAt, f.nextAt, f.pending, f.sure = w, now, now+voteGap, true, false
+	f.p.do(w)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -70,8 +71,11 @@
 				n.Reply = relay.Reply(rapid.IntRange(0, 3).Draw(t, "reply"))
 				events = append(events, n)
 			case 2:
-				m := memo{build: build, stage: stage, verdicts: make([]verdict, 5)}
-				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 99, Body: []byte{1}},
+				m := memo{build: build, stage: stage, verdicts: make([]verdict, 3),
+					seen: []sighting{{unit: markOf(3), how: relay.Errored}, {unit: 77, category: 9}}}
+				f := finding{build: build, stage: stage, vote: relay.Verdict(rapid.IntRange(0, 3).Draw(t, "find")),
+					ill: []mark{markOf(1), 5}}
+				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 0, Body: f.encode()}, relay.Heard{From: 99, Body: []byte{1}},
 					relay.StageNews{Reply: relay.MaybeCounted}, relay.Tally{}, relay.JudgedWrong{}, relay.Probed{})
 			case 3:
 				for id := relay.QueryID(0); id < w.next; id++ {
@@ -173,32 +177,47 @@
 	}
 }
 
+// word is what a relay tells in one memo.
+type word struct {
+	verdict
+	seen []sighting
+}
+
 // fusing returns a module that fuses at stage 1 of build 6, and hears the given verdicts of category 0.
-func fusing(verdicts ...verdict) *Policy {
+func fusing(verdicts ...word) *Policy {
 	set := plainSettings()
 	set.Relays = 4
 	p := New(set, 1)
-	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: entries(6, 5, 1)},
+	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: append(entries(6, 5, 1), entries(2, 6, 20)...)},
 		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4}})
 	for i, v := range verdicts {
-		m := memo{build: 6, stage: 1, verdicts: make([]verdict, 5)}
-		m.verdicts[0] = v
+		m := memo{build: 6, stage: 1, verdicts: []verdict{v.verdict, {}, {}}, seen: v.seen}
 		p.Step(1, []relay.Event{relay.Heard{From: relay.RelayNo(i), Body: m.encode()}})
 	}
 	return p
 }
 
 func TestFusion(t *testing.T) {
-	clean, bad := verdict{newer: counts{figCount: 30}}, verdict{flag: true, newer: counts{figCount: 30}}
-	few := verdict{newer: counts{figCount: 10, figFailed: 3}, before: counts{figCount: 100}}
+	clean, bad := word{verdict: verdict{n: 30}}, word{verdict: verdict{flag: true, n: 30}}
+	few := word{} // ten legs at two units of the newest build, of which three fail; forty at an earlier one
+	for i := 0; i < 50; i++ {
+		s := sighting{unit: markOf(1), alone: true}
+		if i < 10 {
+			s = sighting{unit: markOf(relay.UnitID(20 + i%2)), newest: true, alone: true}
+		}
+		if i < 9 && i%3 == 0 {
+			s.how = relay.Errored
+		}
+		few.seen = append(few.seen, s)
+	}
 	for name, c := range map[string]struct {
-		verdicts []verdict
+		verdicts []word
 		back     bool
 	}{
-		"all clean":                              {[]verdict{clean, clean, clean}, false},
-		"one flagger is not enough":              {[]verdict{bad, clean, clean}, false},
-		"two are":                                {[]verdict{bad, bad, clean}, true},
-		"none has enough outcomes, together yes": {[]verdict{few, few, few}, true},
+		"all clean":                              {[]word{clean, clean, clean}, false},
+		"one flagger is not enough":              {[]word{bad, clean, clean}, false},
+		"two are":                                {[]word{bad, bad, clean}, true},
+		"none has enough outcomes, together yes": {[]word{few, few, few}, true},
 	} {
 		p := fusing(c.verdicts...)
 		p.fuser.cleanAt = p.now - flagLasts - 1 // as if any pooled flag had lasted
@@ -209,15 +228,24 @@
 }
 
 func TestMemo(t *testing.T) {
-	m := memo{build: 300, stage: 2, verdicts: []verdict{{true, counts{40, 3, 20, 1, 30, 2}, counts{900}}, {}}}
-	b := m.encode()
-	got, err := decodeMemo(b)
-	if err != nil || got.build != m.build || got.stage != m.stage || len(got.verdicts) != 2 || got.verdicts[0] != m.verdicts[0] {
-		t.Fatal(got, err)
-	}
-	for n := range b {
-		if _, err := decodeMemo(b[:n]); err == nil {
-			t.Errorf("%d bytes were taken for a memo", n)
+	m := memo{build: 300, stage: 2, verdicts: []verdict{{true, 40}, {}}, seen: []sighting{
+		{unit: markOf(7), category: 40, how: relay.TimedOut, newest: true, late: true, depth: 5, pace: 2},
+		{unit: markOf(8), young: true, alone: true}}}
+	f := finding{build: 300, stage: 2, vote: relay.VoteBack, ill: []mark{markOf(7), markOf(8)}}
+	for _, want := range []note{noteMemo{3, m}, noteFinding{3, f}} {
+		var b []byte
+		if n, ok := want.(noteMemo); ok {
+			b = n.memo.encode()
+		} else {
+			b = f.encode()
+		}
+		if got, err := decode(3, b); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatal(got, err)
+		}
+		for n := range b {
+			if _, err := decode(3, b[:n]); err == nil {
+				t.Errorf("%d bytes were taken for a memo", n)
+			}
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -51,6 +51,10 @@
 		from relay.RelayNo
 		memo memo
 	}
+	noteFinding struct {
+		from    relay.RelayNo
+		finding finding
+	}
 )
 
 // leg is one try of a query at a unit. Zone, cell, build and age are the unit's when it was sent.
@@ -116,11 +120,14 @@
 
 func (x *exposure) slot(c relay.Category) int { return min(int(c), len(x.hard)-1) }
 
-// heard is the last memo of one relay.
+// heard is the last memo of one relay, and the last finding where it fuses.
 type heard struct {
 	memo
-	at  relay.Seconds
-	has bool
+	at      relay.Seconds // of the memo
+	has     bool
+	found   finding
+	foundAt relay.Seconds
+	since   relay.Seconds // when it was first counted on as a fuser; 0: never
 }
 
 // counts are outcomes of one build in one category: all and failed ones; those alone, and of these the late
@@ -186,6 +193,7 @@
 type roster struct {
 	p       *Policy
 	byID    map[relay.UnitID]*unit
+	byMark  map[mark]*unit
 	units   []*unit // all ever listed, by id
 	watched bool
 	asked   relay.Seconds
@@ -209,9 +217,18 @@
 	paceAt   relay.Seconds
 	cold     float64 // legs that the cold budget holds, as of coldAt
 	coldAt   relay.Seconds
-	seen     ring // evidence: counts by category
+	seen     [2]ring       // evidence: counts by category; own, and told by others
+	ill      float64       // failure figure over all relays' legs, as of illAt
+	illAt    relay.Seconds // last such leg
+	allPace  float64       // like pace, over all relays' legs
+	doubtAt  relay.Seconds // when a fuser last named it as ill; 0: never
 }
 
+const (
+	own  = 0
+	told = 1
+)
+
 // desk takes queries, sends legs and gives final answers.
 type desk struct {
 	p        *Policy
@@ -243,20 +260,29 @@
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category; then all; then the fleet against before
-	last     []counts                  // what the earlier machines last showed, by category
+	mine     []verdict                 // by category
+	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
 	calm     counts                    // of all units when the build was first heard of
+	untold   []sighting                // legs that the fusers have not been told of
+	part     float64                   // of the ready fleet's capacity that runs the build on trial
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
 }
 
-// fuser weighs all relays' verdicts and votes.
+// fuser weighs all relays' verdicts, tells its finding, and votes.
 type fuser struct {
 	p       *Policy
 	heard   []heard
+	lookAt  relay.Seconds
+	fusing  bool
+	want    relay.Vote    // what should stand, by own or others' finding
+	wantAt  relay.Seconds // since when
+	found   relay.Vote    // own finding last told
+	foundAt relay.Seconds
 	why     string     // what speaks for going back
 	cast    relay.Vote // the vote that stands, or is under way
 	castAt  relay.Seconds
+	nextAt  relay.Seconds // not to vote before
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
@@ -271,8 +297,14 @@
 		listed[e.Unit] = true
 		u := r.byID[e.Unit]
 		if u == nil {
-			u = &unit{p: r.p, id: e.Unit, seen: newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)}
+			u = &unit{p: r.p, id: e.Unit}
+			for i := range u.seen {
+				u.seen[i] = newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)
+			}
 			r.byID[e.Unit] = u
+			if m := markOf(e.Unit); r.byMark[m] == nil {
+				r.byMark[m] = u
+			}
 			at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
 			r.units = append(r.units, nil)
 			copy(r.units[at+1:], r.units[at:])
@@ -305,7 +337,7 @@
 		x.cap = ro.Caps[0]
 	}
 	for i := range x.hard {
-		x.hard[i], x.soft[i] = ro.Uncounted, ro.Uncounted
+		x.hard[i], x.soft[i] = ro.Uncounted, t.p.rng.Float64()
 	}
 	t.limits = append(t.limits, x)
 	return x
