--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,7 +74,7 @@
 	brokenAt    = 0.5  // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
 	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
 	illStep     = 0.12 // badStep for all relays' legs together: there are many, so three in a row are needed
-	illLegs     = 0.5  // part of the units that may be named as ill: beyond it, the cause is not the units
+	illLegs     = 0.0  // part of the units that may be named as ill: beyond it, the cause is not the units
 	doubtLife   = 3.0  // s that a unit named as ill is avoided: three findings
 	paceStep    = 0.2  // weight of one answer in a unit's pace
 	paceFleet   = 0.02 // the same in the fleet's
@@ -995,7 +995,7 @@
 			marks = append(marks, markOf(u.id))
 		}
 	}
-	if true || float64(len(marks)) > illLegs*ready || len(marks) > findingIll {
+	if float64(len(marks)) > illLegs*ready || len(marks) > findingIll {
 		return nil
 	}
 	return marks
