--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,6 +57,7 @@
 	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
 	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
+	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
@@ -288,8 +289,17 @@
 	}
 	if usual > 0 && s.pace > 0 {
 		seen.add(u.p.now, at+figPaced, 1)
+		slow := 0.0
 		if s.pace > slowBar*usual {
-			seen.add(u.p.now, at+figSlow, 1)
+			slow = 1
+		}
+		seen.add(u.p.now, at+figSlow, slow)
+		if t := &u.p.trial; !s.newest {
+			t.before.add(slow, paceFleet)
+			t.beforeAt = u.p.now
+		} else if t.before.n >= leastPace && u.p.now-t.beforeAt < hourLag {
+			seen.add(u.p.now, at+figMatched, 1)
+			seen.add(u.p.now, at+figDue, t.before.v)
 		}
 	}
 }
@@ -799,6 +809,11 @@
 	before = t.gather(pooled, c, false, 0, evidenceBuckets)
 	if before[figCount] >= leastCount {
 		t.last[by][c] = before
+		// Slow legs are held against what the earlier machines showed in the same moments: an hour that turns
+		// slow while more and more legs go to the newest build is not the build's fault.
+		m := newer[figMatched]
+		newer[figSlow], newer[figPaced] = newer[figSlow]*m/math.Max(newer[figPaced], 1), m
+		before[figSlow] = before[figPaced] * newer[figDue] / math.Max(m, 1)
 		return newer, before
 	}
 	// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
@@ -863,6 +878,9 @@
 		points[figFailed], outcomes = poolPoints, poolOutcomes
 	}
 	for _, f := range []int{figFailed, figLate, figSlow} {
+		if pooled && f == figLate {
+			continue // the slow share says the same, by kind of machine
+		}
 		if worse(newer, before, f, points[f], outcomes, pooled) {
 			return true
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -141,6 +141,8 @@
 	figLate
 	figPaced
 	figSlow
+	figMatched // paced ones of the newest build while earlier machines showed how the hour is
+	figDue     // slow ones to be expected among these by the earlier machines' share at that moment
 	figures
 )
 
@@ -264,6 +266,8 @@
 	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
 	calm     counts                    // of all units when the build was first heard of
 	untold   []sighting                // legs that the fusers have not been told of
+	before   mean                      // share of slow legs at the earlier machines just now
+	beforeAt relay.Seconds             // last leg there
 	part     float64                   // of the ready fleet's capacity that runs the build on trial
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
