Draw units by warmth, let most small relays send a cold unit one leg, sum evidence once

Cause: a small relay's budget for a cold unit takes half a minute to reach one leg, so a stage's cold units got a tenth of their part and its few warm ones 2 to 3 times theirs; their queues looked like a bad build. Now a unit that starts may get one leg from most relays where warm units are there to choose from, units are drawn in proportion to warmth, and the trial's share counts only units that this relay may use. Harm possible: where all other units are suspects, small relays together may send a cold unit a burst.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -72,11 +72,15 @@
 		if i == told && !pooled || r.idle(u.p.now) {
 			continue
 		}
-		for f, until := 0, to; f < figures; f++ {
-			if f == figAlone {
-				until = min(to, from+lateBuckets)
+		r.roll(u.p.now)
+		for n := from; n < to && r.last >= int64(n); n++ {
+			b := r.bucket(r.last - int64(n))[c*figures : (c+1)*figures]
+			if n >= from+lateBuckets {
+				b = b[:figAlone]
+			}
+			for f, v := range b {
+				out[f] += float64(v)
 			}
-			out[f] += r.sum(u.p.now, c*figures+f, from, until)
 		}
 	}
 	return out
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,6 +115,7 @@
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
+		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
 		last: [2][]counts{make([]counts, len(p.rows)), make([]counts, len(p.rows))}}
 	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
 	return p
@@ -196,7 +197,7 @@
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
 			u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
 			u.ill, u.allPace, u.doubtAt = 0, 0, 0
-			u.cold, u.coldAt = u.p.rng.Float64(), u.p.now
+			u.cold, u.coldAt = u.p.roster.firstLegs(n), u.p.now
 			u.seen[own].reset()
 			u.seen[told].reset()
 		}
@@ -218,6 +219,26 @@
 	}
 }
 
+// firstLegs is the budget that a unit starts with. Spread evenly over the relays it lets all of them together
+// send what the rule allows, even if they had no other unit. A small relay would then leave a cold unit
+// alone for its whole youth; so where there are warm units to choose from, most relays may send one at once.
+func (r *roster) firstLegs(e relay.UnitEntry) float64 {
+	warm, all := 0.0, 1.0
+	for _, u := range r.units {
+		if u.State == relay.Ready && u.id != e.Unit {
+			all++
+			if u.warmth() >= 1 {
+				warm++
+			}
+		}
+	}
+	rules := &r.p.set.Rules
+	if r.p.rng.Float64() < warm/all*math.Min(1, rules.FallMultiple*rules.ColdFrom*coldPart) {
+		return 1
+	}
+	return r.p.rng.Float64()
+}
+
 // ended learns from the end of a leg.
 func (u *unit) ended(n noteOutcome) {
 	if n.how == relay.Cancelled || n.how == relay.NotSent {
@@ -276,6 +297,9 @@
 	if s.how.NeverRan() || s.young || s.newest != u.newest() || c < 0 || c >= len(u.p.rows) {
 		return
 	}
+	if by == own && s.newest {
+		u.p.trial.legs.add(u.p.now, c, 1)
+	}
 	seen, at := &u.seen[by], c*figures
 	seen.add(u.p.now, at+figCount, 1)
 	switch {
@@ -319,7 +343,7 @@
 // cost is what one more leg here is expected to cost, for comparison with other units. A unit that holds
 // legs and answers nothing gets dearer by the moment: pauses, stalls and silent losses look alike so far.
 func (u *unit) cost() float64 {
-	c := u.paceNow() * float64(u.open+1) / u.warmth()
+	c := u.paceNow() * float64(u.open+1)
 	if u.open > 0 {
 		c *= 1 + quietShare*(u.p.now-u.answer)/math.Max(u.p.desk.usual.v, 1e-3)
 	}
@@ -517,13 +541,28 @@
 	if len(pool) == 0 {
 		return nil
 	}
-	a := pool[d.p.rng.Intn(len(pool))]
-	if b := pool[d.p.rng.Intn(len(pool))]; b.cost() < a.cost() {
+	a := d.draw(pool)
+	if b := d.draw(pool); b.cost() < a.cost() {
 		return b
 	}
 	return a
 }
 
+// draw is a random choice in proportion to what each unit can have warmed up to.
+func (d *desk) draw(pool []*unit) *unit {
+	total := 0.0
+	for _, u := range pool {
+		total += u.warmth()
+	}
+	total *= d.p.rng.Float64()
+	for _, u := range pool {
+		if total -= u.warmth(); total < 0 {
+			return u
+		}
+	}
+	return pool[len(pool)-1]
+}
+
 // may is the guard that every leg passes: rules 2 to 5.
 func (d *desk) may(q *query, u *unit) bool {
 	p := d.p
@@ -775,10 +814,14 @@
 		if u.State != relay.Ready {
 			continue
 		}
-		all += u.warmth()
+		w := u.warmth()
+		if w < 1 && u.coldLeft() < 1 {
+			w = 0 // what this relay may not send there must not fall on the others of the build
+		}
+		all += w
 		if u.newest() {
 			newer++
-			warm += u.warmth()
+			warm += w
 		} else {
 			earlier++
 		}
@@ -795,6 +838,9 @@
 
 // verdict forms this relay's verdict on one category. With too few outcomes it says nothing.
 func (t *trial) verdict(c int) (v verdict) {
+	if t.legs.all(t.p.now, c) < leastCount {
+		return verdict{}
+	}
 	newer, before := t.compare(own, c)
 	if newer[figCount] < leastCount || before[figCount] < leastCount {
 		return verdict{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -265,6 +265,7 @@
 	mine     []verdict                 // by category
 	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
 	calm     counts                    // of all units when the build was first heard of
+	legs     ring                      // own legs at the newest build that count as evidence, by category
 	untold   []sighting                // legs that the fusers have not been told of
 	before   mean                      // share of slow legs at the earlier machines just now
 	beforeAt relay.Seconds             // last leg there
