Judge slowness by the mean logarithm of leg time over usual

Cause: the share of legs over 2.2 times the usual time hardly moves under a build that needs 1.7 times the work.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -94,7 +94,7 @@
 				continue
 			}
 			for c := range t.p.rows {
-				for _, f := range []int{figPaced, figSlow} {
+				for _, f := range []int{figPaced, figSlow, figSquare} {
 					sum[f] += u.seen[i].sum(t.p.now, c*figures+f, 0, lateBuckets)
 				}
 			}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,12 +50,11 @@
 	lateBuckets     = 8    // 4 s of outcomes that show lateness: the hour changes faster than builds do
 	depths          = 8    // own legs at a unit that paces are told apart by: more are rare where it runs well
 	leastPace       = 10.0 // legs from which a usual pace is known
-	slowBar         = 2.2  // times the usual leg time of such a unit above which a leg counts as slow
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
-	slowPoints      = 0.2  // difference of slow shares that a flag needs: a good build may be a little slower
-	fleetPoints     = 0.12 // rise of the fleet's slow share since before the trial that stops a vote on
+	slowTimes       = 1.35 // times the earlier machines' leg time that a flag needs: a good build may be a little slower
+	fleetTimes      = 1.3  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
@@ -313,11 +312,9 @@
 	}
 	if usual > 0 && s.pace > 0 {
 		seen.add(u.p.now, at+figPaced, 1)
-		slow := 0.0
-		if s.pace > slowBar*usual {
-			slow = 1
-		}
+		slow := math.Log(s.pace / usual)
 		seen.add(u.p.now, at+figSlow, slow)
+		seen.add(u.p.now, at+figSquare, slow*slow)
 		if t := &u.p.trial; !s.newest {
 			t.before.add(slow, paceFleet)
 			t.beforeAt = u.p.now
@@ -855,11 +852,6 @@
 	before = t.gather(pooled, c, false, 0, evidenceBuckets)
 	if before[figCount] >= leastCount {
 		t.last[by][c] = before
-		// Slow legs are held against what the earlier machines showed in the same moments: an hour that turns
-		// slow while more and more legs go to the newest build is not the build's fault.
-		m := newer[figMatched]
-		newer[figSlow], newer[figPaced] = newer[figSlow]*m/math.Max(newer[figPaced], 1), m
-		before[figSlow] = before[figPaced] * newer[figDue] / math.Max(m, 1)
 		return newer, before
 	}
 	// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
@@ -868,7 +860,7 @@
 		newer = t.gather(pooled, c, true, 0, evidenceRecent)
 		before = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets)
 	}
-	newer[figLate], newer[figSlow] = 0, 0
+	newer[figLate], newer[figMatched] = 0, 0
 	return newer, before
 }
 
@@ -916,30 +908,31 @@
 
 // flagged is the design's test of one build's shares against another's. Pooled counts need fewer points for
 // failures but more of them, and their standard error is that of two equal shares, so that some failures
-// against hardly any count for what they are.
+// against hardly any count for what they are; lateness is left to the slowness, which knows the machines.
+// Slowness is held against what the earlier machines showed in the same moments: an hour that turns slow
+// while more and more legs go to the newest build is not the build's fault.
 func flagged(newer, before counts, pooled bool) bool {
-	outcomes := flagOutcomes
-	points := [figures]float64{figFailed: flagPoints, figLate: flagPoints, figSlow: slowPoints}
 	if pooled {
-		points[figFailed], outcomes = poolPoints, poolOutcomes
-	}
-	for _, f := range []int{figFailed, figLate, figSlow} {
-		if pooled && f == figLate {
-			continue // the slow share says the same, by kind of machine
-		}
-		if worse(newer, before, f, points[f], outcomes, pooled) {
+		if worse(newer, before, figFailed, poolPoints, poolOutcomes, true) {
 			return true
 		}
+	} else if worse(newer, before, figFailed, flagPoints, flagOutcomes, false) ||
+		worse(newer, before, figLate, flagPoints, flagOutcomes, false) {
+		return true
 	}
-	return false
+	n := newer[figMatched]
+	return n >= leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
+}
+
+// slower says whether legs took some times longer than the mean logarithm of their usual time says.
+func slower(c counts, usual, usualErr, times float64) bool {
+	m, err := c.slowness()
+	return m-usual > math.Log(times) && m-usual > flagErrors*math.Hypot(err, usualErr)
 }
 
 func worse(newer, before counts, f int, points, outcomes float64, pooled bool) bool {
-	n1, n0, least := newer.of(f), before.of(f), leastCount
-	if f == figSlow {
-		least = leastSlow
-	}
-	if n1 < least || n0 < least {
+	n1, n0 := newer.of(f), before.of(f)
+	if n1 < leastCount || n0 < leastCount {
 		return false
 	}
 	p1, p0 := newer[f]/n1, before[f]/n0
@@ -1055,7 +1048,7 @@
 		}
 		ready++
 		usual := f.p.desk.usualPace(u.Kind, 0)
-		if u.illNow() >= suspectAt || f.p.now-u.illAt < badHalf && usual > 0 && u.allPace > slowBar*usual {
+		if u.illNow() >= suspectAt || f.p.now-u.illAt < badHalf && usual > 0 && u.allPace > 2*usual {
 			marks = append(marks, markOf(u.id))
 		}
 	}
@@ -1078,7 +1071,7 @@
 // flag says nothing: hundreds of such verdicts would drown the others. All relays' legs, pooled by unit, make
 // a verdict of their own, one a category and one for all: where each relay alone has too few outcomes to
 // flag, they have them together. It stands for the relays in it, so it needs no second flagger.
-func (f *fuser) fused() (back, slower bool, pooled float64) {
+func (f *fuser) fused() (back, late bool, pooled float64) {
 	t := &f.p.trial
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
@@ -1122,8 +1115,10 @@
 		f.why = "flags of several relays"
 	}
 	back = back || f.p.now-f.cleanAt > flagLasts
-	slower = worse(t.fleet(), t.calm, figSlow, fleetPoints, poolOutcomes, true)
-	return back, slower, all[0][figCount]
+	fleet := t.fleet()
+	calm, err := t.calm.slowness()
+	late = fleet[figPaced] >= leastSlow && t.calm[figPaced] >= leastSlow && slower(fleet, calm, err, fleetTimes)
+	return back, late, all[0][figCount]
 }
 
 // wish is the vote that this fuser wants to stand.
@@ -1133,8 +1128,8 @@
 		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
-	back, slower, pooled := f.fused()
-	if last := int(t.news.Stage) >= len(r.StageShares)-1; !slower || last || t.news.Phase == relay.Released {
+	back, late, pooled := f.fused()
+	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || t.news.Phase == relay.Released {
 		f.slowAt = f.p.now
 	} else if !back {
 		f.why = "the whole fleet is slower than before"
@@ -1145,10 +1140,10 @@
 		return relay.VoteBack
 	case t.news.Phase == relay.Released:
 		return relay.NoVote
-	case r.Control == relay.Clock && (pooled < leastCount || slower) &&
+	case r.Control == relay.Clock && (pooled < leastCount || late) &&
 		f.p.now-t.since < r.StepTime+extraWait:
 		return relay.VoteHold
-	case r.Control == relay.Clock || t.listedAt == 0 || slower:
+	case r.Control == relay.Clock || t.listedAt == 0 || late:
 		return relay.NoVote
 	case age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount:
 		return relay.VoteOn
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -154,22 +154,25 @@
 }
 
 func TestFlag(t *testing.T) {
-	before := counts{figCount: 2000, figFailed: 20, figAlone: 2000, figPaced: 2000, figSlow: 200}
+	before := counts{figCount: 2000, figFailed: 20, figAlone: 2000}
 	for name, c := range map[string]struct {
 		newer  counts
 		pooled bool
 		want   bool
 	}{
-		"ten of forty failed":               {counts{figCount: 40, figFailed: 10}, false, true},
-		"too few outcomes":                  {counts{figCount: 19, figFailed: 19}, false, false},
-		"a few against none, one relay":     {counts{figCount: 20, figFailed: 2}, false, false},
-		"under five points":                 {counts{figCount: 400, figFailed: 16}, false, false},
-		"the same, pooled":                  {counts{figCount: 400, figFailed: 16}, true, true},
-		"pooled, few failures":              {counts{figCount: 60, figFailed: 4}, true, false},
-		"late":                              {counts{figCount: 50, figAlone: 40, figLate: 10}, false, true},
-		"slow, few legs":                    {counts{figCount: 100, figPaced: 40, figSlow: 30}, true, false},
-		"slow, many":                        {counts{figCount: 100, figPaced: 80, figSlow: 40}, true, true},
-		"a little slower, as good ones may": {counts{figCount: 100, figPaced: 80, figSlow: 20}, true, false},
+		"ten of forty failed":           {counts{figCount: 40, figFailed: 10}, false, true},
+		"too few outcomes":              {counts{figCount: 19, figFailed: 19}, false, false},
+		"a few against none, one relay": {counts{figCount: 20, figFailed: 2}, false, false},
+		"under five points":             {counts{figCount: 400, figFailed: 16}, false, false},
+		"the same, pooled":              {counts{figCount: 400, figFailed: 16}, true, true},
+		"pooled, few failures":          {counts{figCount: 60, figFailed: 4}, true, false},
+		"late":                          {counts{figCount: 50, figAlone: 40, figLate: 10}, false, true},
+		"twice as slow, few legs":       {counts{figCount: 100, figPaced: 40, figMatched: 40, figSlow: 28, figSquare: 30}, true, false},
+		"twice as slow, many":           {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60}, true, true},
+		"as slow as the hour": {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60, figDue: 50},
+			true, false},
+		"a little slower, as good ones may": {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 16, figSquare: 30},
+			true, false},
 	} {
 		if got := flagged(c.newer, before, c.pooled); got != c.want {
 			t.Errorf("%s: %v", name, got)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand"
 	"sort"
 
@@ -131,7 +132,7 @@
 }
 
 // counts are outcomes of one build in one category: all and failed ones; those alone, and of these the late
-// ones; those whose usual pace is known, and of these the slow ones.
+// ones; those whose usual pace is known, and of these how slow they were.
 type counts [figures]float64
 
 const (
@@ -140,9 +141,10 @@
 	figAlone
 	figLate
 	figPaced
-	figSlow
+	figSlow    // sum of the logarithms of their pace over the usual one
+	figSquare  // sum of the squares of these
 	figMatched // paced ones of the newest build while earlier machines showed how the hour is
-	figDue     // slow ones to be expected among these by the earlier machines' share at that moment
+	figDue     // sum of what the earlier machines showed at the moment of each of these
 	figures
 )
 
@@ -157,6 +159,13 @@
 	return c[figCount]
 }
 
+// slowness is the mean logarithm of the pace over the usual one, and its standard error.
+func (c *counts) slowness() (m, err float64) {
+	n := math.Max(c[figPaced], 1)
+	m = c[figSlow] / n
+	return m, math.Sqrt(math.Max(c[figSquare]/n-m*m, 0) / n)
+}
+
 func (c *counts) add(o counts) {
 	for i := range c {
 		c[i] += o[i]
@@ -267,7 +276,7 @@
 	calm     counts                    // of all units when the build was first heard of
 	legs     ring                      // own legs at the newest build that count as evidence, by category
 	untold   []sighting                // legs that the fusers have not been told of
-	before   mean                      // share of slow legs at the earlier machines just now
+	before   mean                      // logarithm of pace over the usual one at the earlier machines just now
 	beforeAt relay.Seconds             // last leg there
 	part     float64                   // of the ready fleet's capacity that runs the build on trial
 	judgeAt  relay.Seconds
