--- a/policy/policy.go
+++ b/policy/policy.go
@@ -921,7 +921,7 @@
 		return true
 	}
 	n := newer[figMatched]
-	return n >= leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
+	return n >= leastSlow && before[figPaced] >= leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
 }
 
 // slower says whether legs took some times longer than the mean logarithm of their usual time says.
