While connects fail, units that hold a connection come first

Covers slow handshakes beyond the connect time-out as well; harm possible: a relay leans on few units for as long as connects fail.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,6 +82,10 @@
 	quietShare  = 1.0  // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
 	crossCost   = 1.6  // times the cost in another zone, where crossing has a price
 
+	linkBuckets = 12  // 6 s of legs that tell how many connects fail: a few legs of a small relay
+	linkShare   = 0.1 // of legs that get no connection from which units with a standing one come first
+	linkLife    = 8.0 // s after its last answer that a unit's connection counts as standing
+
 	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is within capacity
 	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
 	flowWidth = 0.5 // s a bucket of legs and queries
@@ -110,7 +114,8 @@
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
-	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1)}
+	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
+		links: newRing(flowWidth, linkBuckets, 2)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
 		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
@@ -243,7 +248,11 @@
 	if n.how == relay.Cancelled || n.how == relay.NotSent {
 		return
 	}
-	u.answer = u.p.now
+	u.answer, u.linked = u.p.now, n.how != relay.NoConnect
+	u.p.desk.links.add(u.p.now, 0, 1)
+	if !u.linked {
+		u.p.desk.links.add(u.p.now, 1, 1)
+	}
 	ratio := n.took / math.Max(n.work, 1e-3)
 	if n.how == relay.Honoured {
 		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
@@ -510,12 +519,15 @@
 }
 
 // best is the cheaper of two random choices among the units that look sound; where none does, among those
-// that only a fuser names as ill, then among all. What others say so never empties the choice.
+// that only a fuser names as ill, then among all. What others say so never empties the choice. While connects
+// fail, units that hold a connection come first: it guards against all that makes new ones dear or rare.
 func (d *desk) best(q *query, units []*unit) *unit {
 	limit := suspectAt
 	if q.row.repeat == relay.AtMostOnce {
 		limit = suspectFirm
 	}
+	failed := d.links.all(d.p.now, 1)
+	short := failed > 1 && failed > linkShare*d.links.all(d.p.now, 0)
 	var pools [3][]*unit
 	for _, u := range units {
 		i := 0
@@ -524,7 +536,8 @@
 			continue
 		case u.badNow() >= limit:
 			i = 2
-		case u.doubtAt > 0 && d.p.now-u.doubtAt < doubtLife:
+		case u.doubtAt > 0 && d.p.now-u.doubtAt < doubtLife,
+			short && (!u.linked || u.open == 0 && d.p.now-u.answer > linkLife):
 			i = 1
 		}
 		pools[i] = append(pools[i], u)
--- a/policy/state.go
+++ b/policy/state.go
@@ -220,6 +220,7 @@
 	met      bool
 	open     int           // own legs out
 	answer   relay.Seconds // last answer, or when the unit stopped being idle
+	linked   bool          // its last leg had a connection
 	bad      float64       // failure figure, as of badAt
 	badAt    relay.Seconds
 	misses   float64       // part of its last legs that failed, whatever the time between
@@ -250,6 +251,7 @@
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
 	depth    mean           // own legs that a unit usually holds, held like paces
 	usual    mean           // leg time
+	links    ring           // legs ended, and those of them without a connection
 	flow     ring           // legs sent to warm units
 	warmFlow float64
 }
