Tried and taken back: naming failing units to all relays; the naming is gone

Cause: small relays see each unit too seldom to know that it fails. The legs that errors cost are sent again in time anyway. Naming is removed whole.

--- a/policy/memo.go
+++ b/policy/memo.go
@@ -37,13 +37,11 @@
 	pace     float64 // leg time over expected work, to an eighth of a doubling; 0: not known
 }
 
-// finding is what a fuser tells every relay: the vote that should stand, and the units that fail or are
-// slow by all relays' legs.
+// finding is what a fuser tells every relay: the vote that should stand.
 type finding struct {
 	build relay.Build
 	stage relay.Stage
 	vote  relay.Verdict
-	ill   []mark
 }
 
 // mark is a unit's id in few bytes.
@@ -57,7 +55,6 @@
 	findingForm = 4
 	memoMost    = 1 << 20 // figures above this are not believed
 	memoLegs    = 36      // sightings in one memo, which may hold 256 bytes
-	findingIll  = 80      // units in one finding
 )
 
 var errMemo = errors.New("not a memo of this form")
@@ -96,11 +93,7 @@
 }
 
 func (f finding) encode() []byte {
-	b := append(header(findingForm, f.build, f.stage), byte(f.vote), byte(len(f.ill)))
-	for _, m := range f.ill {
-		b = appendMark(b, m)
-	}
-	return b
+	return append(header(findingForm, f.build, f.stage), byte(f.vote))
 }
 
 // cursor reads a memo; what it reads past the end is zero, and an error.
@@ -151,9 +144,6 @@
 	build, stage := relay.Build(c.number()), relay.Stage(c.number())
 	if body[1] == findingForm {
 		f := finding{build: build, stage: stage, vote: relay.Verdict(c.take(1)[0])}
-		for i := c.take(1)[0]; i > 0 && c.err == nil; i-- {
-			f.ill = append(f.ill, c.mark())
-		}
 		return noteFinding{from, f}, c.end()
 	}
 	m := memo{build: build, stage: stage}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -73,9 +73,6 @@
 	suspectAt   = 0.3  // failure figure of a suspect
 	brokenAt    = 0.5  // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
 	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
-	illStep     = 0.12 // badStep for all relays' legs together: there are many, so three in a row are needed
-	illLegs     = 0.0  // part of the units that may be named as ill: beyond it, the cause is not the units
-	doubtLife   = 3.0  // s that a unit named as ill is avoided: three findings
 	paceStep    = 0.2  // weight of one answer in a unit's pace
 	paceFleet   = 0.02 // the same in the fleet's
 	paceHalf    = 3.0  // s in which the pace of a silent unit goes half way back to the fleet's
@@ -200,7 +197,6 @@
 		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
 			u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
-			u.ill, u.allPace, u.doubtAt = 0, 0, 0
 			u.cold, u.coldAt = u.p.roster.firstLegs(n), u.p.now
 			u.seen[own].reset()
 			u.seen[told].reset()
@@ -292,14 +288,9 @@
 	if u.misses += badStep * (m - u.misses); m == 1 && u.misses >= brokenAt || s.how == relay.Broken {
 		u.brokenOn = u.p.now
 	}
-	u.ill, u.illAt = u.illNow()+illStep*(m-u.illNow()), u.p.now
 	usual := u.p.desk.usualPace(u.Kind, s.depth)
 	if s.how == relay.Honoured && s.pace > 0 {
 		u.p.desk.learnPace(u, s.pace, s.depth)
-		if u.allPace == 0 {
-			u.allPace = usual
-		}
-		u.allPace += paceStep * (s.pace - u.allPace)
 	}
 	c := int(s.category)
 	if s.how.NeverRan() || s.young || s.newest != u.newest() || c < 0 || c >= len(u.p.rows) {
@@ -334,8 +325,6 @@
 	}
 }
 
-func (u *unit) illNow() float64 { return u.ill * math.Exp2(-(u.p.now-u.illAt)/badHalf) }
-
 func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
 
 func (u *unit) paceNow() float64 {
@@ -518,9 +507,8 @@
 	return old
 }
 
-// best is the cheaper of two random choices among the units that look sound; where none does, among those
-// that only a fuser names as ill, then among all. What others say so never empties the choice. While connects
-// fail, units that hold a connection come first: it guards against all that makes new ones dear or rare.
+// best is the cheaper of two random choices among the units that look sound; among all, where none does. While
+// connects fail, units that hold a connection come first: it guards against all that makes new ones dear or rare.
 func (d *desk) best(q *query, units []*unit) *unit {
 	limit := suspectAt
 	if q.row.repeat == relay.AtMostOnce {
@@ -536,8 +524,7 @@
 			continue
 		case u.badNow() >= limit:
 			i = 2
-		case u.doubtAt > 0 && d.p.now-u.doubtAt < doubtLife,
-			short && (!u.linked || u.open == 0 && d.p.now-u.answer > linkLife):
+		case short && (!u.linked || u.open == 0 && d.p.now-u.answer > linkLife):
 			i = 1
 		}
 		pools[i] = append(pools[i], u)
@@ -988,11 +975,6 @@
 	case noteFinding:
 		if int(n.from) < len(f.heard) {
 			f.heard[n.from].found, f.heard[n.from].foundAt = n.finding, f.p.now
-			for _, m := range n.finding.ill {
-				if u := f.p.roster.byMark[m]; u != nil {
-					u.doubtAt = f.p.now
-				}
-			}
 		}
 	case relay.StageNews:
 		if n.Reply != relay.Unasked {
@@ -1046,31 +1028,11 @@
 	if f.fusing && f.p.set.Limits.Messages && f.p.set.Relays > 1 &&
 		(f.found != want || f.p.now-f.foundAt >= verdictEvery) {
 		f.found, f.foundAt = want, f.p.now
-		m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict, ill: f.ill()}
+		m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict}
 		f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
 	}
 }
 
-// ill names the units that fail or are slow by all relays' legs, for relays that see each too seldom. Where
-// most units would be named, none is: the cause is then not theirs.
-func (f *fuser) ill() (marks []mark) {
-	ready := 0.0
-	for _, u := range f.p.roster.units {
-		if u.State != relay.Ready {
-			continue
-		}
-		ready++
-		usual := f.p.desk.usualPace(u.Kind, 0)
-		if u.illNow() >= suspectAt || f.p.now-u.illAt < badHalf && usual > 0 && u.allPace > 2*usual {
-			marks = append(marks, markOf(u.id))
-		}
-	}
-	if float64(len(marks)) > illLegs*ready || len(marks) > findingIll {
-		return nil
-	}
-	return marks
-}
-
 // logRatio is what one verdict of n outcomes weighs.
 func logRatio(flag bool, n float64, categories int) float64 {
 	pd, pf := n/(n+halfKnown), falseAlarm/float64(max(categories, 1))
--- a/policy/state.go
+++ b/policy/state.go
@@ -229,11 +229,7 @@
 	paceAt   relay.Seconds
 	cold     float64 // legs that the cold budget holds, as of coldAt
 	coldAt   relay.Seconds
-	seen     [2]ring       // evidence: counts by category; own, and told by others
-	ill      float64       // failure figure over all relays' legs, as of illAt
-	illAt    relay.Seconds // last such leg
-	allPace  float64       // like pace, over all relays' legs
-	doubtAt  relay.Seconds // when a fuser last named it as ill; 0: never
+	seen     [2]ring // evidence: counts by category; own, and told by others
 }
 
 const (
