--- a/policy/measure.go
+++ b/policy/measure.go
@@ -65,7 +65,7 @@
 func (r *ring) reset() { r.sums, r.last = nil, -1 }
 
 // evidence is what the unit showed in one category in buckets from to to, to this relay alone or with what
-// others told; lateness, and the counts that it is a share of, in the youngest few of these.
+// others told; slowness in the youngest few of these.
 func (u *unit) evidence(pooled bool, c, from, to int) (out counts) {
 	for i := range u.seen {
 		r := &u.seen[i]
@@ -76,7 +76,7 @@
 		for n := from; n < to && r.last >= int64(n); n++ {
 			b := r.bucket(r.last - int64(n))[c*figures : (c+1)*figures]
 			if n >= from+lateBuckets {
-				b = b[:figAlone]
+				b = b[:figPaced]
 			}
 			for f, v := range b {
 				out[f] += float64(v)
@@ -100,7 +100,6 @@
 			}
 		}
 	}
-	sum[figCount] = sum[figPaced]
 	return sum
 }
 
@@ -148,3 +147,79 @@
 	}
 	return math.Max(q.row.due, 1e-3)
 }
+
+func (u *unit) newest() bool { return u.Build >= u.p.trial.news.Build }
+
+// record adds a leg to what the unit showed, to this relay or by what others told.
+func (u *unit) record(s sighting, by int, usual float64) {
+	t, now, at := &u.p.trial, u.p.now, int(s.category)*figures
+	seen := &u.seen[by]
+	seen.add(now, at+figCount, 1)
+	if by == own && s.newest {
+		t.legs.add(now, int(s.category), 1)
+	}
+	if s.how == relay.Errored || s.how == relay.Broken {
+		seen.add(now, at+figFailed, 1)
+	} else if s.late {
+		seen.add(now, at+figLate, 1)
+	}
+	if usual <= 0 || s.pace <= 0 {
+		return
+	}
+	slow := math.Log(s.pace / usual)
+	seen.add(now, at+figPaced, 1)
+	seen.add(now, at+figSlow, slow)
+	seen.add(now, at+figSquare, slow*slow)
+	if !s.newest {
+		t.before.add(slow, paceFleet)
+		t.beforeAt = now
+	} else if t.before.n >= leastPace && now-t.beforeAt < hourLag {
+		seen.add(now, at+figMatched, 1)
+		seen.add(now, at+figDue, t.before.v)
+	}
+}
+
+// draw is a random choice in proportion to what each unit can have warmed up to.
+func (d *desk) draw(pool []*unit) *unit {
+	total := 0.0
+	for _, u := range pool {
+		total += u.warmth()
+	}
+	total *= d.p.rng.Float64()
+	for _, u := range pool {
+		if total -= u.warmth(); total < 0 {
+			return u
+		}
+	}
+	return pool[len(pool)-1]
+}
+
+func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
+
+func (u *unit) paceNow() float64 {
+	usual := math.Max(u.p.desk.pace.v, 1e-3)
+	if u.pace == 0 {
+		return usual
+	}
+	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
+}
+
+// slower says whether legs took some times longer than the mean logarithm of their usual time says.
+func slower(c counts, usual, usualErr, times float64) bool {
+	m, err := c.slowness()
+	return m-usual > math.Log(times) && m-usual > flagErrors*math.Hypot(err, usualErr)
+}
+
+func worse(newer, before counts, f int, points, outcomes float64, pooled bool) bool {
+	n1, n0 := newer[figCount], before[figCount]
+	if n1 < leastCount || n0 < leastCount {
+		return false
+	}
+	p1, p0 := newer[f]/n1, before[f]/n0
+	err := math.Sqrt(p1*(1-p1)/n1 + p0*(1-p0)/n0)
+	if pooled {
+		p := (newer[f] + before[f]) / (n1 + n0)
+		err = math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
+	}
+	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
+}
--- a/policy/memo.go
+++ b/policy/memo.go
@@ -31,7 +31,6 @@
 	how      relay.Outcome
 	newest   bool // the unit ran the newest build
 	young    bool // the unit had just started
-	alone    bool // the unit held no more of the relay's legs than usual
 	late     bool
 	depth    int     // own legs that the unit held; more than depths-1 stands as that, without a pace
 	pace     float64 // leg time over expected work, to an eighth of a doubling; 0: not known
@@ -87,7 +86,7 @@
 		if s.pace > 0 {
 			pace = byte(math.Min(math.Max(math.Round(8*math.Log2(s.pace))+128, 1), 255))
 		}
-		b = append(b, byte(s.how)&7|byte(s.depth)&7<<3|bit(s.alone, 6)|bit(s.late, 7), pace)
+		b = append(b, byte(s.how)&7|byte(s.depth)&7<<3|bit(s.late, 7), pace)
 	}
 	return b
 }
@@ -157,7 +156,7 @@
 		s.category, s.young, s.newest = relay.Category(v>>2), v&2 != 0, v&1 != 0
 		b := c.take(2)
 		s.how, s.depth = relay.Outcome(b[0]&7), int(b[0]>>3&7)
-		s.alone, s.late = b[0]&64 != 0, b[0]&128 != 0
+		s.late = b[0]&128 != 0
 		if b[1] > 0 {
 			s.pace = math.Exp2((float64(b[1]) - 128) / 8)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -122,51 +122,6 @@
 	return p
 }
 
-// Step takes what has happened up to now and returns what to do about it.
-func (p *Policy) Step(now relay.Seconds, events []relay.Event) []relay.Order {
-	p.now, p.out = math.Max(now, p.now), p.out[:0]
-	if !p.begun {
-		p.begun = true
-		p.do(relay.Wake{ID: 1, At: p.now + tick})
-		if p.set.RosterOnAsk {
-			p.roster.ask()
-		}
-	}
-	// All of a batch has happened by now: what it tells of units and builds holds for its queries too.
-	for _, e := range events {
-		switch e := e.(type) {
-		case relay.Roster:
-			p.post(&p.roster, e)
-		case relay.StageNews:
-			p.post(&p.trial, e)
-			p.post(&p.fuser, e)
-		}
-		p.drain()
-	}
-	woken := false
-	for _, e := range events {
-		switch e := e.(type) {
-		case relay.Woken:
-			woken = true
-		case relay.Heard:
-			if n, err := decode(e.From, e.Body); err == nil {
-				p.post(&p.fuser, n)
-			}
-		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
-			p.post(&p.desk, e)
-		}
-		p.drain()
-	}
-	if woken {
-		p.do(relay.Wake{ID: 1, At: p.now + tick})
-		for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
-			p.post(a, noteTick{})
-		}
-		p.drain()
-	}
-	return p.out
-}
-
 func (r *roster) ask() {
 	r.asked, r.askAt = r.p.now, 0
 	r.p.do(relay.Watch{On: true})
@@ -258,7 +213,7 @@
 		return
 	}
 	s := sighting{unit: markOf(u.id), category: n.category, how: n.how, newest: u.newest(),
-		young: n.leg.age < youngUnit, alone: n.leg.alone, late: n.took > n.due || n.how == relay.TimedOut,
+		young: n.leg.age < youngUnit, late: n.took > n.due || n.how == relay.TimedOut,
 		depth: min(n.leg.depth, depths-1)}
 	if n.leg.depth < depths && n.how != relay.Errored && n.how != relay.Broken && !n.how.NeverRan() {
 		s.pace = ratio
@@ -280,8 +235,6 @@
 	return 1
 }
 
-func (u *unit) newest() bool { return u.Build >= u.p.trial.news.Build }
-
 // witness learns what a leg shows of the unit and its build, whichever relay sent it.
 func (u *unit) witness(s sighting, by int) {
 	m := miss(s.how)
@@ -292,49 +245,11 @@
 	if s.how == relay.Honoured && s.pace > 0 {
 		u.p.desk.learnPace(u, s.pace, s.depth)
 	}
-	c := int(s.category)
-	if s.how.NeverRan() || s.young || s.newest != u.newest() || c < 0 || c >= len(u.p.rows) {
-		return
-	}
-	if by == own && s.newest {
-		u.p.trial.legs.add(u.p.now, c, 1)
-	}
-	seen, at := &u.seen[by], c*figures
-	seen.add(u.p.now, at+figCount, 1)
-	switch {
-	case s.how == relay.Errored || s.how == relay.Broken:
-		seen.add(u.p.now, at+figFailed, 1)
-	case s.alone:
-		seen.add(u.p.now, at+figAlone, 1)
-		if s.late {
-			seen.add(u.p.now, at+figLate, 1)
-		}
-	}
-	if usual > 0 && s.pace > 0 {
-		seen.add(u.p.now, at+figPaced, 1)
-		slow := math.Log(s.pace / usual)
-		seen.add(u.p.now, at+figSlow, slow)
-		seen.add(u.p.now, at+figSquare, slow*slow)
-		if t := &u.p.trial; !s.newest {
-			t.before.add(slow, paceFleet)
-			t.beforeAt = u.p.now
-		} else if t.before.n >= leastPace && u.p.now-t.beforeAt < hourLag {
-			seen.add(u.p.now, at+figMatched, 1)
-			seen.add(u.p.now, at+figDue, t.before.v)
-		}
+	if c := int(s.category); !s.how.NeverRan() && !s.young && s.newest == u.newest() && c >= 0 && c < len(u.p.rows) {
+		u.record(s, by, usual)
 	}
 }
 
-func (u *unit) badNow() float64 { return u.bad * math.Exp2(-(u.p.now-u.badAt)/badHalf) }
-
-func (u *unit) paceNow() float64 {
-	usual := math.Max(u.p.desk.pace.v, 1e-3)
-	if u.pace == 0 {
-		return usual
-	}
-	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
-}
-
 // cost is what one more leg here is expected to cost, for comparison with other units. A unit that holds
 // legs and answers nothing gets dearer by the moment: pauses, stalls and silent losses look alike so far.
 func (u *unit) cost() float64 {
@@ -545,21 +460,6 @@
 	return a
 }
 
-// draw is a random choice in proportion to what each unit can have warmed up to.
-func (d *desk) draw(pool []*unit) *unit {
-	total := 0.0
-	for _, u := range pool {
-		total += u.warmth()
-	}
-	total *= d.p.rng.Float64()
-	for _, u := range pool {
-		if total -= u.warmth(); total < 0 {
-			return u
-		}
-	}
-	return pool[len(pool)-1]
-}
-
 // may is the guard that every leg passes: rules 2 to 5.
 func (d *desk) may(q *query, u *unit) bool {
 	p := d.p
@@ -595,11 +495,7 @@
 func (d *desk) send(q *query, u *unit) {
 	p := d.p
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
-		age: p.now - u.started, open: true, mayRan: true, depth: u.open,
-		alone: float64(u.open) <= math.Max(1, d.depth.v)})
-	if !p.trial.steady() {
-		d.depth.add(float64(u.open), paceFleet)
-	}
+		age: p.now - u.started, open: true, mayRan: true, depth: u.open})
 	if u.warmth() < 1 {
 		u.cold, u.coldAt = u.coldLeft()-1, p.now
 	} else {
@@ -866,7 +762,7 @@
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
 // a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless
-// most of the build's units did; the worst quarter is left out of lateness; a single unit shows no faults.
+// most of the build's units did; the slowest quarter is left out of slowness; a single unit shows no faults.
 func (t *trial) gather(pooled bool, c int, newest bool, from, to int) (sound counts) {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
@@ -892,17 +788,18 @@
 	if len(seen) == 1 && newest {
 		return counts{figCount: sound[figCount]}
 	}
-	for f := figLate; f <= figSlow && newest; f += figSlow - figLate {
-		sort.SliceStable(seen, func(i, j int) bool {
-			return seen[i][f]*seen[j].of(f) > seen[j][f]*seen[i].of(f)
-		})
-		left := sound.of(f)
-		for i := 0; i < (len(seen)+3)/4 && len(seen) > 1; i++ {
-			sound[f] -= seen[i][f]
-			left -= seen[i].of(f)
-		}
-		sound[f] *= sound.of(f) / math.Max(left, 1)
+	if !newest || len(seen) == 0 {
+		return sound
 	}
+	sort.SliceStable(seen, func(i, j int) bool {
+		return seen[i][figSlow]*seen[j][figPaced] > seen[j][figSlow]*seen[i][figPaced]
+	})
+	left := sound[figPaced]
+	for _, e := range seen[:(len(seen)+3)/4] {
+		sound[figSlow] -= e[figSlow]
+		left -= e[figPaced]
+	}
+	sound[figSlow] *= sound[figPaced] / math.Max(left, 1)
 	return sound
 }
 
@@ -924,26 +821,6 @@
 	return n >= leastSlow && before[figPaced] >= leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
 }
 
-// slower says whether legs took some times longer than the mean logarithm of their usual time says.
-func slower(c counts, usual, usualErr, times float64) bool {
-	m, err := c.slowness()
-	return m-usual > math.Log(times) && m-usual > flagErrors*math.Hypot(err, usualErr)
-}
-
-func worse(newer, before counts, f int, points, outcomes float64, pooled bool) bool {
-	n1, n0 := newer.of(f), before.of(f)
-	if n1 < leastCount || n0 < leastCount {
-		return false
-	}
-	p1, p0 := newer[f]/n1, before[f]/n0
-	err := math.Sqrt(p1*(1-p1)/n1 + p0*(1-p0)/n0)
-	if pooled {
-		p := (newer[f] + before[f]) / (n1 + n0)
-		err = math.Sqrt(p * (1 - p) * (1/n1 + 1/n0))
-	}
-	return p1-p0 >= points && p1-p0 > flagErrors*err && newer[f]-p0*n1 > outcomes
-}
-
 // set gives the relays that fuse: the lowest-numbered few, of those that are not lost. Each of them is heard
 // of every second; one that falls silent is passed over until it is heard again.
 func (f *fuser) set() (nos []relay.RelayNo) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -153,7 +153,7 @@
 }
 
 func TestFlag(t *testing.T) {
-	before := counts{figCount: 2000, figFailed: 20, figAlone: 2000, figPaced: 2000}
+	before := counts{figCount: 2000, figFailed: 20, figPaced: 2000}
 	for name, c := range map[string]struct {
 		newer  counts
 		pooled bool
@@ -165,7 +165,7 @@
 		"under five points":             {counts{figCount: 400, figFailed: 16}, false, false},
 		"the same, pooled":              {counts{figCount: 400, figFailed: 16}, true, true},
 		"pooled, few failures":          {counts{figCount: 60, figFailed: 4}, true, false},
-		"late":                          {counts{figCount: 50, figAlone: 40, figLate: 10}, false, true},
+		"late":                          {counts{figCount: 50, figLate: 10}, false, true},
 		"twice as slow, few legs":       {counts{figCount: 100, figPaced: 40, figMatched: 40, figSlow: 28, figSquare: 30}, true, false},
 		"twice as slow, many":           {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60}, true, true},
 		"as slow as the hour": {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60, figDue: 50},
@@ -203,9 +203,9 @@
 	clean, bad := word{verdict: verdict{n: 30}}, word{verdict: verdict{flag: true, n: 30}}
 	few := word{} // ten legs at two units of the newest build, of which three fail; forty at an earlier one
 	for i := 0; i < 50; i++ {
-		s := sighting{unit: markOf(1), alone: true}
+		s := sighting{unit: markOf(1)}
 		if i < 10 {
-			s = sighting{unit: markOf(relay.UnitID(20 + i%2)), newest: true, alone: true}
+			s = sighting{unit: markOf(relay.UnitID(20 + i%2)), newest: true}
 		}
 		if i < 9 && i%3 == 0 {
 			s.how = relay.Errored
@@ -232,7 +232,7 @@
 func TestMemo(t *testing.T) {
 	m := memo{build: 300, stage: 2, verdicts: []verdict{{true, 40}, {}}, seen: []sighting{
 		{unit: markOf(7), category: 40, how: relay.TimedOut, newest: true, late: true, depth: 5, pace: 2},
-		{unit: markOf(8), young: true, alone: true}}}
+		{unit: markOf(8), young: true}}}
 	f := finding{build: 300, stage: 2, vote: relay.VoteBack}
 	for _, want := range []note{noteMemo{3, m}, noteFinding{3, f}} {
 		var b []byte
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,7 +69,6 @@
 	open   bool
 	mayRan bool // it is out, or ended without proof that it never ran
 	depth  int  // own legs that the unit held when it was sent
-	alone  bool // that was no more than usual: no longer queue of ours
 }
 
 // query is one query that this relay has taken.
@@ -131,16 +130,15 @@
 	since   relay.Seconds // when it was first counted on as a fuser; 0: never
 }
 
-// counts are outcomes of one build in one category: all and failed ones; those alone, and of these the late
-// ones; those whose usual pace is known, and of these how slow they were.
+// counts are outcomes of one build in one category: all, failed and late ones; those whose usual pace is known,
+// and how slow they were.
 type counts [figures]float64
 
 const (
 	figCount = iota
 	figFailed
-	figAlone
 	figLate
-	figPaced
+	figPaced   // the figures from here on are of the last few buckets alone
 	figSlow    // sum of the logarithms of their pace over the usual one
 	figSquare  // sum of the squares of these
 	figMatched // paced ones of the newest build while earlier machines showed how the hour is
@@ -148,17 +146,6 @@
 	figures
 )
 
-// of gives the count that a figure is a share of.
-func (c *counts) of(figure int) float64 {
-	switch figure {
-	case figLate:
-		return c[figAlone]
-	case figSlow:
-		return c[figPaced]
-	}
-	return c[figCount]
-}
-
 // slowness is the mean logarithm of the pace over the usual one, and its standard error.
 func (c *counts) slowness() (m, err float64) {
 	n := math.Max(c[figPaced], 1)
@@ -200,6 +187,51 @@
 	fuser  fuser
 }
 
+// Step takes what has happened up to now and returns what to do about it.
+func (p *Policy) Step(now relay.Seconds, events []relay.Event) []relay.Order {
+	p.now, p.out = math.Max(now, p.now), p.out[:0]
+	if !p.begun {
+		p.begun = true
+		p.do(relay.Wake{ID: 1, At: p.now + tick})
+		if p.set.RosterOnAsk {
+			p.roster.ask()
+		}
+	}
+	// All of a batch has happened by now: what it tells of units and builds holds for its queries too.
+	for _, e := range events {
+		switch e := e.(type) {
+		case relay.Roster:
+			p.post(&p.roster, e)
+		case relay.StageNews:
+			p.post(&p.trial, e)
+			p.post(&p.fuser, e)
+		}
+		p.drain()
+	}
+	woken := false
+	for _, e := range events {
+		switch e := e.(type) {
+		case relay.Woken:
+			woken = true
+		case relay.Heard:
+			if n, err := decode(e.From, e.Body); err == nil {
+				p.post(&p.fuser, n)
+			}
+		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
+			p.post(&p.desk, e)
+		}
+		p.drain()
+	}
+	if woken {
+		p.do(relay.Wake{ID: 1, At: p.now + tick})
+		for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
+			p.post(a, noteTick{})
+		}
+		p.drain()
+	}
+	return p.out
+}
+
 // roster keeps the list of units and the watch on it.
 type roster struct {
 	p       *Policy
@@ -245,7 +277,6 @@
 	inTime   int            // of these, with an answer owed that may still be in time
 	pace     mean           // the fleet's leg time over expected work
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
-	depth    mean           // own legs that a unit usually holds, held like paces
 	usual    mean           // leg time
 	links    ring           // legs ended, and those of them without a connection
 	flow     ring           // legs sent to warm units
