--- a/policy/policy.go
+++ b/policy/policy.go
@@ -238,8 +238,10 @@
 // witness learns what a leg shows of the unit and its build, whichever relay sent it.
 func (u *unit) witness(s sighting, by int) {
 	m := miss(s.how)
-	if u.misses += badStep * (m - u.misses); m == 1 && u.misses >= brokenAt || s.how == relay.Broken {
-		u.brokenOn = u.p.now
+	if !s.how.NeverRan() { // what a full table or a refused connection shows is not the machine's doing
+		if u.misses += badStep * (m - u.misses); m == 1 && u.misses >= brokenAt || s.how == relay.Broken {
+			u.brokenOn = u.p.now
+		}
 	}
 	usual := u.p.desk.usualPace(u.Kind, s.depth)
 	if s.how == relay.Honoured && s.pace > 0 {
