Draw units by size and their kind's speed over all relays; blame the fleet's slowness from a tenth on

Fusers tell each kind's pace, a byte a kind; units are drawn by it and by the size that the roster gives.

--- a/policy/memo.go
+++ b/policy/memo.go
@@ -41,6 +41,7 @@
 	build relay.Build
 	stage relay.Stage
 	vote  relay.Verdict
+	paces []float64 // by kind of machine, over all relays' legs; 0: not known
 }
 
 // mark is a unit's id in few bytes.
@@ -53,6 +54,7 @@
 	memoForm    = 3
 	findingForm = 4
 	memoMost    = 1 << 20 // figures above this are not believed
+	mostKinds   = 16      // kinds of machine told apart
 	memoLegs    = 36      // sightings in one memo, which may hold 256 bytes
 )
 
@@ -72,6 +74,21 @@
 	return 0
 }
 
+// fewer puts a pace in one byte, to an eighth of a doubling, and full takes it out again; 0 stands as 0.
+func fewer(pace float64) byte {
+	if !(pace > 0) {
+		return 0
+	}
+	return byte(math.Min(math.Max(math.Round(8*math.Log2(pace))+128, 1), 255))
+}
+
+func full(b byte) float64 {
+	if b == 0 {
+		return 0
+	}
+	return math.Exp2((float64(b) - 128) / 8)
+}
+
 func (m memo) encode() []byte {
 	b := header(memoForm, m.build, m.stage)
 	b = binary.AppendUvarint(b, uint64(len(m.verdicts)))
@@ -82,17 +99,17 @@
 	for _, s := range m.seen {
 		b = appendMark(b, s.unit)
 		b = binary.AppendUvarint(b, uint64(s.category)<<2|uint64(bit(s.young, 1)|bit(s.newest, 0)))
-		pace := byte(0)
-		if s.pace > 0 {
-			pace = byte(math.Min(math.Max(math.Round(8*math.Log2(s.pace))+128, 1), 255))
-		}
-		b = append(b, byte(s.how)&7|byte(s.depth)&7<<3|bit(s.late, 7), pace)
+		b = append(b, byte(s.how)&7|byte(s.depth)&7<<3|bit(s.late, 7), fewer(s.pace))
 	}
 	return b
 }
 
 func (f finding) encode() []byte {
-	return append(header(findingForm, f.build, f.stage), byte(f.vote))
+	b := append(header(findingForm, f.build, f.stage), byte(f.vote), byte(len(f.paces)))
+	for _, p := range f.paces {
+		b = append(b, fewer(p))
+	}
+	return b
 }
 
 // cursor reads a memo; what it reads past the end is zero, and an error.
@@ -143,6 +160,9 @@
 	build, stage := relay.Build(c.number()), relay.Stage(c.number())
 	if body[1] == findingForm {
 		f := finding{build: build, stage: stage, vote: relay.Verdict(c.take(1)[0])}
+		for i := c.take(1)[0]; i > 0 && c.err == nil; i-- {
+			f.paces = append(f.paces, full(c.take(1)[0]))
+		}
 		return noteFinding{from, f}, c.end()
 	}
 	m := memo{build: build, stage: stage}
@@ -157,9 +177,7 @@
 		b := c.take(2)
 		s.how, s.depth = relay.Outcome(b[0]&7), int(b[0]>>3&7)
 		s.late = b[0]&128 != 0
-		if b[1] > 0 {
-			s.pace = math.Exp2((float64(b[1]) - 128) / 8)
-		}
+		s.pace = full(b[1])
 		m.seen = append(m.seen, s)
 	}
 	return noteMemo{from, m}, c.end()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,6 +58,7 @@
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
+	leastDose       = 0.1  // of the fleet that must run the build for the fleet's slowness to be its doing
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -68,16 +69,18 @@
 	voteOver     = 1.1 // times the needed votes that are cast at once: some relays are dead or cut off
 	callGrace    = 0.5 // s past the platform's own time-out before a vote counts as lost
 
-	badStep     = 0.25 // weight of one outcome in a unit's failure figure: two failures make a suspect
-	badHalf     = 4.0  // s in which that figure halves: a suspect gets a leg every few seconds to earn its way
-	suspectAt   = 0.3  // failure figure of a suspect
-	brokenAt    = 0.5  // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
-	suspectFirm = 0.1  // the same for queries that can't be sent again after an error
-	paceStep    = 0.2  // weight of one answer in a unit's pace
-	paceFleet   = 0.02 // the same in the fleet's
-	paceHalf    = 3.0  // s in which the pace of a silent unit goes half way back to the fleet's
-	quietShare  = 1.0  // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
-	crossCost   = 1.6  // times the cost in another zone, where crossing has a price
+	badStep     = 0.25  // weight of one outcome in a unit's failure figure: two failures make a suspect
+	badHalf     = 4.0   // s in which that figure halves: a suspect gets a leg every few seconds to earn its way
+	suspectAt   = 0.3   // failure figure of a suspect
+	brokenAt    = 0.5   // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
+	suspectFirm = 0.1   // the same for queries that can't be sent again after an error
+	paceStep    = 0.2   // weight of one answer in a unit's pace
+	paceFleet   = 0.02  // the same in the fleet's
+	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
+	kindPower   = 1.0   // of a kind's speed in a random choice: a share by speed
+	paceHalf    = 3.0   // s in which the pace of a silent unit goes half way back to the fleet's
+	quietShare  = 1.0   // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
+	crossCost   = 1.6   // times the cost in another zone, where crossing has a price
 
 	linkBuckets = 12  // 6 s of legs that tell how many connects fail: a few legs of a small relay
 	linkShare   = 0.1 // of legs that get no connection from which units with a standing one come first
@@ -245,6 +248,7 @@
 	}
 	usual := u.p.desk.usualPace(u.Kind, s.depth)
 	if s.how == relay.Honoured && s.pace > 0 {
+		u.p.desk.kind(u.Kind).add(s.pace, paceKind)
 		u.p.desk.learnPace(u, s.pace, s.depth)
 	}
 	if c := int(s.category); !s.how.NeverRan() && !s.young && s.newest == u.newest() && c >= 0 && c < len(u.p.rows) {
@@ -854,6 +858,11 @@
 	case noteFinding:
 		if int(n.from) < len(f.heard) {
 			f.heard[n.from].found, f.heard[n.from].foundAt = n.finding, f.p.now
+			for k, pace := range n.finding.paces {
+				if m := f.p.desk.kind(relay.Kind(k)); !f.fusing && pace > 0 {
+					*m = mean{pace, leastPace}
+				}
+			}
 		}
 	case relay.StageNews:
 		if n.Reply != relay.Unasked {
@@ -908,6 +917,9 @@
 		(f.found != want || f.p.now-f.foundAt >= verdictEvery) {
 		f.found, f.foundAt = want, f.p.now
 		m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict}
+		for _, k := range f.p.desk.kinds {
+			m.paces = append(m.paces, k.v)
+		}
 		f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
 	}
 }
@@ -971,7 +983,7 @@
 	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := t.fleet()
 	calm, err := t.calm.slowness()
-	late = fleet[figPaced] >= leastSlow && t.calm[figPaced] >= leastSlow && slower(fleet, calm, err, fleetTimes)
+	late = t.part >= leastDose && fleet[figPaced] >= leastSlow && t.calm[figPaced] >= leastSlow && slower(fleet, calm, err, fleetTimes)
 	return back, late, all[0][figCount]
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -276,6 +276,7 @@
 	open     []*query       // those with an answer owed or legs out, in order of arrival
 	inTime   int            // of these, with an answer owed that may still be in time
 	pace     mean           // the fleet's leg time over expected work
+	kinds    []mean         // the same by kind of machine, over all relays
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
 	usual    mean           // leg time
 	links    ring           // legs ended, and those of them without a connection
