--- a/policy/memo.go
+++ b/policy/memo.go
@@ -182,3 +182,56 @@
 	}
 	return noteMemo{from, m}, c.end()
 }
+
+// sight is how a leg ended, as the fusers are told.
+func (u *unit) sight(n noteOutcome) sighting {
+	s := sighting{unit: markOf(u.id), category: n.category, how: n.how, newest: u.newest(),
+		young: n.leg.age < youngUnit, late: n.took > n.due || n.how == relay.TimedOut,
+		depth: min(n.leg.depth, depths-1)}
+	if n.leg.depth < depths && n.how != relay.Errored && n.how != relay.Broken && !n.how.NeverRan() {
+		s.pace = n.took / math.Max(n.work, 1e-3)
+	}
+	return s
+}
+
+// tell sends a memo with the legs not told yet to every fuser, in as many as they need.
+func (t *trial) tell(m memo) {
+	for t.p.set.Limits.Messages && t.p.set.Relays > 1 {
+		n := min(len(t.untold), memoLegs)
+		m.seen = t.untold[:n]
+		body := m.encode()
+		for _, no := range t.p.fuser.set() {
+			if no != t.p.set.Self {
+				t.p.do(relay.Tell{To: no, Body: body})
+			}
+		}
+		if t.untold = t.untold[n:]; len(t.untold) == 0 {
+			break
+		}
+	}
+	t.untold = nil
+}
+
+// tell sends this fuser's finding to every relay.
+func (f *fuser) tell(want relay.Vote) {
+	m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict}
+	for _, k := range f.p.desk.kinds {
+		m.paces = append(m.paces, k.v)
+	}
+	f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
+}
+
+// count gives the fusers heard of late, and how many of them find each vote for the build and stage.
+func (f *fuser) count(want relay.Vote) (votes [relay.VoteBack + 1]int, found int) {
+	for i := range f.heard {
+		h := &f.heard[i]
+		if h.foundAt == 0 || f.p.now-h.foundAt > fuserSilence || h.found.vote > relay.VoteBack {
+			continue
+		}
+		found++
+		if h.found.build == want.Build && (h.found.stage == want.Stage || h.found.vote == relay.VoteBack) {
+			votes[h.found.vote]++
+		}
+	}
+	return votes, found
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,7 +53,7 @@
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
-	slowTimes       = 1.35 // times the earlier machines' leg time that a flag needs: a good build may be a little slower
+	slowTimes       = 1.5  // times the earlier machines' leg time that a flag needs: queues stretch differences
 	fleetTimes      = 1.3  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
@@ -65,7 +65,7 @@
 	fuserSilence = 3.0 // s without a finding after which a fuser counts as lost: three findings
 	voteRenew    = 0.5 // of a vote's life after which it is cast again: one lost renewal is survived
 	voteGap      = 0.4 // s at least between two votes of one relay
-	voteSpare    = 1.0 // s after which relays beyond the needed number vote too: news of a success is there by then
+	voteSpare    = 1.0 // s after which relays beyond the needed ones vote too: news of a success is there
 	voteOver     = 1.1 // times the needed votes that are cast at once: some relays are dead or cut off
 	callGrace    = 0.5 // s past the platform's own time-out before a vote counts as lost
 
@@ -113,15 +113,7 @@
 		p.rows = append(p.rows, row{repeat: c.Repeat, group: c.Group, window: c.RepeatWindow, due: c.DueTime,
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
-	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
-	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
-		links: newRing(flowWidth, linkBuckets, 2)}
-	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
-		mix: newRing(flowWidth, flowCount, len(set.Customers)+1)}
-	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
-		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
-		last: [2][]counts{make([]counts, len(p.rows)), make([]counts, len(p.rows))}}
-	p.fuser = fuser{p: p, heard: make([]heard, max(set.Relays, int(set.Self)+1))}
+	p.assemble()
 	return p
 }
 
@@ -181,17 +173,9 @@
 // send what the rule allows, even if they had no other unit. A small relay would then leave a cold unit
 // alone for its whole youth; so where there are warm units to choose from, most relays may send one at once.
 func (r *roster) firstLegs(e relay.UnitEntry) float64 {
-	warm, all := 0.0, 1.0
-	for _, u := range r.units {
-		if u.State == relay.Ready && u.id != e.Unit {
-			all++
-			if u.warmth() >= 1 {
-				warm++
-			}
-		}
-	}
 	rules := &r.p.set.Rules
-	if r.p.rng.Float64() < warm/all*math.Min(1, rules.FallMultiple*rules.ColdFrom*coldPart) {
+	warm, all := r.warm(e.Unit)
+	if r.p.rng.Float64() < warm/(all+1)*math.Min(1, rules.FallMultiple*rules.ColdFrom*coldPart) {
 		return 1
 	}
 	return r.p.rng.Float64()
@@ -215,16 +199,9 @@
 	if n.leg.build != u.Build {
 		return
 	}
-	s := sighting{unit: markOf(u.id), category: n.category, how: n.how, newest: u.newest(),
-		young: n.leg.age < youngUnit, late: n.took > n.due || n.how == relay.TimedOut,
-		depth: min(n.leg.depth, depths-1)}
-	if n.leg.depth < depths && n.how != relay.Errored && n.how != relay.Broken && !n.how.NeverRan() {
-		s.pace = ratio
-	}
+	s := u.sight(n)
 	u.witness(s, own)
-	if u.p.set.Limits.Messages && u.p.set.Relays > 1 {
-		u.p.trial.untold = append(u.p.trial.untold, s)
-	}
+	u.p.trial.untold = append(u.p.trial.untold, s)
 }
 
 // miss is what an outcome adds to a failure figure. A unit that is full is no suspect for that alone.
@@ -251,7 +228,8 @@
 		u.p.desk.kind(u.Kind).add(s.pace, paceKind)
 		u.p.desk.learnPace(u, s.pace, s.depth)
 	}
-	if c := int(s.category); !s.how.NeverRan() && !s.young && s.newest == u.newest() && c >= 0 && c < len(u.p.rows) {
+	known := s.category >= 0 && int(s.category) < len(u.p.rows)
+	if known && !s.how.NeverRan() && !s.young && s.newest == u.newest() {
 		u.record(s, by, usual)
 	}
 }
@@ -357,12 +335,7 @@
 
 // look goes over the open queries: held ones, due times, patience.
 func (d *desk) look() {
-	warm := 0.0
-	for _, u := range d.p.roster.units {
-		if u.State == relay.Ready && u.warmth() >= 1 {
-			warm++
-		}
-	}
+	warm, _ := d.p.roster.warm(0)
 	d.warmFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(warm, 1)
 	left := d.open[:0]
 	for _, q := range d.open {
@@ -428,8 +401,8 @@
 	return old
 }
 
-// best is the cheaper of two random choices among the units that look sound; among all, where none does. While
-// connects fail, units that hold a connection come first: it guards against all that makes new ones dear or rare.
+// best is the cheaper of two random choices among the units that look sound; among all, where none does.
+// While connects fail, units that hold a connection come first, whatever makes new ones dear or rare.
 func (d *desk) best(q *query, units []*unit) *unit {
 	limit := suspectAt
 	if q.row.repeat == relay.AtMostOnce {
@@ -450,20 +423,16 @@
 		}
 		pools[i] = append(pools[i], u)
 	}
-	pool := units
-	for i := len(pools) - 1; i >= 0; i-- {
-		if len(pools[i]) > 0 {
-			pool = pools[i]
+	for _, pool := range [...][]*unit{pools[0], pools[1], pools[2], units} {
+		if len(pool) > 0 {
+			a := d.draw(pool)
+			if b := d.draw(pool); b.cost() < a.cost() {
+				return b
+			}
+			return a
 		}
 	}
-	if len(pool) == 0 {
-		return nil
-	}
-	a := d.draw(pool)
-	if b := d.draw(pool); b.cost() < a.cost() {
-		return b
-	}
-	return a
+	return nil
 }
 
 // may is the guard that every leg passes: rules 2 to 5.
@@ -690,20 +659,7 @@
 	t.toldAt = t.p.now
 	m := memo{build: t.news.Build, stage: t.news.Stage, verdicts: append([]verdict(nil), t.mine...)}
 	t.p.post(&t.p.fuser, noteMemo{t.p.set.Self, m})
-	for t.p.set.Limits.Messages && t.p.set.Relays > 1 {
-		n := min(len(t.untold), memoLegs)
-		m.seen = t.untold[:n]
-		body := m.encode()
-		for _, no := range t.p.fuser.set() {
-			if no != t.p.set.Self {
-				t.p.do(relay.Tell{To: no, Body: body})
-			}
-		}
-		if t.untold = t.untold[n:]; len(t.untold) == 0 {
-			break
-		}
-	}
-	t.untold = nil
+	t.tell(m)
 }
 
 // list notes when most units of the present stage are listed, and what part of the fleet they can take.
@@ -889,17 +845,7 @@
 		f.fusing = f.fusing || no == f.p.set.Self
 	}
 	want := relay.Vote{Build: t.news.Build, Stage: t.news.Stage}
-	votes, found := [relay.VoteBack + 1]int{}, 0
-	for i := range f.heard {
-		h := &f.heard[i]
-		if h.foundAt == 0 || f.p.now-h.foundAt > fuserSilence || h.found.vote > relay.VoteBack {
-			continue
-		}
-		found++
-		if h.found.build == want.Build && (h.found.stage == want.Stage || h.found.vote == relay.VoteBack) {
-			votes[h.found.vote]++
-		}
-	}
+	votes, found := f.count(want)
 	if f.fusing || found == 0 {
 		want.Verdict = f.wish()
 	} else if t.judging() {
@@ -916,11 +862,7 @@
 	if f.fusing && f.p.set.Limits.Messages && f.p.set.Relays > 1 &&
 		(f.found != want || f.p.now-f.foundAt >= verdictEvery) {
 		f.found, f.foundAt = want, f.p.now
-		m := finding{build: want.Build, stage: want.Stage, vote: want.Verdict}
-		for _, k := range f.p.desk.kinds {
-			m.paces = append(m.paces, k.v)
-		}
-		f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
+		f.tell(want)
 	}
 }
 
@@ -983,7 +925,8 @@
 	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := t.fleet()
 	calm, err := t.calm.slowness()
-	late = t.part >= leastDose && fleet[figPaced] >= leastSlow && t.calm[figPaced] >= leastSlow && slower(fleet, calm, err, fleetTimes)
+	late = t.part >= leastDose && math.Min(fleet[figPaced], t.calm[figPaced]) >= leastSlow &&
+		slower(fleet, calm, err, fleetTimes)
 	return back, late, all[0][figCount]
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -75,7 +75,8 @@
 					seen: []sighting{{unit: markOf(3), how: relay.Errored}, {unit: 77, category: 9}}}
 				f := finding{build: build, stage: stage, vote: relay.Verdict(rapid.IntRange(0, 3).Draw(t, "find")),
 					paces: make([]float64, 20)}
-				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 0, Body: f.encode()}, relay.Heard{From: 99, Body: []byte{1}},
+				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 0, Body: f.encode()},
+					relay.Heard{From: 1, Body: m.encode()[:9]}, relay.Heard{From: 99, Body: []byte{1}},
 					relay.StageNews{Reply: relay.MaybeCounted}, relay.Tally{}, relay.JudgedWrong{}, relay.Probed{})
 			case 3:
 				for id := relay.QueryID(0); id < w.next; id++ {
--- a/policy/state.go
+++ b/policy/state.go
@@ -130,8 +130,8 @@
 	since   relay.Seconds // when it was first counted on as a fuser; 0: never
 }
 
-// counts are outcomes of one build in one category: all, failed and late ones; those whose usual pace is known,
-// and how slow they were.
+// counts are outcomes of one build in one category: all, failed and late ones; those whose usual pace is
+// known, and how slow they were.
 type counts [figures]float64
 
 const (
@@ -232,6 +232,19 @@
 	return p.out
 }
 
+// assemble makes the parts.
+func (p *Policy) assemble() {
+	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
+	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
+		links: newRing(flowWidth, linkBuckets, 2)}
+	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
+		mix: newRing(flowWidth, flowCount, len(p.set.Customers)+1)}
+	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
+		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
+		last: [2][]counts{make([]counts, len(p.rows)), make([]counts, len(p.rows))}}
+	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
+}
+
 // roster keeps the list of units and the watch on it.
 type roster struct {
 	p       *Policy
