Spare a cold unit when it alone is left; share the trial by what own legs show

The first leg now counts only while warm units that may be used are there, looked at when it is sent; the budget goes by the even part of all legs rather than by the flow to warm units. The trial's share may go up to twice its warm part where own open legs show how full a unit is; the fleet counts as slower from 1.4 times.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowTimes       = 1.5  // times the earlier machines' leg time that a flag needs: queues stretch differences
-	fleetTimes      = 1.3  // times the fleet's leg time before the trial that stops a vote on
+	fleetTimes      = 1.4  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
@@ -147,7 +147,7 @@
 		// A fresh start, or another build under an old id, is a new process: nothing known of the old holds.
 		if !u.met || n.Build != u.Build || n.Started && n.StartedAt != u.StartedAt {
 			u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
-			u.cold, u.coldAt = u.p.roster.firstLegs(n), u.p.now
+			u.cold, u.coldAt, u.first = u.p.rng.Float64(), u.p.now, u.p.rng.Float64()
 			u.seen[own].reset()
 			u.seen[told].reset()
 		}
@@ -169,18 +169,6 @@
 	}
 }
 
-// firstLegs is the budget that a unit starts with. Spread evenly over the relays it lets all of them together
-// send what the rule allows, even if they had no other unit. A small relay would then leave a cold unit
-// alone for its whole youth; so where there are warm units to choose from, most relays may send one at once.
-func (r *roster) firstLegs(e relay.UnitEntry) float64 {
-	rules := &r.p.set.Rules
-	warm, all := r.warm(e.Unit)
-	if r.p.rng.Float64() < warm/(all+1)*math.Min(1, rules.FallMultiple*rules.ColdFrom*coldPart) {
-		return 1
-	}
-	return r.p.rng.Float64()
-}
-
 // ended learns from the end of a leg.
 func (u *unit) ended(n noteOutcome) {
 	if n.how == relay.Cancelled || n.how == relay.NotSent {
@@ -247,14 +235,24 @@
 	return c
 }
 
-// coldLeft is the budget of legs for a cold unit by now. This relay's own flow to a warm unit stands for
-// its part of what such a unit can take, so all relays together keep rule 4 however unlike they are.
+// coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's legs stands for
+// what it can take when warm, so all relays together keep rule 4 however unlike they are, even if they had no
+// other unit. (The flow to warm units would not do: while half a fleet is cold they get more than they can take.)
 func (u *unit) coldLeft() float64 {
 	r := &u.p.set.Rules
-	rate := u.p.desk.warmFlow * u.warmth() * r.FallMultiple * coldPart
+	rate := u.p.desk.evenFlow * u.warmth() * r.FallMultiple * coldPart
 	return math.Min(math.Max(1, rate*r.FallTime*coldBurst), u.cold+rate*(u.p.now-u.coldAt))
 }
 
+// spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay would
+// leave a cold unit alone for its whole youth; so while there are warm units to choose from, most relays may
+// send one leg at once. That ends as soon as the choice does: a build that goes back leaves only cold units.
+func (u *unit) spared() bool {
+	r := &u.p.set.Rules
+	return u.warmth() < 1 && u.coldLeft() < 1 &&
+		u.first >= u.p.desk.choice*math.Min(1, r.FallMultiple*r.ColdFrom*coldPart)
+}
+
 func (d *desk) take(n note) {
 	switch n := n.(type) {
 	case relay.Query:
@@ -335,8 +333,9 @@
 
 // look goes over the open queries: held ones, due times, patience.
 func (d *desk) look() {
-	warm, _ := d.p.roster.warm(0)
-	d.warmFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(warm, 1)
+	warm, all := d.p.roster.warm()
+	d.choice = warm / math.Max(all, 1)
+	d.evenFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(all, 1)
 	left := d.open[:0]
 	for _, q := range d.open {
 		out := q.out()
@@ -460,10 +459,7 @@
 			}
 		}
 	}
-	if u.warmth() < 1 && u.coldLeft() < 1 {
-		return false
-	}
-	return p.trial.may(q, u.Build)
+	return !u.spared() && p.trial.may(q, u.Build)
 }
 
 // send is where every leg goes out.
@@ -472,10 +468,9 @@
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
 		age: p.now - u.started, open: true, mayRan: true, depth: u.open})
 	if u.warmth() < 1 {
-		u.cold, u.coldAt = u.coldLeft()-1, p.now
-	} else {
-		d.flow.add(p.now, 0, 1)
+		u.cold, u.coldAt, u.first = math.Max(0, u.coldLeft()-1), p.now, 1
 	}
+	d.flow.add(p.now, 0, 1)
 	p.trial.spend(q, u.Build)
 	p.post(u, noteSent{})
 	p.do(relay.SendLeg{Query: q.ID, Unit: u.id})
@@ -590,7 +585,7 @@
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
 		x.hard[i] = math.Min(x.hard[i]+x.cap, most)
-		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.part), most)
+		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), most)
 	}
 }
 
@@ -670,7 +665,7 @@
 			continue
 		}
 		w := u.warmth()
-		if w < 1 && u.coldLeft() < 1 {
+		if u.spared() {
 			w = 0 // what this relay may not send there must not fall on the others of the build
 		}
 		all += w
@@ -682,6 +677,8 @@
 		}
 	}
 	t.part = warm / math.Max(all, 1)
+	// Where own legs show how full a unit is, its cost bounds what it gets; a small relay sees nothing of it.
+	t.room = t.part * (1 + math.Min(1, float64(t.p.desk.inTime)/math.Max(newer+earlier, 1)))
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -274,6 +274,7 @@
 	paceAt   relay.Seconds
 	cold     float64 // legs that the cold budget holds, as of coldAt
 	coldAt   relay.Seconds
+	first    float64 // a chance, for the first leg while it is cold; 1: spent
 	seen     [2]ring // evidence: counts by category; own, and told by others
 }
 
@@ -293,8 +294,9 @@
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
 	usual    mean           // leg time
 	links    ring           // legs ended, and those of them without a connection
-	flow     ring           // legs sent to warm units
-	warmFlow float64
+	flow     ring           // legs sent
+	choice   float64        // part of the ready units that are warm and may be used
+	evenFlow float64        // a second, to each ready unit if all got the same
 }
 
 // gate denies new queries while more are open than can be answered in time at the pace of late. It guards
@@ -321,6 +323,7 @@
 	untold   []sighting                // legs that the fusers have not been told of
 	before   mean                      // logarithm of pace over the usual one at the earlier machines just now
 	beforeAt relay.Seconds             // last leg there
+	room     float64                   // part of the queries that it may get by that
 	part     float64                   // of the ready fleet's capacity that runs the build on trial
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
