--- a/policy/policy.go
+++ b/policy/policy.go
@@ -389,12 +389,8 @@
 			earlier = append(earlier, u)
 		}
 	}
-	old := d.best(q, earlier)
-	if old != nil && (len(onTrial) == 0 || !d.p.trial.within(q)) {
-		return old
-	}
-	fresh := d.best(q, onTrial)
-	if old == nil || fresh != nil && fresh.cost() <= old.cost() {
+	old, fresh := d.best(q, earlier), d.best(q, onTrial)
+	if old == nil || fresh != nil && d.p.trial.within(q, fresh.Build) && fresh.cost() <= old.cost() {
 		return fresh
 	}
 	return old
@@ -578,14 +574,12 @@
 	return t.news.Cap, t.news.Stage, true
 }
 
-// took adds a query's part to the budgets. They are buckets that never hold more than the rule's
+// took adds a query's part to the rule's budgets. They are buckets that never hold more than the rule's
 // uncounted legs, so every window of any length keeps the cap.
 func (t *trial) took(q *query) {
-	most := t.p.set.Rollout.Uncounted
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
-		x.hard[i] = math.Min(x.hard[i]+x.cap, most)
-		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), most)
+		x.hard[i] = math.Min(x.hard[i]+x.cap, t.p.set.Rollout.Uncounted)
 	}
 }
 
@@ -606,13 +600,20 @@
 	return x.hard[x.slot(q.Category)] >= 1-1e-9
 }
 
-// within says whether the design's share of the cap leaves room for one more leg.
-func (t *trial) within(q *query) bool {
-	x := t.limit(t.news.Build)
+// within says whether the design's share of the cap leaves room for one more leg at a build on trial, be it
+// announced here or not.
+func (t *trial) within(q *query, b relay.Build) bool {
+	x := t.limit(b)
 	return x.soft[x.slot(q.Category)] >= 1-1e-9
 }
 
+// spend takes a leg off the budgets. The design's share is one of the legs sent: in an overload far more queries
+// are taken than sent on, and a share of these would push the build's few units over.
 func (t *trial) spend(q *query, b relay.Build) {
+	for _, x := range t.limits {
+		i := x.slot(q.Category)
+		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), t.p.set.Rollout.Uncounted)
+	}
 	if _, _, onTrial := t.capOf(b); onTrial {
 		x := t.limit(b)
 		x.hard[x.slot(q.Category)]--
@@ -669,9 +670,11 @@
 			w = 0 // what this relay may not send there must not fall on the others of the build
 		}
 		all += w
+		if _, _, onTrial := t.capOf(u.Build); onTrial {
+			warm += w
+		}
 		if u.newest() {
 			newer++
-			warm += w
 		} else {
 			earlier++
 		}
