Take the trial's unit up to 1.5 times the earlier one's cost; a flag from 1.35 times as slow

Cause: a build that turns slow late got a quarter of its share at full size, so too little was known of it. A small relay knows few paces; the better of two earlier units was mostly one that it remembered as quick, and the trial's unit, of unknown pace, lost. Harm possible: a trial's unit may be half as loaded again as the others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,7 +53,7 @@
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
-	slowTimes       = 1.5  // times the earlier machines' leg time that a flag needs: queues stretch differences
+	slowTimes       = 1.35 // times the earlier machines' leg time that a flag needs: queues stretch differences
 	fleetTimes      = 1.4  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
@@ -79,6 +79,7 @@
 	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
 	kindPower   = 1.0   // of a kind's speed in a random choice: a share by speed
 	paceHalf    = 3.0   // s in which the pace of a silent unit goes half way back to the fleet's
+	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: few paces are known there
 	quietShare  = 1.0   // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
 	crossCost   = 1.6   // times the cost in another zone, where crossing has a price
 
@@ -187,9 +188,8 @@
 	if n.leg.build != u.Build {
 		return
 	}
-	s := u.sight(n)
-	u.witness(s, own)
-	u.p.trial.untold = append(u.p.trial.untold, s)
+	u.witness(u.sight(n), own)
+	u.p.trial.untold = append(u.p.trial.untold, u.sight(n))
 }
 
 // miss is what an outcome adds to a failure figure. A unit that is full is no suspect for that alone.
@@ -390,7 +390,7 @@
 		}
 	}
 	old, fresh := d.best(q, earlier), d.best(q, onTrial)
-	if old == nil || fresh != nil && d.p.trial.within(q, fresh.Build) && fresh.cost() <= old.cost() {
+	if old == nil || fresh != nil && d.p.trial.within(q, fresh.Build) && fresh.cost() <= trialDear*old.cost() {
 		return fresh
 	}
 	return old
@@ -600,8 +600,7 @@
 	return x.hard[x.slot(q.Category)] >= 1-1e-9
 }
 
-// within says whether the design's share of the cap leaves room for one more leg at a build on trial, be it
-// announced here or not.
+// within says whether the design's share of the cap leaves room for a leg at a build, announced or not.
 func (t *trial) within(q *query, b relay.Build) bool {
 	x := t.limit(b)
 	return x.soft[x.slot(q.Category)] >= 1-1e-9
