--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,7 +79,7 @@
 	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
 	kindPower   = 1.0   // of a kind's speed in a random choice: a share by speed
 	paceHalf    = 3.0   // s in which the pace of a silent unit goes half way back to the fleet's
-	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: few paces are known there
+	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: its pace is hardly known
 	quietShare  = 1.0   // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
 	crossCost   = 1.6   // times the cost in another zone, where crossing has a price
 
@@ -237,16 +237,16 @@
 
 // coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's legs stands for
 // what it can take when warm, so all relays together keep rule 4 however unlike they are, even if they had no
-// other unit. (The flow to warm units would not do: while half a fleet is cold they get more than they can take.)
+// other unit. (The flow to warm units would not do: while half a fleet is cold they get too much.)
 func (u *unit) coldLeft() float64 {
 	r := &u.p.set.Rules
 	rate := u.p.desk.evenFlow * u.warmth() * r.FallMultiple * coldPart
 	return math.Min(math.Max(1, rate*r.FallTime*coldBurst), u.cold+rate*(u.p.now-u.coldAt))
 }
 
-// spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay would
-// leave a cold unit alone for its whole youth; so while there are warm units to choose from, most relays may
-// send one leg at once. That ends as soon as the choice does: a build that goes back leaves only cold units.
+// spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay
+// would leave a cold unit alone for its whole youth; so while there are warm units to choose from, most relays
+// may send one leg at once. That ends as soon as the choice does: a build going back leaves only cold units.
 func (u *unit) spared() bool {
 	r := &u.p.set.Rules
 	return u.warmth() < 1 && u.coldLeft() < 1 &&
@@ -606,8 +606,8 @@
 	return x.soft[x.slot(q.Category)] >= 1-1e-9
 }
 
-// spend takes a leg off the budgets. The design's share is one of the legs sent: in an overload far more queries
-// are taken than sent on, and a share of these would push the build's few units over.
+// spend takes a leg off the budgets. The design's share is one of the legs sent: in an overload far more
+// queries are taken than sent on, and a share of these would push the build's few units over.
 func (t *trial) spend(q *query, b relay.Build) {
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -94,9 +94,18 @@
 
 // TestColdUnitIsSpared lets unlike relays share a fleet in which units start cold, and adds up all they send.
 func TestColdUnitIsSpared(t *testing.T) {
+	small := []float64{30, 10, 10} // queries a second of each relay, and of a hundred small ones
+	for i := 0; i < 100; i++ {
+		small = append(small, 0.3)
+	}
+	for _, rates := range [][]float64{{60, 15, 5}, small} {
+		spareCold(t, rates)
+	}
+}
+
+func spareCold(t *testing.T, rates []float64) {
 	set := plainSettings()
-	set.Relays = 3
-	rates := []float64{60, 15, 5} // queries a second of each relay
+	set.Relays = len(rates)
 	const fleet, capacity = 8, 80.0 / 8 / 0.65
 	var worlds []*world
 	es := entries(fleet, 5, 1)
@@ -139,11 +148,57 @@
 			}
 		}
 	}
-	if most := set.Rules.FallMultiple * set.Rules.ColdFrom * capacity * set.Rules.FallTime; sent > most || sent == 0 {
+	most := set.Rules.FallMultiple * set.Rules.ColdFrom * capacity * set.Rules.FallTime
+	if sent > most || sent == 0 {
 		t.Errorf("%v legs to the cold unit, at most %v bearable", sent, most)
 	}
 }
 
+// legsAt has a hundred relays with a few queries each, and counts their legs at units of one build.
+func legsAt(t *testing.T, queries int, build relay.Build, units []relay.UnitEntry, news relay.StageNews) (legs int) {
+	set := plainSettings()
+	set.Relays = 100
+	for seed := int64(0); seed < 100; seed++ {
+		w := newWorld(t, set)
+		w.mod = New(set, seed)
+		w.now = 10
+		w.step(relay.Roster{Form: relay.RosterFull, Units: units}, news)
+		w.now += 0.1
+		w.step(relay.Woken{ID: 1})
+		for i := 0; i < queries; i++ {
+			w.step(w.query(0, 0))
+		}
+		for _, o := range w.sent {
+			if w.units[o.Unit].Build == build {
+				legs++
+			}
+		}
+	}
+	return legs
+}
+
+// Small relays held a first leg each for a cold unit; when a build went back, they all sent it to the first one.
+func TestFirstLegNeedsAChoice(t *testing.T) {
+	cold := entries(1, 5, 1)
+	cold[0].Started, cold[0].StartedAt = true, 10
+	gone := relay.StageNews{Valid: true, Build: 6, Stage: 3, Phase: relay.GoingBack}
+	if n := legsAt(t, 1, 5, append(entries(8, 6, 20), cold...), gone); n > 0 {
+		t.Errorf("%d of 100 relays sent to the only cold unit at once", n)
+	}
+	if n := legsAt(t, 1, 5, append(entries(1, 5, 2), cold...), gone); n < 100 {
+		t.Errorf("only %d of 100 relays sent where there was a warm unit", n)
+	}
+}
+
+// Relays without news of a build sent its first units all of the legs that the rule leaves uncounted.
+func TestShareBindsBeforeTheNews(t *testing.T) {
+	units := append(entries(30, 5, 1), entries(1, 6, 40)...)
+	news := relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1}
+	if n := legsAt(t, 5, 6, units, news); n > 40 {
+		t.Errorf("%d of 500 legs went to the unit of a build not named yet", n)
+	}
+}
+
 func TestLikelihoodRatio(t *testing.T) {
 	// 20 outcomes, 4 categories: Pd = 20/40, Pf = 0.01/4; flagged 0.5/0.0025 = 200, clean 0.5/0.9975.
 	if got := math.Exp(logRatio(true, 20, 4)); math.Abs(got-200) > 1e-9 {
