Budget cold units by answers, with a margin; no first leg in an overload

It goes by answers now, at 0.6 of the rule's figure, and first legs wait while legs take over half of their due time, or while the relay knows too few. Harm possible: cold units warm up more slowly in an overload.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,7 +58,6 @@
 	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
 	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
-	leastDose       = 0.1  // of the fleet that must run the build for the fleet's slowness to be its doing
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -79,7 +78,7 @@
 	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
 	kindPower   = 1.0   // of a kind's speed in a random choice: a share by speed
 	paceHalf    = 3.0   // s in which the pace of a silent unit goes half way back to the fleet's
-	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: its pace is hardly known
+	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: its pace is unknown
 	quietShare  = 1.0   // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
 	crossCost   = 1.6   // times the cost in another zone, where crossing has a price
 
@@ -87,10 +86,11 @@
 	linkShare   = 0.1 // of legs that get no connection from which units with a standing one come first
 	linkLife    = 8.0 // s after its last answer that a unit's connection counts as standing
 
-	coldPart  = 1.0 // of what rule 4 allows a cold unit that all relays use: their flow is within capacity
-	coldBurst = 0.2 // of the rule's time that a relay may send ahead of the rate
-	flowWidth = 0.5 // s a bucket of legs and queries
-	flowCount = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
+	coldPart   = 0.6 // of what rule 4 allows a cold unit that all relays use: slow machines take so much less
+	strainStep = 0.1 // weight of one leg in the mean of leg time over due time: ten legs tell an overload
+	coldBurst  = 0.2 // of the rule's time that a relay may send ahead of the rate
+	flowWidth  = 0.5 // s a bucket of legs and queries
+	flowCount  = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
 
 	gateWait   = 0.5  // of the mean due time that a leg may take before the gate holds the inflow
 	gateSpare  = 4.0  // open queries beyond that, so that a small relay is not shut by one slow answer
@@ -185,11 +185,11 @@
 		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
 	}
 	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
-	if n.leg.build != u.Build {
-		return
+	u.p.desk.strain.add(n.took/math.Max(n.due, 1e-3), strainStep)
+	if n.leg.build == u.Build {
+		u.witness(u.sight(n), own)
+		u.p.trial.untold = append(u.p.trial.untold, u.sight(n))
 	}
-	u.witness(u.sight(n), own)
-	u.p.trial.untold = append(u.p.trial.untold, u.sight(n))
 }
 
 // miss is what an outcome adds to a failure figure. A unit that is full is no suspect for that alone.
@@ -235,9 +235,9 @@
 	return c
 }
 
-// coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's legs stands for
-// what it can take when warm, so all relays together keep rule 4 however unlike they are, even if they had no
-// other unit. (The flow to warm units would not do: while half a fleet is cold they get too much.)
+// coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's answers stands
+// for what it can do when warm, so all relays together keep rule 4 however unlike they are, even if they had no
+// other unit. (Legs sent would not do: what is left of a fleet gets more than it can do.)
 func (u *unit) coldLeft() float64 {
 	r := &u.p.set.Rules
 	rate := u.p.desk.evenFlow * u.warmth() * r.FallMultiple * coldPart
@@ -245,8 +245,8 @@
 }
 
 // spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay
-// would leave a cold unit alone for its whole youth; so while there are warm units to choose from, most relays
-// may send one leg at once. That ends as soon as the choice does: a build going back leaves only cold units.
+// would leave a cold unit alone for its whole youth; so while there are warm units to choose from, most
+// relays may send one leg at once. That ends as soon as the choice does: a build going back leaves only cold units.
 func (u *unit) spared() bool {
 	r := &u.p.set.Rules
 	return u.warmth() < 1 && u.coldLeft() < 1 &&
@@ -302,6 +302,7 @@
 	d.p.post(&d.p.gate, o)
 	if n.How == relay.Honoured {
 		d.usual.add(n.Took, paceFleet)
+		d.flow.add(d.p.now, 0, 1)
 		d.p.trial.answered(q, l.build)
 	}
 	switch {
@@ -315,7 +316,7 @@
 	}
 }
 
-// settle marks a query as needing no more, and ends the legs that it still has out.
+// settle marks a query as needing no more, and ends its legs.
 func (d *desk) settle(q *query) {
 	if !q.over && !q.overdue {
 		d.inTime--
@@ -334,7 +335,9 @@
 // look goes over the open queries: held ones, due times, patience.
 func (d *desk) look() {
 	warm, all := d.p.roster.warm()
-	d.choice = warm / math.Max(all, 1)
+	if d.choice = 0; d.strain.n >= leastPace { // only the budget holds in an overload, or if not known
+		d.choice = warm / math.Max(all, 1) * math.Min(math.Max(2-2*d.strain.v/gateWait, 0), 1)
+	}
 	d.evenFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(all, 1)
 	left := d.open[:0]
 	for _, q := range d.open {
@@ -466,7 +469,6 @@
 	if u.warmth() < 1 {
 		u.cold, u.coldAt, u.first = math.Max(0, u.coldLeft()-1), p.now, 1
 	}
-	d.flow.add(p.now, 0, 1)
 	p.trial.spend(q, u.Build)
 	p.post(u, noteSent{})
 	p.do(relay.SendLeg{Query: q.ID, Unit: u.id})
@@ -574,8 +576,7 @@
 	return t.news.Cap, t.news.Stage, true
 }
 
-// took adds a query's part to the rule's budgets. They are buckets that never hold more than the rule's
-// uncounted legs, so every window of any length keeps the cap.
+// took adds a query's part to the rule's budgets. They hold no more than its uncounted legs: any window keeps it.
 func (t *trial) took(q *query) {
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
@@ -924,7 +925,7 @@
 	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := t.fleet()
 	calm, err := t.calm.slowness()
-	late = t.part >= leastDose && math.Min(fleet[figPaced], t.calm[figPaced]) >= leastSlow &&
+	late = math.Min(fleet[figPaced], t.calm[figPaced]) >= leastSlow &&
 		slower(fleet, calm, err, fleetTimes)
 	return back, late, all[0][figCount]
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -293,8 +293,9 @@
 	kinds    []mean         // the same by kind of machine, over all relays
 	paces    [][depths]mean // the same by kind of machine and depth, held as it was before a trial
 	usual    mean           // leg time
+	strain   mean           // leg time over due time of late
 	links    ring           // legs ended, and those of them without a connection
-	flow     ring           // legs sent
+	flow     ring           // legs honoured
 	choice   float64        // part of the ready units that are warm and may be used
 	evenFlow float64        // a second, to each ready unit if all got the same
 }
