--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,9 +55,9 @@
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowTimes       = 1.35 // times the earlier machines' leg time that a flag needs: queues stretch differences
 	fleetTimes      = 1.4  // times the fleet's leg time before the trial that stops a vote on
-	fleetPatience   = 6.0  // s that it may last until the build is held for its cause: most passing troubles end
+	fleetPatience   = 6.0  // s that it may last until the build is held its cause: most troubles pass
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
-	leastSlow       = 60.0 // legs that a slow share needs: machines of one kind differ
+	leastSlow       = 60.0 // legs that slowness needs, earlier machines twice that: the last to drain are idle
 	listedPart      = 0.5  // of a stage's units that must be listed before its time counts: news may lag
 	listedLag       = 3.0  // s from a stage's start in which its units are usually listed
 
@@ -86,7 +86,7 @@
 	linkShare   = 0.1 // of legs that get no connection from which units with a standing one come first
 	linkLife    = 8.0 // s after its last answer that a unit's connection counts as standing
 
-	coldPart   = 0.6 // of what rule 4 allows a cold unit that all relays use: slow machines take so much less
+	coldPart   = 0.8 // of what rule 4 allows a cold unit that all relays use: slow machines take so much less
 	strainStep = 0.1 // weight of one leg in the mean of leg time over due time: ten legs tell an overload
 	coldBurst  = 0.2 // of the rule's time that a relay may send ahead of the rate
 	flowWidth  = 0.5 // s a bucket of legs and queries
@@ -236,8 +236,8 @@
 }
 
 // coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's answers stands
-// for what it can do when warm, so all relays together keep rule 4 however unlike they are, even if they had no
-// other unit. (Legs sent would not do: what is left of a fleet gets more than it can do.)
+// for what it can do when warm, so all relays together keep rule 4 however unlike they are, even if they had
+// no other unit. (Legs sent would not do: what is left of a fleet gets more than it can do.)
 func (u *unit) coldLeft() float64 {
 	r := &u.p.set.Rules
 	rate := u.p.desk.evenFlow * u.warmth() * r.FallMultiple * coldPart
@@ -246,7 +246,7 @@
 
 // spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay
 // would leave a cold unit alone for its whole youth; so while there are warm units to choose from, most
-// relays may send one leg at once. That ends as soon as the choice does: a build going back leaves only cold units.
+// relays may send one leg at once. That ends with the choice: a build going back leaves only cold units.
 func (u *unit) spared() bool {
 	r := &u.p.set.Rules
 	return u.warmth() < 1 && u.coldLeft() < 1 &&
@@ -780,7 +780,7 @@
 		return true
 	}
 	n := newer[figMatched]
-	return n >= leastSlow && before[figPaced] >= leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
+	return n >= leastSlow && before[figPaced] >= 2*leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
 }
 
 // set gives the relays that fuse: the lowest-numbered few, of those that are not lost. Each of them is heard
