--- a/policy/policy.go
+++ b/policy/policy.go
@@ -316,7 +316,7 @@
 	}
 }
 
-// settle marks a query as needing no more, and ends its legs.
+// settle ends a query and its legs.
 func (d *desk) settle(q *query) {
 	if !q.over && !q.overdue {
 		d.inTime--
@@ -576,7 +576,8 @@
 	return t.news.Cap, t.news.Stage, true
 }
 
-// took adds a query's part to the rule's budgets. They hold no more than its uncounted legs: any window keeps it.
+// took adds a query's part to the rule's budgets. They hold no more than its uncounted legs, so that any
+// window keeps the cap.
 func (t *trial) took(q *query) {
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
