--- a/policy/policy.go
+++ b/policy/policy.go
@@ -576,8 +576,7 @@
 	return t.news.Cap, t.news.Stage, true
 }
 
-// took adds a query's part to the rule's budgets. They hold no more than its uncounted legs, so that any
-// window keeps the cap.
+// took adds a query's part to the rule's budgets, which hold no more than its uncounted legs at any time.
 func (t *trial) took(q *query) {
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
