Clean up: a leg described twice, a power of one, two values nobody needs

Each ended leg was described once for this relay and again for the fusers; the description is made once now. A kind's speed was raised to a power of 1 for each unit of each random choice. The part of the fleet on trial was kept though only its product is read; a follower's reason for its vote was never logged.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -86,7 +86,7 @@
 	return out
 }
 
-// fleet sums the lateness of all units, whatever their build and whoever saw it.
+// fleet sums the slowness of all units, whatever their build and whoever saw it.
 func (t *trial) fleet() (sum counts) {
 	for _, u := range t.p.roster.units {
 		for i := range u.seen {
@@ -201,7 +201,7 @@
 		w *= u.Weight
 	}
 	if k := u.p.desk.kind(u.Kind); k.n >= leastPace {
-		w /= math.Pow(k.v, kindPower)
+		w /= k.v
 	}
 	return w
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,7 @@
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
-	lateBuckets     = 8    // 4 s of outcomes that show lateness: the hour changes faster than builds do
+	lateBuckets     = 8    // 4 s of legs that show slowness: the hour changes faster than builds do
 	depths          = 8    // own legs at a unit that paces are told apart by: more are rare where it runs well
 	leastPace       = 10.0 // legs from which a usual pace is known
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
@@ -76,7 +76,6 @@
 	paceStep    = 0.2   // weight of one answer in a unit's pace
 	paceFleet   = 0.02  // the same in the fleet's
 	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
-	kindPower   = 1.0   // of a kind's speed in a random choice: a share by speed
 	paceHalf    = 3.0   // s in which the pace of a silent unit goes half way back to the fleet's
 	trialDear   = 1.5   // times the earlier unit's cost up to which the trial's is taken: its pace is unknown
 	quietShare  = 1.0   // rise of a unit's cost for each usual leg time that it holds legs and answers nothing
@@ -187,8 +186,9 @@
 	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
 	u.p.desk.strain.add(n.took/math.Max(n.due, 1e-3), strainStep)
 	if n.leg.build == u.Build {
-		u.witness(u.sight(n), own)
-		u.p.trial.untold = append(u.p.trial.untold, u.sight(n))
+		s := u.sight(n)
+		u.witness(s, own)
+		u.p.trial.untold = append(u.p.trial.untold, s)
 	}
 }
 
@@ -679,9 +679,8 @@
 			earlier++
 		}
 	}
-	t.part = warm / math.Max(all, 1)
 	// Where own legs show how full a unit is, its cost bounds what it gets; a small relay sees nothing of it.
-	t.room = t.part * (1 + math.Min(1, float64(t.p.desk.inTime)/math.Max(newer+earlier, 1)))
+	t.room = warm / math.Max(all, 1) * (1 + math.Min(1, float64(t.p.desk.inTime)/math.Max(newer+earlier, 1)))
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
@@ -852,7 +851,7 @@
 		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		for v, n := range votes {
 			if 2*n > found {
-				want.Verdict, f.why = relay.Verdict(v), "most fusers find so"
+				want.Verdict = relay.Verdict(v)
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -324,8 +324,7 @@
 	untold   []sighting                // legs that the fusers have not been told of
 	before   mean                      // logarithm of pace over the usual one at the earlier machines just now
 	beforeAt relay.Seconds             // last leg there
-	room     float64                   // part of the queries that it may get by that
-	part     float64                   // of the ready fleet's capacity that runs the build on trial
+	room     float64                   // part of the legs that the build on trial may get
 	judgeAt  relay.Seconds
 	toldAt   relay.Seconds
 }
