--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,6 +11,7 @@
 
 	"lichenroad/policy"
 	"lichenroad/relay"
+	"lichenroad/settings"
 	"lichenroad/simwire"
 )
 
@@ -72,11 +73,11 @@
 			h.lists[e.Ref] = e.Entries
 		case simwire.EvStart:
 			h.drop(e.Instance)
-			s, err := simwire.ParseSettings(e.Body)
+			s, err := settings.Parse(e.Body)
 			if err != nil {
 				return err
 			}
-			h.insts[e.Instance] = &instance{no: e.Instance, born: clock, module: policy.New(s, int64(e.Seed))}
+			h.insts[e.Instance] = &instance{no: e.Instance, born: clock, module: policy.New(s.Settings, int64(e.Seed))}
 		case simwire.EvStop:
 			h.drop(e.Instance)
 		default:
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,134 @@
+// Package clients takes connections and queries in from clients, and answers them in order. A connection
+// holds one open query at a time; more that come on it wait their turn, within a bound.
+package clients
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+)
+
+// Socket matters.
+const (
+	overMost     = 32                     // connections over the bound that are told so; more are closed at once
+	maxAhead     = 16                     // queries that may wait on a connection behind the open one
+	writeWait    = 5 * time.Second        // that a client may take to accept one answer: longer than it waits for one
+	stillComing  = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
+	closeWait    = 1 * time.Second        // that a client gets to close its end when this end is shut
+	startupWait  = 10 * time.Second       // that a client may take over its startup
+	encryptionNo = "N"                    // the answer to requests for encryption
+)
+
+// Server accepts clients.
+type Server struct {
+	loop *stage.Loop
+	most int64 // descriptors for clients
+	open atomic.Int64
+	last atomic.Uint32
+	ln   net.Listener
+	ev   netpoll.EventLoop
+
+	// Of the loop.
+	conns    map[*conn]struct{}
+	stopping bool
+	stopped  func()
+}
+
+// New returns a server for at most so many connections.
+func New(l *stage.Loop, most int) *Server {
+	return &Server{loop: l, most: int64(most), conns: map[*conn]struct{}{}}
+}
+
+// Listen binds the address and serves it until Stop.
+func (s *Server) Listen(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.ln = ln
+	s.ev, err = netpoll.NewEventLoop(
+		func(ctx context.Context, _ netpoll.Connection) error { return ctx.Value(connKey{}).(*conn).read() },
+		netpoll.WithOnPrepare(s.accept))
+	if err != nil {
+		ln.Close()
+		return fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		if err := s.ev.Serve(ln); err != nil {
+			s.loop.Log.WithError(err).Error("the listener failed")
+		}
+	}()
+	return nil
+}
+
+// Addr is where the server listens.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+type connKey struct{}
+
+// accept makes the record of a new connection.
+func (s *Server) accept(n netpoll.Connection) context.Context {
+	now := s.loop.Clock.Now()
+	c := &conn{server: s, net: n, begun: now, split: pgwire.Splitter{Pool: s.loop.Pool, Startup: true, Shed: true}}
+	open := s.open.Add(1)
+	c.full = open > s.most
+	s.loop.Stats.Add(stats.ClientConns, 1)
+	s.loop.Stats.Add(stats.ClientConnsOpen, 1)
+	if c.full {
+		s.loop.Stats.Add(stats.BoundConns, 1)
+	}
+	n.SetWriteTimeout(writeWait)
+	n.AddCloseCallback(c.closed)
+	if open > s.most+overMost {
+		c.end(reasonBound)
+		return context.Background()
+	}
+	s.loop.Post(stage.Call(func(l *stage.Loop) {
+		s.conns[c] = struct{}{}
+		l.At(now+startupWait.Seconds(), func() {
+			if !c.started.Load() {
+				c.shut(reasonStartup)
+			}
+		})
+	}))
+	return context.WithValue(context.Background(), connKey{}, c)
+}
+
+// Stop ends service: for a little while new connections still come and are served, then the listener goes,
+// and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
+func (s *Server) Stop(then func()) {
+	s.loop.At(s.loop.Clock.Now()+stillComing.Seconds(), func() {
+		s.stopping, s.stopped = true, then
+		s.deafen()
+		for c := range s.conns {
+			c.rest()
+		}
+		s.check()
+	})
+}
+
+// deafen takes the listening socket out of service without closing it: its number can't be taken by another
+// socket while the poller still knows it.
+func (s *Server) deafen() {
+	if t, ok := s.ln.(*net.TCPListener); ok {
+		if raw, err := t.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+		}
+	}
+}
+
+func (s *Server) check() {
+	if s.stopping && len(s.conns) == 0 && s.stopped != nil {
+		s.stopped()
+		s.stopped = nil
+	}
+}
--- /dev/null
+++ b/internal/clients/conn.go
@@ -0,0 +1,308 @@
+package clients
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// Reasons why a client's connection ended.
+const (
+	reasonPeer      = "peer_closed"  // the client closed it or was lost
+	reasonTerminate = "terminate"    // the client said so
+	reasonCancel    = "cancel"       // it carried a request to cancel, which is not offered
+	reasonStartup   = "connect_late" // no startup in time
+	reasonBadInput  = "bad_input"    // what came could not be read
+	reasonBound     = "bound"        // too many connections, or too many queries ahead
+	reasonWrite     = "write_failed" // an answer was not taken
+	reasonShutdown  = "shutdown"     // this program ends
+)
+
+// conn is one client's connection.
+type conn struct {
+	server *Server
+	net    netpoll.Connection
+	begun  relay.Seconds
+	full   bool // over the bound
+	out    outbox
+
+	// Of the goroutine that reads.
+	split   pgwire.Splitter
+	packets int // startup packets
+
+	// Of the loop.
+	current *item
+	waiting []*item
+	idleAt  relay.Seconds // when the last answer was written
+
+	started atomic.Bool
+	deaf    atomic.Bool  // nothing more is taken in
+	ahead   atomic.Int64 // queries taken in and not yet answered
+	queries atomic.Int64
+
+	mu     sync.Mutex
+	gone   bool // the descriptor is about to be closed
+	reason string
+}
+
+// item is a query, or an empty one, in its turn on a connection.
+type item struct {
+	c *conn
+	q *stage.Query // nil: an empty query
+}
+
+// closed runs once when the connection has ended, with no read under way.
+func (c *conn) closed(netpoll.Connection) error {
+	c.mu.Lock()
+	c.gone = true
+	if c.reason == "" {
+		c.reason = reasonPeer
+	}
+	why := c.reason
+	c.mu.Unlock()
+	c.split.Free()
+	s := c.server
+	s.open.Add(-1)
+	s.loop.Stats.Add(stats.ClientConnsOpen, -1)
+	s.loop.Log.WithFields(logrus.Fields{"peer": "client", "client": c.net.RemoteAddr().String(), "reason": why,
+		"age":     math.Round((s.loop.Clock.Now()-c.begun)*1000) / 1000,
+		"queries": c.queries.Load()}).Info("connection ended")
+	s.loop.Post(stage.Call(func(l *stage.Loop) {
+		delete(s.conns, c)
+		if c.current != nil && c.current.q != nil {
+			l.ClientLeft(c.current.q)
+		}
+		for _, it := range c.waiting {
+			if it.q != nil {
+				it.q.Text.Free()
+			}
+		}
+		c.current, c.waiting = nil, nil
+		s.check()
+	}))
+	return nil
+}
+
+// end closes the connection at once.
+func (c *conn) end(why string) {
+	c.because(why)
+	c.deaf.Store(true)
+	c.net.Close()
+}
+
+func (c *conn) because(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason == "" {
+		c.reason = why
+	}
+}
+
+// shut closes this side, so that the client reads all that was sent and then the end, and the rest when the
+// client has closed its side or is slow to. On the loop.
+func (c *conn) shut(why string) {
+	c.because(why)
+	c.deaf.Store(true)
+	c.mu.Lock()
+	if n, ok := c.net.(netpoll.Conn); ok && !c.gone {
+		syscall.Shutdown(n.Fd(), syscall.SHUT_WR)
+	}
+	c.mu.Unlock()
+	l := c.server.loop
+	l.At(l.Clock.Now()+closeWait.Seconds(), func() { c.net.Close() })
+}
+
+// rest closes the connection if it is between queries. On the loop.
+func (c *conn) rest() {
+	if c.current == nil && len(c.waiting) == 0 {
+		c.shut(reasonShutdown)
+	}
+}
+
+// read takes in what has come, on the goroutine of the connection.
+func (c *conn) read() error {
+	at := c.server.loop.Clock.Now()
+	r := c.net.Reader()
+	for r.Len() > 0 {
+		b, err := r.Next(min(r.Len(), buffer.Size))
+		if err != nil {
+			break
+		}
+		if c.deaf.Load() {
+			continue
+		}
+		if err := c.split.Feed(b, func(m pgwire.Message) error { return c.take(m, at) }); err != nil {
+			c.reject(err)
+		}
+	}
+	return r.Release()
+}
+
+// Complaints that are answered with a code of their own.
+var (
+	errNotOffered = errors.New("only simple queries are offered")
+	errAhead      = fmt.Errorf("more than %d queries ahead of their answers", maxAhead)
+	errFull       = errors.New("too many connections")
+)
+
+// reject ends a connection over what came on it, with an ErrorResponse.
+func (c *conn) reject(err error) {
+	code, why := pgwire.CodeProtocol, reasonBadInput
+	switch {
+	case errors.Is(err, errFull):
+		code, why = pgwire.CodeFull, reasonBound
+	case errors.Is(err, errAhead):
+		code, why = pgwire.CodeTooLong, reasonBound
+	case errors.Is(err, errNotOffered):
+		code = pgwire.CodeNotKnown
+	case errors.Is(err, pgwire.ErrTooLong):
+		code = pgwire.CodeTooLong
+	case c.started.Load():
+		code = pgwire.CodeSyntax
+	}
+	if why == reasonBadInput {
+		c.server.loop.Stats.Add(stats.BadInput, 1)
+	}
+	c.because(why)
+	c.deaf.Store(true)
+	c.sendBytes(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), ""), func() {
+		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
+	})
+}
+
+// take reads one message of the client.
+func (c *conn) take(m pgwire.Message, at relay.Seconds) error {
+	if c.deaf.Load() {
+		m.Body.Free()
+		return nil
+	}
+	if m.Type != 'Q' || m.Lost {
+		defer m.Body.Free()
+	}
+	switch {
+	case m.Type == 0 && m.Lost:
+		return errFull
+	case m.Type == 0:
+		return c.startup(m.Body.Bytes())
+	case m.Type == 'X':
+		c.end(reasonTerminate)
+		return nil
+	case m.Type != 'Q':
+		return errNotOffered
+	}
+	it := &item{c: c}
+	if m.Lost {
+		c.server.loop.Stats.Add(stats.BoundBuffers, 1)
+		it.q = stage.Refuse("no room for the query", at)
+	} else if text, err := pgwire.Statement(m.Body.Bytes()); err == nil && pgwire.IsEmpty(text) {
+		m.Body.Free()
+	} else if it.q, err = stage.TakeIn(&c.server.loop.Site, m.Body, at); err != nil {
+		m.Body.Free()
+		return err
+	}
+	if it.q != nil {
+		it.q.Client = it
+		c.queries.Add(1)
+	}
+	if c.ahead.Add(1) > maxAhead {
+		if it.q != nil {
+			it.q.Text.Free()
+		}
+		return errAhead
+	}
+	c.server.loop.Post(it)
+	return nil
+}
+
+// startup answers a startup packet.
+func (c *conn) startup(body []byte) error {
+	const most = 3 // two requests for encryption and the startup
+	if c.packets++; c.packets > most {
+		return fmt.Errorf("%w: %d startup packets", pgwire.ErrMalformed, c.packets)
+	}
+	what, err := pgwire.ParseStartup(body)
+	if err != nil {
+		return err
+	}
+	switch what {
+	case pgwire.OpenEncryption:
+		c.sendBytes([]byte(encryptionNo), nil)
+	case pgwire.OpenCancel:
+		c.end(reasonCancel)
+	case pgwire.OpenSession:
+		c.split.Startup = false
+		c.started.Store(true)
+		if c.full {
+			return errFull
+		}
+		c.sendBytes(pgwire.Welcome(c.server.last.Add(1)), nil)
+	}
+	return nil
+}
+
+// Take starts an item, or lets it wait for its turn.
+func (it *item) Take(l *stage.Loop) {
+	c := it.c
+	if c.deaf.Load() {
+		if it.q != nil {
+			it.q.Text.Free()
+		}
+		return
+	}
+	if c.current != nil {
+		c.waiting = append(c.waiting, it)
+		return
+	}
+	c.start(it)
+}
+
+func (c *conn) start(it *item) {
+	l := c.server.loop
+	c.current = it
+	if it.q != nil {
+		l.Begin(it.q, math.Max(it.q.Arrived, c.idleAt))
+		return
+	}
+	l.WhenListed(func() {
+		chain := l.Pool.Chain()
+		chain.Write(pgwire.EmptyAnswer())
+		it.Answer(nil, chain)
+	})
+}
+
+// Answer sends the answer to an item, and lets the next one have its turn when it is written.
+func (it *item) Answer(_ *stage.Query, answer *buffer.Chain) {
+	c := it.c
+	if c.current != it {
+		answer.Free() // the client is gone
+		return
+	}
+	c.send(answer, func() {
+		c.ahead.Add(-1)
+		c.server.loop.Post(stage.Call(func(l *stage.Loop) {
+			if c.current != it {
+				return
+			}
+			c.current, c.idleAt = nil, l.Clock.Now()
+			if len(c.waiting) > 0 {
+				next := c.waiting[0]
+				c.waiting = c.waiting[1:]
+				c.start(next)
+			} else if c.server.stopping {
+				c.rest()
+			}
+		}))
+	})
+}
--- /dev/null
+++ b/internal/linewire/linewire.go
@@ -0,0 +1,114 @@
+// Package linewire reads and writes the platform's lines: words set apart by spaces, each line ended by
+// CRLF. It does no I/O.
+package linewire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lichenroad/relay"
+)
+
+// MaxLine is the longest line read; the platform ends a connection at lines of 8 KiB.
+const MaxLine = 8 << 10
+
+// Complaints about what came in.
+var (
+	ErrTooLong   = errors.New("line too long")
+	ErrMalformed = errors.New("malformed line")
+)
+
+// Splitter cuts a stream into lines.
+type Splitter struct{ part []byte }
+
+// Feed takes the next bytes and calls emit for every line that they complete, without its end.
+func (s *Splitter) Feed(p []byte, emit func(line string)) error {
+	for len(p) > 0 {
+		i := bytes.IndexByte(p, '\n')
+		if i < 0 {
+			i = len(p)
+		}
+		if len(s.part)+i > MaxLine {
+			return ErrTooLong
+		}
+		s.part = append(s.part, p[:i]...)
+		if i == len(p) {
+			return nil
+		}
+		if len(s.part) == 0 || s.part[len(s.part)-1] != '\r' {
+			return fmt.Errorf("%w: no CR before LF", ErrMalformed)
+		}
+		line := string(s.part[:len(s.part)-1])
+		s.part, p = s.part[:0], p[i+1:]
+		emit(line)
+	}
+	return nil
+}
+
+// Watch asks to be told things.
+const Watch = "WATCH\r\n"
+
+var verdicts = [...]string{relay.NoVote: "clear", relay.VoteOn: "approve", relay.VoteHold: "wait",
+	relay.VoteBack: "reject"}
+
+// Vote is the line of a vote.
+func Vote(v relay.Vote) string {
+	return fmt.Sprintf("VOTE %d %d %s\r\n", v.Build, v.Stage, verdicts[v.Verdict])
+}
+
+// Reply is one line from the platform.
+type Reply struct {
+	Told  bool            // unasked; News is set where it brought any
+	News  relay.StageNews // Valid where the line holds the state of a build
+	Error string          // the code behind ERR
+}
+
+// Parse reads one line.
+func Parse(line string) (Reply, error) {
+	words := strings.Split(line, " ")
+	switch {
+	case words[0] == "*":
+		r := Reply{Told: true}
+		if len(words) == 1 || words[1] != "news" {
+			return r, nil // a sign of life, or a kind of news that is not known here
+		}
+		var err error
+		r.News, err = news(words[2:])
+		return r, err
+	case words[0] == "OK" && len(words) == 1:
+		return Reply{}, nil
+	case words[0] == "OK":
+		n, err := news(words[1:])
+		return Reply{News: n}, err
+	case words[0] == "ERR" && len(words) >= 2:
+		return Reply{Error: words[1]}, nil
+	}
+	return Reply{}, fmt.Errorf("%w: %.40q", ErrMalformed, line)
+}
+
+func news(w []string) (relay.StageNews, error) {
+	if len(w) < 5 {
+		return relay.StageNews{}, fmt.Errorf("%w: %d fields of news", ErrMalformed, len(w))
+	}
+	return News(w[0], w[1], w[2], w[3], w[4])
+}
+
+var phases = map[string]relay.Phase{"canary": relay.OnTrial, "reverting": relay.GoingBack,
+	"stable": relay.Released, "reverted": relay.Withdrawn}
+
+// News puts the five fields of a build's state together: build, stage, phase, cap, age in milliseconds.
+func News(build, stage, phase, limit, age string) (relay.StageNews, error) {
+	b, err1 := strconv.ParseUint(build, 10, 16)
+	s, err2 := strconv.ParseUint(stage, 10, 8)
+	c, err3 := strconv.ParseFloat(limit, 64)
+	a, err4 := strconv.ParseFloat(age, 64)
+	ph, known := phases[phase]
+	if err := errors.Join(err1, err2, err3, err4); err != nil || !known || !(c >= 0 && c <= 1) || !(a >= 0) {
+		return relay.StageNews{}, fmt.Errorf("%w: news of build %.20q", ErrMalformed, build)
+	}
+	return relay.StageNews{Valid: true, Build: relay.Build(b), Stage: relay.Stage(s), Phase: ph, Cap: c,
+		Age: a / 1000}, nil
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,121 @@
+// Package peers carries the memos between relays, as UDP datagrams.
+package peers
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+const (
+	// MaxBody of a datagram, by the protocol page.
+	MaxBody = 256
+	// waiting memos; the module tells one or two a second.
+	waiting = 256
+)
+
+// Tier is the relays that may tell one another things.
+type Tier struct {
+	loop *stage.Loop
+	conn *net.UDPConn
+	to   []netip.AddrPort
+	all  netip.AddrPort
+	from map[netip.AddrPort]relay.RelayNo
+	out  chan relay.Tell
+}
+
+// Open binds the address for memos; peers are the relays' addresses in the order of their numbers.
+func Open(l *stage.Loop, listen string, peers []string, all string) (*Tier, error) {
+	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, waiting)}
+	for i, s := range peers {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+		t.to = append(t.to, a)
+		t.from[a] = relay.RelayNo(i)
+	}
+	if all != "" {
+		a, err := netip.ParseAddrPort(all)
+		if err != nil {
+			return nil, fmt.Errorf("peers_all: %w", err)
+		}
+		t.all = a
+	}
+	a, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	if t.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a)); err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	return t, nil
+}
+
+// Start serves until the program ends.
+func (t *Tier) Start() {
+	go t.reading()
+	go t.writing()
+}
+
+// Tell sends a memo, or drops it: a memo may be lost at any time.
+func (t *Tier) Tell(m relay.Tell) {
+	if len(m.Body) > MaxBody {
+		t.loop.Stats.Add(stats.MemosDropped, 1)
+		t.loop.Log.WithFields(logrus.Fields{"peer": "relay", "bytes": len(m.Body)}).Error("memo too long")
+		return
+	}
+	select {
+	case t.out <- m:
+	default:
+		t.loop.Stats.Add(stats.MemosDropped, 1)
+	}
+}
+
+func (t *Tier) writing() {
+	for m := range t.out {
+		to := t.all
+		if m.To != relay.Everyone {
+			to = netip.AddrPort{}
+			if int(m.To) < len(t.to) {
+				to = t.to[m.To]
+			}
+		}
+		if !to.IsValid() {
+			t.loop.Stats.Add(stats.MemosDropped, 1)
+			continue
+		}
+		if _, err := t.conn.WriteToUDPAddrPort(m.Body, to); err != nil {
+			t.loop.Stats.Add(stats.MemosDropped, 1)
+			t.loop.Log.WithField("peer", "relay").WithError(err).Debug("memo")
+			continue
+		}
+		t.loop.Stats.Add(stats.MemosOut, 1)
+	}
+}
+
+func (t *Tier) reading() {
+	var buf [MaxBody + 1]byte
+	for {
+		n, addr, err := t.conn.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			t.loop.Log.WithField("peer", "relay").WithError(err).Error("memos can't be read any more")
+			return
+		}
+		no, known := t.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
+		if !known || n > MaxBody || no == t.loop.Site.Self {
+			t.loop.Stats.Add(stats.MemosDropped, 1)
+			continue
+		}
+		heard := relay.Heard{From: no, Body: append([]byte(nil), buf[:n]...)}
+		if t.loop.PostLoose(stage.Call(func(l *stage.Loop) { l.Learn(heard) })) {
+			t.loop.Stats.Add(stats.MemosIn, 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgwire/query.go
@@ -0,0 +1,144 @@
+package pgwire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// Query is what a statement of one of the two published forms holds.
+type Query struct {
+	ID       string
+	Class    string
+	Tenant   string
+	Key      string // the mark of a statement that may come twice
+	Object   string
+	Deadline int64 // ms that the client waits
+	Hint     int64 // microseconds of work
+	HasHint  bool
+	Retry    bool
+	Write    bool
+	// Where the digits of the deadline stand in the statement.
+	DeadlineAt, DeadlineEnd int
+}
+
+const (
+	readHead  = "SELECT body FROM objects WHERE oid = '"
+	readTail  = "' /* "
+	writeHead = "INSERT INTO objects (oid, body) VALUES ('"
+	writeMid  = `', '\x`
+	writeTail = "') RETURNING body /* "
+	noteEnd   = " */"
+	maxWord   = 128             // bytes of an object, a name or a value
+	maxWait   = 24 * 3600_000   // ms of a deadline
+	maxHint   = 3600 * 1000_000 // microseconds of a hint
+)
+
+// IsEmpty says whether a statement is an empty query.
+func IsEmpty(text []byte) bool { return len(bytes.TrimRight(text, " \t\r\n;")) == 0 }
+
+// Statement takes the statement out of the body of a Query message.
+func Statement(body []byte) ([]byte, error) {
+	if len(body) == 0 || bytes.IndexByte(body, 0) != len(body)-1 {
+		return nil, fmt.Errorf("%w: statement without its end", ErrMalformed)
+	}
+	return body[:len(body)-1], nil
+}
+
+func word(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c == '-', c == '_', c == '.', c == ':':
+		default:
+			return false
+		}
+	}
+	return len(b) > 0 && len(b) <= maxWord
+}
+
+func hex(b []byte) bool {
+	for _, c := range b {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return len(b)%2 == 0
+}
+
+// ParseQuery reads a statement. Anything but the two forms is an error: a unit would not take it.
+func ParseQuery(text []byte) (q Query, err error) {
+	bad := func(what string) (Query, error) { return Query{}, fmt.Errorf("%w: %s", ErrMalformed, what) }
+	rest, ok := bytes.CutPrefix(text, []byte(readHead))
+	tail := readTail
+	if !ok {
+		if rest, ok = bytes.CutPrefix(text, []byte(writeHead)); !ok {
+			return bad("no statement of a known form")
+		}
+		q.Write, tail = true, writeMid
+	}
+	object, rest, ok := bytes.Cut(rest, []byte(tail))
+	if !ok || !word(object) {
+		return bad("object")
+	}
+	q.Object = string(object)
+	if q.Write {
+		var value []byte
+		if value, rest, ok = bytes.Cut(rest, []byte(writeTail)); !ok || !hex(value) {
+			return bad("value")
+		}
+		if len(value) > 2*MaxValue {
+			return Query{}, fmt.Errorf("%w: value of %d bytes", ErrTooLong, len(value)/2)
+		}
+	}
+	note, ok := bytes.CutSuffix(rest, []byte(noteEnd))
+	if !ok {
+		return bad("comment")
+	}
+	at := len(text) - len(rest)
+	for len(note) > 0 {
+		pair, after, _ := bytes.Cut(note, []byte(","))
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok || !word(name) || !word(value) {
+			return bad("comment")
+		}
+		if err := q.name(string(name), string(value), at+len(name)+1); err != nil {
+			return Query{}, err
+		}
+		at += len(pair) + 1
+		note = after
+	}
+	if q.ID == "" || q.Class == "" || q.DeadlineEnd == 0 {
+		return bad("comment without id, c or d")
+	}
+	return q, nil
+}
+
+// name takes one named value, which stands at an offset of the statement.
+func (q *Query) name(name, value string, at int) (err error) {
+	number := func(most int64) (n int64) {
+		if n, err = strconv.ParseInt(value, 10, 64); err == nil && (n < 0 || n > most) {
+			err = strconv.ErrRange
+		}
+		return n
+	}
+	switch name {
+	case "id":
+		q.ID = value
+	case "c":
+		q.Class = value
+	case "t":
+		q.Tenant = value
+	case "k":
+		q.Key = value
+	case "r":
+		q.Retry = value == "1"
+	case "d":
+		q.Deadline, q.DeadlineAt, q.DeadlineEnd = number(maxWait), at, at+len(value)
+	case "h":
+		q.Hint, q.HasHint = number(maxHint), true
+	}
+	if err != nil {
+		return fmt.Errorf("%w: value of %s", ErrMalformed, name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/pgwire/report.go
@@ -0,0 +1,31 @@
+package pgwire
+
+import (
+	"strconv"
+	"strings"
+)
+
+// ParseReport reads a load report, name=value pairs with commas between, into the order of fields. It is
+// nil where one of them is missing or can't be read.
+func ParseReport(report string, fields []string) []float32 {
+	values := make([]float32, len(fields))
+	found := 0
+	for _, pair := range strings.Split(report, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		for i, f := range fields {
+			if f != strings.TrimSpace(name) {
+				continue
+			}
+			v, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
+			if err != nil {
+				return nil
+			}
+			values[i] = float32(v)
+			found++
+		}
+	}
+	if found != len(fields) {
+		return nil
+	}
+	return values
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,294 @@
+// Package platform casts votes and listens for news of builds, on two connections to the platform.
+package platform
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/linewire"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// Socket matters.
+const (
+	signOfLife = 3 * time.Second        // without a line after which a second watch is opened: three signs of life
+	callFor    = 1 * time.Second        // that an answer may take where the settings name no limit
+	backOff    = 100 * time.Millisecond // before a watch is opened again; doubled up to the next
+	mostOff    = 1 * time.Second
+	voteIdle   = 5 * time.Second // after which the votes' connection is closed: the platform closes at about 10
+	mostVotes  = 64              // votes that may wait to be sent
+)
+
+// Reasons why a connection to the platform ended.
+const (
+	reasonPeer   = "peer_closed"
+	reasonLate   = "answer_late"
+	reasonInput  = "bad_input"
+	reasonIdle   = "idle"
+	reasonNewer  = "replaced" // a fresh watch stands in its place
+	reasonRefuse = "refused"
+)
+
+// Desk talks to the platform.
+type Desk struct {
+	loop    *stage.Loop
+	address string
+	wait    time.Duration
+	votes   chan relay.Vote
+}
+
+// New returns a desk; without an address there is no platform, and votes are not counted.
+func New(l *stage.Loop, address string) *Desk {
+	d := &Desk{loop: l, address: address, wait: callFor, votes: make(chan relay.Vote, mostVotes)}
+	if t := l.Site.Rollout.CallTimeout; t > 0 {
+		d.wait = time.Duration(t * float64(time.Second))
+	}
+	return d
+}
+
+// Start serves until the program ends.
+func (d *Desk) Start() {
+	if d.address == "" {
+		return
+	}
+	go d.voting()
+	go d.watching()
+}
+
+// Vote casts a vote; the answer reaches the module as news.
+func (d *Desk) Vote(v relay.Vote) {
+	if d.address != "" {
+		select {
+		case d.votes <- v:
+			return
+		default:
+			d.loop.Stats.Add(stats.BoundQueue, 1)
+		}
+	}
+	d.tell(relay.StageNews{Reply: relay.NotCounted})
+}
+
+func (d *Desk) tell(n relay.StageNews) {
+	switch n.Reply {
+	case relay.Unasked:
+		d.loop.Stats.Add(stats.News, 1)
+	case relay.Counted:
+		d.loop.Stats.Add(stats.VotesCounted, 1)
+	case relay.NotCounted:
+		d.loop.Stats.Add(stats.VotesNotCounted, 1)
+	case relay.MaybeCounted:
+		d.loop.Stats.Add(stats.VotesMaybe, 1)
+	}
+	d.loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(n) }))
+}
+
+// line is a connection that is read line by line.
+type line struct {
+	d     *Desk
+	net   netpoll.Connection
+	split linewire.Splitter
+	lines []string
+	begun time.Time
+	calls int
+}
+
+func (d *Desk) dial() (*line, error) {
+	n, err := netpoll.DialConnection("tcp", d.address, d.wait)
+	if err != nil {
+		d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "reason": reasonRefuse}).WithError(err).Warn("no connection")
+		return nil, err
+	}
+	n.SetWriteTimeout(d.wait)
+	return &line{d: d, net: n, begun: time.Now()}, nil
+}
+
+func (c *line) end(why string) {
+	if c.net == nil {
+		return
+	}
+	c.net.Close()
+	c.net = nil
+	c.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "reason": why,
+		"age": time.Since(c.begun).Round(time.Millisecond).Seconds(), "queries": c.calls}).Info("connection ended")
+}
+
+var errLate = errors.New("no line in time")
+
+// next gives the next line.
+func (c *line) next(wait time.Duration) (string, error) {
+	until := time.Now().Add(wait)
+	r := c.net.Reader()
+	for len(c.lines) == 0 {
+		left := time.Until(until)
+		if left <= 0 {
+			return "", errLate
+		}
+		c.net.SetReadTimeout(left)
+		if _, err := r.Peek(1); err != nil {
+			if errors.Is(err, netpoll.ErrReadTimeout) {
+				return "", errLate
+			}
+			return "", err
+		}
+		b, _ := r.Next(r.Len())
+		err := c.split.Feed(b, func(s string) { c.lines = append(c.lines, s) })
+		r.Release()
+		if err != nil {
+			return "", err
+		}
+	}
+	s := c.lines[0]
+	c.lines = c.lines[1:]
+	return s, nil
+}
+
+// reason sorts a failure to read.
+func (d *Desk) reason(err error) string {
+	switch {
+	case errors.Is(err, errLate):
+		return reasonLate
+	case errors.Is(err, linewire.ErrMalformed), errors.Is(err, linewire.ErrTooLong):
+		d.loop.Stats.Add(stats.BadInput, 1)
+		return reasonInput
+	}
+	return reasonPeer
+}
+
+// voting sends votes one by one, as the module casts them, and matches the answers to them.
+func (d *Desk) voting() {
+	var c *line
+	for {
+		var v relay.Vote
+		if c == nil {
+			v = <-d.votes
+		} else {
+			idle := time.NewTimer(voteIdle)
+			select {
+			case v = <-d.votes:
+				idle.Stop()
+			case <-idle.C:
+				c.end(reasonIdle)
+				c = nil
+				continue
+			}
+		}
+		if c != nil && !c.net.IsActive() {
+			c.end(reasonPeer)
+			c = nil
+		}
+		if c == nil {
+			var err error
+			if c, err = d.dial(); err != nil {
+				c = nil
+				d.tell(relay.StageNews{Reply: relay.NotCounted})
+				continue
+			}
+		}
+		news, err := c.vote(v)
+		d.tell(news)
+		if err != nil {
+			c.end(d.reason(err))
+			c = nil
+		}
+	}
+}
+
+// vote sends one vote and reads its answer. Where none can be read, the vote may have counted.
+func (c *line) vote(v relay.Vote) (relay.StageNews, error) {
+	maybe := relay.StageNews{Reply: relay.MaybeCounted}
+	c.calls++
+	if _, err := c.net.Write([]byte(linewire.Vote(v))); err != nil {
+		return maybe, err
+	}
+	until := time.Now().Add(c.d.wait)
+	for {
+		s, err := c.next(time.Until(until))
+		if err != nil {
+			return maybe, err
+		}
+		reply, err := linewire.Parse(s)
+		switch {
+		case err != nil:
+			return maybe, err
+		case reply.Told:
+			continue
+		case reply.Error != "":
+			c.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "error": reply.Error}).Info("vote not counted")
+			return relay.StageNews{Reply: relay.NotCounted}, nil
+		case !reply.News.Valid:
+			return maybe, linewire.ErrMalformed
+		}
+		reply.News.Reply = relay.Counted
+		return reply.News, nil
+	}
+}
+
+// watching keeps a connection on which the platform tells things. When it has been silent for long, a fresh
+// one is opened beside it and takes its place once it stands.
+func (d *Desk) watching() {
+	var c *line
+	off := backOff
+	for {
+		if c == nil {
+			if c = d.watch(); c == nil {
+				time.Sleep(off)
+				off = min(2*off, mostOff)
+				continue
+			}
+			off = backOff
+		}
+		s, err := c.next(signOfLife)
+		if errors.Is(err, errLate) {
+			if fresh := d.watch(); fresh != nil {
+				c.end(reasonNewer)
+				c = fresh
+			}
+			continue
+		}
+		if err == nil {
+			err = d.heard(s)
+		}
+		if err != nil {
+			c.end(d.reason(err))
+			c = nil
+		}
+	}
+}
+
+func (d *Desk) heard(s string) error {
+	reply, err := linewire.Parse(s)
+	if err == nil && reply.Told && reply.News.Valid {
+		d.tell(reply.News)
+	}
+	return err
+}
+
+// watch opens a connection that is told things, and waits for the word that it stands.
+func (d *Desk) watch() *line {
+	c, err := d.dial()
+	if err != nil {
+		return nil
+	}
+	c.calls++
+	if _, err = c.net.Write([]byte(linewire.Watch)); err == nil {
+		var s string
+		for err == nil {
+			if s, err = c.next(d.wait); err != nil || s == "OK" {
+				break
+			}
+			if err = d.heard(s); err == nil && s[0] != '*' {
+				err = linewire.ErrMalformed
+			}
+		}
+	}
+	if err != nil {
+		c.end(d.reason(err))
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/internal/roster/list.go
@@ -0,0 +1,156 @@
+package roster
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"strconv"
+	"sync"
+
+	"lichenroad/relay"
+)
+
+// maxUnits bounds a list: a thousand times what one relay sends to.
+const maxUnits = 1 << 14
+
+// List is one answer of discovery.
+type List struct {
+	Generation int64
+	Whole      bool
+	Lines      []Line
+	Bad        int // entries that could not be read, and were left out
+}
+
+// Line is one entry: what the module sees of it, and where it is.
+type Line struct {
+	relay.UnitEntry
+	Name, Address string
+}
+
+// number takes a JSON number that may stand in quotes.
+type number float64
+
+func (n *number) UnmarshalJSON(b []byte) error {
+	v, err := strconv.ParseFloat(string(bytes.Trim(b, `"`)), 64)
+	*n = number(v)
+	return err
+}
+
+type wireList struct {
+	Generation *int64            `json:"generation"`
+	Reset      bool              `json:"reset"`
+	Instances  []json.RawMessage `json:"instances"`
+}
+
+type wireLine struct {
+	ID        string `json:"instanceId"`
+	HostPort  string `json:"hostPort"`
+	Zone      string `json:"zone"`
+	Machine   string `json:"machineType"`
+	Cell      number `json:"cell"`
+	Lifecycle string `json:"lifecycle"`
+	Weight    number `json:"weight"`
+	StartedMs number `json:"startedAtMs"`
+	Build     number `json:"build"`
+}
+
+// names numbers words: those that the settings list by their place there, others behind them as they come.
+type names struct {
+	known []string
+	no    map[string]int
+}
+
+func newNames(known []string) *names {
+	n := &names{no: map[string]int{}}
+	for _, w := range known {
+		n.number(w)
+	}
+	return n
+}
+
+func (n *names) number(word string) int {
+	i, ok := n.no[word]
+	if !ok {
+		i = len(n.no)
+		n.no[word] = i
+	}
+	return i
+}
+
+// Reader reads lists. It remembers the numbers that it gave to names, so there is one for the life of the
+// process.
+type Reader struct {
+	mu           sync.Mutex
+	zones, kinds *names
+	unix         func(float64) relay.Seconds
+}
+
+// NewReader returns a reader; unix turns Unix time in seconds into the program's.
+func NewReader(zones, kinds []string, unix func(float64) relay.Seconds) *Reader {
+	return &Reader{zones: newNames(zones), kinds: newNames(kinds), unix: unix}
+}
+
+var errList = errors.New("malformed list")
+
+var states = map[string]relay.UnitState{"SERVING": relay.Ready, "DRAINING": relay.Draining, "DELETED": relay.Gone}
+
+// Parse reads a list. An entry that can't be read is left out and does not lose the rest; of two entries
+// with one id the later holds.
+func (r *Reader) Parse(raw []byte) (List, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var w wireList
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return List{}, fmt.Errorf("%w: %w", errList, err)
+	}
+	if w.Generation == nil || len(w.Instances) > maxUnits {
+		return List{}, fmt.Errorf("%w: %d entries", errList, len(w.Instances))
+	}
+	l := List{Generation: *w.Generation, Whole: w.Reset}
+	at := map[relay.UnitID]int{}
+	for _, raw := range w.Instances {
+		line, err := r.line(raw)
+		if err != nil {
+			l.Bad++
+			continue
+		}
+		if i, twice := at[line.Unit]; twice {
+			l.Lines[i] = line
+			continue
+		}
+		at[line.Unit] = len(l.Lines)
+		l.Lines = append(l.Lines, line)
+	}
+	return l, nil
+}
+
+func (r *Reader) line(raw []byte) (Line, error) {
+	var w wireLine
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return Line{}, err
+	}
+	state, known := states[w.Lifecycle]
+	if w.ID == "" || !known {
+		return Line{}, fmt.Errorf("%w: entry %.40q", errList, w.ID)
+	}
+	if _, err := netip.ParseAddrPort(w.HostPort); err != nil && state != relay.Gone {
+		return Line{}, fmt.Errorf("%w: address %.40q", errList, w.HostPort)
+	}
+	e := relay.UnitEntry{Unit: idOf(w.ID), Zone: relay.Zone(r.zones.number(w.Zone)),
+		Kind: relay.Kind(r.kinds.number(w.Machine)), Cell: relay.Cell(w.Cell), Build: relay.Build(w.Build),
+		Weight: float64(w.Weight), State: state}
+	if w.StartedMs != 0 {
+		e.Started, e.StartedAt = true, r.unix(float64(w.StartedMs)/1000)
+	}
+	return Line{UnitEntry: e, Name: w.ID, Address: w.HostPort}, nil
+}
+
+// idOf numbers a unit by a hash of its id: relays tell one another of units, so all must use one number.
+func idOf(name string) relay.UnitID {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return relay.UnitID(h.Sum64())
+}
--- /dev/null
+++ b/internal/stage/admit.go
@@ -0,0 +1,73 @@
+package stage
+
+import (
+	"hash/fnv"
+	"math"
+	"strconv"
+
+	"lichenroad/internal/pgwire"
+	"lichenroad/relay"
+)
+
+const (
+	// heldQueries bounds the open queries where the settings name no bound.
+	heldQueries = 1 << 14
+	textFull    = "no room for another query"
+	textDenied  = "turned away, nothing was done"
+	textFailed  = "given up, with no word on what was done"
+)
+
+// admit shows a query to the module, which denies it or orders legs; near a bound it is denied unseen.
+func (l *Loop) admit(q *Query) {
+	most := l.Site.MostHeld
+	if most <= 0 || most > heldQueries {
+		most = heldQueries
+	}
+	if q.Refused == "" && len(l.queries) >= most {
+		q.Refused = textFull
+	}
+	if q.Refused != "" {
+		l.answerError(q, IsDenied, pgwire.CodeFull, q.Refused, "")
+		return
+	}
+	for l.lastID++; l.queries[l.lastID] != nil; l.lastID++ {
+	}
+	q.ID = l.lastID
+	l.queries[q.ID] = q
+	l.Learn(relay.Query{ID: q.ID, Until: q.Until, Work: float64(q.Hint) / 1e6, HasWork: q.HasHint,
+		Again: q.Retry, Key: keyOf(q.Object), Customer: q.Customer, Category: q.Category})
+}
+
+// keyOf gives what a query concerns as a number: the number that it is, or a hash.
+func keyOf(object string) relay.Key {
+	if n, err := strconv.ParseUint(object, 16, 64); err == nil {
+		return relay.Key(n)
+	}
+	h := fnv.New64a()
+	h.Write([]byte(object))
+	return relay.Key(h.Sum64())
+}
+
+func (l *Loop) deny(o relay.Deny) {
+	if q := l.queries[o.Query]; q != nil && q.Final == StillOpen {
+		detail := ""
+		if o.RetryAfter > 0 {
+			detail = pgwire.Later(int64(math.Ceil(o.RetryAfter * 1000)))
+		}
+		l.answerError(q, IsDenied, pgwire.CodeFull, textDenied, detail)
+	}
+}
+
+func (l *Loop) writeOff(o relay.WriteOff) {
+	if q := l.queries[o.Query]; q != nil && q.Final == StillOpen {
+		l.answerError(q, IsWrittenOff, pgwire.CodeFailed, textFailed, "")
+	}
+}
+
+// ClientLeft tells that the client of an open query is gone. Only on the loop.
+func (l *Loop) ClientLeft(q *Query) {
+	if q.Final == StillOpen {
+		l.finish(q, HasLeft)
+		l.Learn(relay.ClientLeft{Query: q.ID})
+	}
+}
--- /dev/null
+++ b/internal/stage/book.go
@@ -0,0 +1,77 @@
+package stage
+
+import (
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// Ending is how a leg ended.
+type Ending struct {
+	How    relay.Outcome
+	Took   relay.Seconds
+	Report []float32
+	Answer *buffer.Chain // of an honoured leg: what the client gets
+}
+
+var legCounters = [...]stats.ID{relay.Honoured: stats.LegHonoured, relay.Errored: stats.LegErrored,
+	relay.TurnedAway: stats.LegTurnedAway, relay.TimedOut: stats.LegTimedOut, relay.NoConnect: stats.LegNoConnect,
+	relay.Broken: stats.LegBroken, relay.Cancelled: stats.LegCancelled, relay.NotSent: stats.LegNotSent}
+
+// End books the end of a leg, once; a second end is ignored. Only on the loop.
+func (l *Loop) End(leg *Leg, e Ending) {
+	if leg.Ended {
+		e.Answer.Free()
+		return
+	}
+	leg.Ended = true
+	if leg.Query == nil {
+		e.Answer.Free()
+		l.Learn(relay.Probed{Unit: leg.Unit, Took: e.Took, How: e.How, Report: e.Report})
+		return
+	}
+	l.Stats.Add(stats.LegsOpen, -1)
+	l.Stats.Add(legCounters[e.How], 1)
+	q := leg.Query
+	q.open--
+	if e.How == relay.Honoured && q.Final == StillOpen {
+		l.pass(q, e.Answer)
+	} else {
+		e.Answer.Free()
+	}
+	l.Learn(relay.LegEnded{Query: q.ID, Leg: leg.No, Unit: leg.Unit, How: e.How, Took: e.Took,
+		Over: q.Final != StillOpen, Report: e.Report})
+	l.forget(q)
+}
+
+var finalCounters = [...]stats.ID{IsHonoured: stats.Honoured, IsDenied: stats.Denied,
+	IsWrittenOff: stats.WrittenOff, HasLeft: stats.Left}
+
+// finish books the end of a query.
+func (l *Loop) finish(q *Query, how Final) {
+	q.Final = how
+	l.Stats.Add(stats.Open, -1)
+	l.Stats.Add(finalCounters[how], 1)
+	q.Text.Free()
+	l.forget(q)
+}
+
+// forget lists the record of a query that is over and has no leg out. It goes once the module has seen the
+// end: orders of the step that is under way may still be about it.
+func (l *Loop) forget(q *Query) {
+	if q.Final != StillOpen && q.open == 0 {
+		l.over = append(l.over, q)
+	}
+}
+
+// sweep drops the records of the first n queries listed, which the module now knows to be over.
+func (l *Loop) sweep(n int) {
+	for _, q := range l.over[:n] {
+		if q.open == 0 && l.queries[q.ID] == q {
+			delete(l.queries, q.ID)
+		}
+	}
+	rest := copy(l.over, l.over[n:])
+	clear(l.over[rest:])
+	l.over = l.over[:rest]
+}
--- /dev/null
+++ b/internal/stage/loop.go
@@ -0,0 +1,253 @@
+// Package stage takes a query through its stages (take in, admit, route, send, relay, book) and holds the
+// one loop that owns the decision module. Everything that happens on a socket is posted to the loop as an
+// Event; the loop steps the module over what that means and carries out its orders. The loop never blocks
+// and decides nothing.
+package stage
+
+import (
+	"container/heap"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/stats"
+	"lichenroad/policy"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+// Bounds of the loop.
+const (
+	maxQueue   = 1 << 16 // events waiting: several for each descriptor; only messages of peers are dropped at it
+	keepsQueue = 1 << 12 // events whose space is kept for the next batch
+)
+
+// Clock counts seconds since the start of the program, as the module does.
+type Clock struct{ start time.Time }
+
+// NewClock starts counting now.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the present time.
+func (c Clock) Now() relay.Seconds { return time.Since(c.start).Seconds() }
+
+// Unix turns a Unix time in seconds into a time of this clock.
+func (c Clock) Unix(s float64) relay.Seconds { return s - float64(c.start.UnixNano())/1e9 }
+
+// Event is something that happened outside. Take runs on the loop.
+type Event interface{ Take(l *Loop) }
+
+// Units, Roster, Platform and Peers carry out orders; none of their methods blocks. All are called on the loop.
+type (
+	Units interface {
+		Send(*Leg)
+		Drop(*Leg) // give the leg up; no answer of it is wanted
+		Probe(relay.UnitID)
+		CloseIdle(relay.UnitID)
+	}
+	Roster interface {
+		Watch(on bool)
+		Fetch()
+	}
+	Platform interface{ Vote(relay.Vote) }
+	Peers    interface{ Tell(relay.Tell) }
+)
+
+// Loop owns the module.
+type Loop struct {
+	Clock    Clock
+	Site     settings.Site
+	Pool     *buffer.Pool
+	Stats    *stats.Counters
+	Log      *logrus.Logger
+	Units    Units
+	Roster   Roster
+	Platform Platform
+	Peers    Peers
+
+	module  *policy.Policy
+	queries map[relay.QueryID]*Query
+	over    []*Query // ended since the last step
+	lastID  relay.QueryID
+	batch   []relay.Event
+	timers  timers
+	seq     uint64
+	listed  bool
+	onList  []func()
+
+	mu      sync.Mutex
+	queue   []Event
+	waiting chan struct{}
+}
+
+// NewLoop returns a loop round a fresh module.
+func NewLoop(site settings.Site, seed int64, pool *buffer.Pool, counters *stats.Counters, log *logrus.Logger) *Loop {
+	return &Loop{Clock: NewClock(), Site: site, Pool: pool, Stats: counters, Log: log,
+		module: policy.New(site.Settings, seed), queries: map[relay.QueryID]*Query{},
+		waiting: make(chan struct{}, 1)}
+}
+
+// Post hands an event to the loop, from any goroutine. What it needs to know of time, it carries.
+func (l *Loop) Post(e Event) {
+	l.mu.Lock()
+	l.queue = append(l.queue, e)
+	l.mu.Unlock()
+	select {
+	case l.waiting <- struct{}{}:
+	default:
+	}
+}
+
+// PostLoose posts an event that may be lost, and says whether it was taken.
+func (l *Loop) PostLoose(e Event) bool {
+	l.mu.Lock()
+	full := len(l.queue) >= maxQueue
+	l.mu.Unlock()
+	if full {
+		l.Stats.Add(stats.BoundQueue, 1)
+		return false
+	}
+	l.Post(e)
+	return true
+}
+
+// Call is an event that runs a function on the loop.
+type Call func(l *Loop)
+
+// Take runs it.
+func (f Call) Take(l *Loop) { f(l) }
+
+// Learn adds an event of the module to the batch of the next step. Only on the loop.
+func (l *Loop) Learn(e relay.Event) { l.batch = append(l.batch, e) }
+
+// At runs a function on the loop at or after a time. Only on the loop.
+func (l *Loop) At(at relay.Seconds, f func()) {
+	l.seq++
+	heap.Push(&l.timers, timer{at, l.seq, f})
+}
+
+// WhenListed runs a function once a list of units stands. Only on the loop.
+func (l *Loop) WhenListed(f func()) {
+	if l.listed {
+		f()
+		return
+	}
+	l.onList = append(l.onList, f)
+}
+
+// Listed hands a list to the module. Only on the loop.
+func (l *Loop) Listed(r relay.Roster) {
+	l.Learn(r)
+	if r.Form == relay.RosterFailed || l.listed {
+		return
+	}
+	l.listed = true
+	for _, f := range l.onList {
+		f()
+	}
+	l.onList = nil
+}
+
+// Run goes on until stop is closed.
+func (l *Loop) Run(stop <-chan struct{}) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	var taken []Event
+	for {
+		l.mu.Lock()
+		taken, l.queue = l.queue, taken[:0]
+		l.mu.Unlock()
+		for i, e := range taken {
+			e.Take(l)
+			taken[i] = nil
+		}
+		if cap(taken) > keepsQueue {
+			taken = nil
+		}
+		now := l.Clock.Now()
+		for len(l.timers) > 0 && l.timers[0].at <= now {
+			heap.Pop(&l.timers).(timer).run()
+		}
+		if len(l.batch) > 0 {
+			l.step()
+			continue // orders may have led to more
+		}
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = time.Duration(math.Ceil((l.timers[0].at - l.Clock.Now()) * 1e9))
+		}
+		alarm.Reset(max(wait, 0))
+		select {
+		case <-stop:
+			return
+		case <-l.waiting:
+		case <-alarm.C:
+		}
+	}
+}
+
+// step lets the module see all that has happened, and carries out its orders.
+func (l *Loop) step() {
+	events, over := l.batch, len(l.over)
+	l.batch = nil
+	for _, o := range l.module.Step(l.Clock.Now(), events) {
+		l.order(o)
+	}
+	l.sweep(over)
+}
+
+func (l *Loop) order(o relay.Order) {
+	switch o := o.(type) {
+	case relay.SendLeg:
+		l.route(o)
+	case relay.CancelLeg:
+		l.cancel(o)
+	case relay.Deny:
+		l.deny(o)
+	case relay.WriteOff:
+		l.writeOff(o)
+	case relay.Wake:
+		l.At(o.At, func() { l.Learn(relay.Woken{ID: o.ID}) })
+	case relay.Probe:
+		l.Stats.Add(stats.Probes, 1)
+		l.Units.Probe(o.Unit)
+	case relay.CloseIdle:
+		l.Units.CloseIdle(o.Unit)
+	case relay.Tell:
+		l.Peers.Tell(o)
+	case relay.Vote:
+		l.Stats.Add(stats.Votes, 1)
+		l.Platform.Vote(o)
+	case relay.Watch:
+		l.Roster.Watch(o.On)
+	case relay.Fetch:
+		l.Roster.Fetch()
+	case relay.Log:
+		l.Log.WithField("from", "module").Info(o.Line)
+	}
+}
+
+type timer struct {
+	at  relay.Seconds
+	seq uint64
+	run func()
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/stage/query.go
@@ -0,0 +1,54 @@
+package stage
+
+import (
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/pgwire"
+	"lichenroad/relay"
+)
+
+// Client is the connection that a query came on. Its methods don't block.
+type Client interface {
+	// Answer sends the one final answer; the chain goes over to the client.
+	Answer(q *Query, answer *buffer.Chain)
+}
+
+// Final is how a query ended.
+type Final int
+
+const (
+	StillOpen Final = iota
+	IsHonoured
+	IsDenied
+	IsWrittenOff
+	HasLeft
+)
+
+// Query is the one record of a query, from take in to book.
+type Query struct {
+	pgwire.Query
+	ID       relay.QueryID
+	Client   Client
+	Text     *buffer.Chain // the body of the Query message; freed at the end
+	Arrived  relay.Seconds // when its last byte was read
+	Until    relay.Seconds // when the client gives up
+	Category relay.Category
+	Customer relay.Customer
+	Legs     []*Leg
+	Final    Final
+	Refused  string // why it is denied before the module sees it
+	open     int    // legs that have not ended
+}
+
+// Leg is one attempt at a query, or a probe.
+type Leg struct {
+	Query *Query // nil: a probe
+	No    relay.LegNo
+	Unit  relay.UnitID
+	Asked relay.Seconds // when the module ordered it
+	Until relay.Seconds // when it is given up
+	Ended bool
+	Conn  any // where it was sent, for the connections' own use
+}
+
+// Void says that the leg's query is over, so that nothing of it should be sent any more.
+func (leg *Leg) Void() bool { return leg.Query != nil && leg.Query.Final != StillOpen }
--- /dev/null
+++ b/internal/stage/route.go
@@ -0,0 +1,33 @@
+package stage
+
+import (
+	"math"
+
+	"lichenroad/relay"
+)
+
+// route turns the module's choice of a unit into a leg with its time-out. Orders about a query that is over
+// are skipped: the module learns of its end in the same batch as of the leg.
+func (l *Loop) route(o relay.SendLeg) {
+	q := l.queries[o.Query]
+	if q == nil {
+		return
+	}
+	now := l.Clock.Now()
+	leg := &Leg{Query: q, No: relay.LegNo(len(q.Legs)), Unit: o.Unit, Asked: now, Until: q.Until}
+	if o.Wait > 0 {
+		leg.Until = math.Min(leg.Until, now+o.Wait)
+	}
+	q.Legs = append(q.Legs, leg)
+	q.open++
+	l.send(leg)
+}
+
+func (l *Loop) cancel(o relay.CancelLeg) {
+	if q := l.queries[o.Query]; q != nil && o.Leg >= 0 && int(o.Leg) < len(q.Legs) {
+		if leg := q.Legs[o.Leg]; !leg.Ended {
+			l.Units.Drop(leg)
+			l.End(leg, Ending{How: relay.Cancelled, Took: l.Clock.Now() - leg.Asked})
+		}
+	}
+}
--- /dev/null
+++ b/internal/stage/send.go
@@ -0,0 +1,40 @@
+package stage
+
+import (
+	"strconv"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// send hands a leg to the connections of its unit, and gives it up when its time is over.
+func (l *Loop) send(leg *Leg) {
+	l.Stats.Add(stats.LegsSent, 1)
+	l.Stats.Add(stats.LegsOpen, 1)
+	if leg.Query.Final != StillOpen {
+		l.End(leg, Ending{How: relay.NotSent})
+		return
+	}
+	l.At(leg.Until, func() {
+		if !leg.Ended {
+			l.Units.Drop(leg)
+			l.End(leg, Ending{How: relay.TimedOut, Took: l.Clock.Now() - leg.Asked})
+		}
+	})
+	l.Units.Send(leg)
+}
+
+// Message is what goes to a unit: the statement as it came, but for the time that this relay will wait.
+func (leg *Leg) Message(pool *buffer.Pool, now relay.Seconds) *buffer.Chain {
+	q := leg.Query
+	wait := strconv.FormatInt(max(1, int64((leg.Until-now)*1000)), 10)
+	size := q.Text.Len() - (q.DeadlineEnd - q.DeadlineAt) + len(wait)
+	out := pool.Chain()
+	out.Write(pgwire.Header(nil, 'Q', size))
+	out.Append(q.Text, 0, q.DeadlineAt)
+	out.Write([]byte(wait))
+	out.Append(q.Text, q.DeadlineEnd, q.Text.Len())
+	return out
+}
--- /dev/null
+++ b/internal/stage/takein.go
@@ -0,0 +1,44 @@
+package stage
+
+import (
+	"fmt"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+// TakeIn makes the record of a query of the body of its message, which it takes over when there is no
+// error. It touches no state of the loop, so connections call it where they read.
+func TakeIn(site *settings.Site, body *buffer.Chain, at relay.Seconds) (*Query, error) {
+	text, err := pgwire.Statement(body.Bytes())
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := pgwire.ParseQuery(text)
+	if err != nil {
+		return nil, err
+	}
+	q := &Query{Query: parsed, Text: body, Arrived: at}
+	var known bool
+	if q.Category, known = site.Categories[parsed.Class]; !known {
+		return nil, fmt.Errorf("%w: class %q is not known", pgwire.ErrMalformed, parsed.Class)
+	}
+	if q.Customer, known = site.Customers[parsed.Tenant]; !known && len(site.Customers) > 0 {
+		return nil, fmt.Errorf("%w: tenant %q is not known", pgwire.ErrMalformed, parsed.Tenant)
+	}
+	return q, nil
+}
+
+// Refuse makes the record of a query that there is no room for. It is counted and denied.
+func Refuse(why string, at relay.Seconds) *Query { return &Query{Refused: why, Arrived: at} }
+
+// Begin starts a query whose turn on its connection has come; from is when its time began to count.
+func (l *Loop) Begin(q *Query, from relay.Seconds) {
+	l.Stats.Add(stats.TakenIn, 1)
+	l.Stats.Add(stats.Open, 1)
+	q.Until = from + float64(q.Deadline)/1000
+	l.admit(q)
+}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,89 @@
+// Package stats counts what the program takes in, sends and answers. The counters are safe for use by any
+// goroutine; Line prints them all, in a fixed order, as one line of JSON.
+package stats
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+)
+
+// ID names a counter.
+type ID int
+
+// The counters. What was taken in is honoured + denied + written off + left + open at any time.
+const (
+	ClientConns ID = iota
+	ClientConnsOpen
+	UnitConns
+	UnitConnsOpen
+	TakenIn
+	Honoured
+	Denied
+	WrittenOff
+	Left
+	Open
+	LegsSent
+	LegsOpen
+	LegHonoured
+	LegErrored
+	LegTurnedAway
+	LegTimedOut
+	LegNoConnect
+	LegBroken
+	LegCancelled
+	LegNotSent
+	Probes
+	Votes
+	VotesCounted
+	VotesNotCounted
+	VotesMaybe
+	News
+	MemosOut
+	MemosIn
+	MemosDropped
+	RosterCalls
+	RosterFailed
+	BadInput
+	BoundConns
+	BoundBuffers
+	BoundQueue
+	counters
+)
+
+var names = [counters]string{
+	ClientConns: "client_conns", ClientConnsOpen: "client_conns_open", UnitConns: "unit_conns",
+	UnitConnsOpen: "unit_conns_open", TakenIn: "taken_in", Honoured: "honoured", Denied: "denied",
+	WrittenOff: "written_off", Left: "left", Open: "open", LegsSent: "legs_sent", LegsOpen: "legs_open",
+	LegHonoured: "leg_honoured", LegErrored: "leg_errored", LegTurnedAway: "leg_turned_away",
+	LegTimedOut: "leg_timed_out", LegNoConnect: "leg_no_connect", LegBroken: "leg_broken",
+	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", Probes: "probes", Votes: "votes",
+	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMaybe: "votes_maybe_counted",
+	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
+	RosterCalls: "roster_calls", RosterFailed: "roster_failed", BadInput: "bad_input",
+	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue",
+}
+
+// Counters holds one value for each ID.
+type Counters struct{ v [counters]atomic.Int64 }
+
+// Add changes a counter.
+func (c *Counters) Add(id ID, n int64) { c.v[id].Add(n) }
+
+// Get reads a counter.
+func (c *Counters) Get(id ID) int64 { return c.v[id].Load() }
+
+// Line gives all counters as one line of JSON.
+func (c *Counters) Line() string {
+	var b strings.Builder
+	for id := ID(0); id < counters; id++ {
+		sep := byte(',')
+		if id == 0 {
+			sep = '{'
+		}
+		b.WriteByte(sep)
+		fmt.Fprintf(&b, "%q:%d", names[id], c.v[id].Load())
+	}
+	b.WriteByte('}')
+	return b.String()
+}
--- /dev/null
+++ b/internal/units/units.go
@@ -0,0 +1,208 @@
+// Package units keeps the connections to the units: one query at a time on each, the one last used first.
+// It carries legs and probes out and says how each ended; which unit gets one is not its to choose.
+package units
+
+import (
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// Socket matters, none of them a decision about a query.
+const (
+	idlePart    = 0.8  // of the settings' idle limit after which an idle connection is closed: well before the unit does
+	sweepEvery  = 1.0  // s between looks at idle connections
+	connectWait = 1.0  // s that a connection may take to come up where the settings name no limit
+	closeReads  = 0.25 // s: not used to wait, only to bound a write that a machine does not take
+)
+
+// Pool holds the connections to all units. Its state belongs to the loop.
+type Pool struct {
+	loop    *stage.Loop
+	units   map[relay.UnitID]*unit
+	most    int // descriptors for units
+	open    int // connections, those coming up included
+	connect relay.Seconds
+	idleFor relay.Seconds
+	hello   []byte
+	probe   []byte
+}
+
+// unit is one server as the pool sees it.
+type unit struct {
+	id      relay.UnitID
+	name    string
+	address string
+	idle    []*conn      // the one last used is last
+	coming  int          // connections coming up
+	waiting []*stage.Leg // legs without a connection, the oldest first
+}
+
+// New returns a pool that holds at most so many connections.
+func New(l *stage.Loop, most int) *Pool {
+	p := &Pool{loop: l, units: map[relay.UnitID]*unit{}, most: most, connect: l.Site.Limits.ConnectTimeout,
+		idleFor: l.Site.ConnIdle * idlePart, hello: pgwire.Startup("worker", "catalog"),
+		probe: pgwire.QueryMessage("SELECT 1")}
+	if len(l.Site.Reports) > 0 {
+		p.probe = pgwire.QueryMessage("SHOW " + reportName)
+	}
+	if p.connect <= 0 {
+		p.connect = connectWait
+	}
+	if p.idleFor > 0 {
+		l.At(l.Clock.Now()+sweepEvery, p.sweep)
+	}
+	return p
+}
+
+// Name tells the address of a unit, before the module is told of it. A unit that is at another address now
+// is another process: connections to the old one are of no use.
+func (p *Pool) Name(id relay.UnitID, name, address string) {
+	u := p.units[id]
+	if u == nil {
+		u = &unit{id: id, name: name}
+		p.units[id] = u
+	}
+	if u.address != address {
+		u.address = address
+		p.closeIdle(u, reasonMoved)
+	}
+}
+
+// Send finds a connection for a leg, or opens one.
+func (p *Pool) Send(leg *stage.Leg) {
+	u := p.units[leg.Unit]
+	if u == nil {
+		p.loop.End(leg, stage.Ending{How: relay.NotSent})
+		return
+	}
+	u.waiting = append(u.waiting, leg)
+	p.serve(u)
+	if leg.Ended || len(u.waiting) == 0 || u.waiting[len(u.waiting)-1] != leg {
+		return // it has a connection
+	}
+	p.loop.At(leg.Asked+p.connect, func() {
+		if !leg.Ended && u.leave(leg) {
+			p.loop.End(leg, stage.Ending{How: relay.NoConnect, Took: p.loop.Clock.Now() - leg.Asked})
+		}
+	})
+}
+
+// Probe asks a unit how it is. It takes a connection as a leg does.
+func (p *Pool) Probe(id relay.UnitID) {
+	now := p.loop.Clock.Now()
+	leg := &stage.Leg{Unit: id, Asked: now, Until: now + p.connect}
+	p.loop.At(leg.Until, func() {
+		if !leg.Ended {
+			p.Drop(leg)
+			p.loop.End(leg, stage.Ending{How: relay.TimedOut, Took: p.connect})
+		}
+	})
+	p.Send(leg)
+}
+
+// CloseIdle closes the idle connections to a unit.
+func (p *Pool) CloseIdle(id relay.UnitID) {
+	if u := p.units[id]; u != nil {
+		p.closeIdle(u, reasonOrdered)
+	}
+}
+
+// Drop gives a leg up: it loses its place, or its connection is closed.
+func (p *Pool) Drop(leg *stage.Leg) {
+	u := p.units[leg.Unit]
+	if u == nil || u.leave(leg) {
+		return
+	}
+	if c, ok := leg.Conn.(*conn); ok {
+		c.close(reasonGivenUp)
+	}
+}
+
+// leave takes a leg out of those that wait, and says whether it was there.
+func (u *unit) leave(leg *stage.Leg) bool {
+	for i, w := range u.waiting {
+		if w == leg {
+			u.waiting = append(u.waiting[:i], u.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// serve gives waiting legs the idle connections, and opens new ones for those that are left.
+func (p *Pool) serve(u *unit) {
+	for len(u.waiting) > 0 && len(u.idle) > 0 {
+		leg := u.waiting[0]
+		u.waiting = u.waiting[1:]
+		if leg.Void() {
+			p.loop.End(leg, stage.Ending{How: relay.NotSent})
+			continue
+		}
+		c := u.idle[len(u.idle)-1]
+		u.idle = u.idle[:len(u.idle)-1]
+		c.begin(leg)
+	}
+	for u.coming < len(u.waiting) {
+		if p.open >= p.most && !p.spare() {
+			p.loop.Stats.Add(stats.BoundConns, 1)
+			leg := u.waiting[len(u.waiting)-1]
+			u.waiting = u.waiting[:len(u.waiting)-1]
+			p.loop.End(leg, stage.Ending{How: relay.NotSent})
+			continue
+		}
+		p.open++
+		u.coming++
+		p.loop.Stats.Add(stats.UnitConns, 1)
+		p.loop.Stats.Add(stats.UnitConnsOpen, 1)
+		go dial(p, u, u.address)
+	}
+}
+
+// spare closes the connection that has been idle for longest, to make room for another.
+func (p *Pool) spare() bool {
+	var oldest *conn
+	for _, u := range p.units {
+		if len(u.idle) > 0 && (oldest == nil || u.idle[0].since < oldest.since) {
+			oldest = u.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.close(reasonBound)
+	return true
+}
+
+func (p *Pool) closeIdle(u *unit, why string) {
+	for len(u.idle) > 0 {
+		u.idle[len(u.idle)-1].close(why)
+	}
+}
+
+// sweep closes what has been idle for long, before the unit does.
+func (p *Pool) sweep() {
+	now := p.loop.Clock.Now()
+	for _, u := range p.units {
+		for len(u.idle) > 0 && now-u.idle[0].since > p.idleFor {
+			u.idle[0].close(reasonIdle)
+		}
+	}
+	p.loop.At(now+sweepEvery, p.sweep)
+}
+
+// ended is the one place where a connection is given back, whether it came up or not.
+func (p *Pool) ended(u *unit, why string, age relay.Seconds, queries int) {
+	p.open--
+	p.loop.Stats.Add(stats.UnitConnsOpen, -1)
+	p.loop.Log.WithFields(logrus.Fields{"peer": "unit", "unit": u.name, "reason": why,
+		"age": math.Round(age*1000) / 1000, "queries": queries}).Info("connection ended")
+}
+
+func span(s relay.Seconds) time.Duration { return time.Duration(s * float64(time.Second)) }
