--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -33,13 +33,34 @@
 	leastWait    = 3.0  // s of patience that are counted where the settings' is shorter, as the platform does
 )
 
+// program is a relay that runs.
+type program struct {
+	loop  *stage.Loop
+	front *clients.Server
+	stop  chan struct{}
+	end   func() // at once; may be called again
+}
+
 // serve runs a relay until it is told to end.
 func serve(c config.Config, log *logrus.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB<<20)))
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}); err != nil {
+	lib := netpoll.Config{PollerNum: 1, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
+	if err := netpoll.Configure(lib); err != nil {
+		return err
+	}
+	p, err := start(c, log)
+	if err != nil {
 		return err
 	}
+	go p.signals()
+	p.loop.Run(p.stop)
+	log.Info("counters " + p.loop.Stats.Line())
+	return nil
+}
+
+// start puts the parts together and listens; what comes waits for the loop to run.
+func start(c config.Config, log *logrus.Logger) (*program, error) {
 	counters := &stats.Counters{}
 	pool := buffer.NewPool(int64(bufferPart * float64(c.MemoryMB<<20)))
 	loop := stage.NewLoop(c.Site, c.Seed, pool, counters, log)
@@ -49,67 +70,63 @@
 	reader := roster.NewReader(c.Site.Zones, c.Site.Kinds, loop.Clock.Unix)
 	asker := roster.New(loop, c.Discovery, reader, legs.Name)
 	desk := platform.New(loop, c.Platform)
-	loop.Units, loop.Roster, loop.Platform = legs, asker, desk
+	loop.Units, loop.Roster, loop.Platform, loop.Peers = legs, asker, desk, noPeers{counters}
 	if c.PeerListen != "" {
 		tier, err := peers.Open(loop, c.PeerListen, c.Peers, c.PeersAll)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		loop.Peers = tier
 		tier.Start()
-	} else {
-		loop.Peers = noPeers{counters}
 	}
 
 	// The module's first step sees the list as last held, then where the newest build stands.
-	known, err := reader.Parse(c.Known)
-	if err != nil {
-		known = roster.List{Generation: -1}
+	if known, err := reader.Parse(c.Known); err == nil {
+		asker.Known(known)
+	} else {
 		log.WithField("peer", "roster").Warn("no list to start with")
 	}
-	asker.Known(known)
-	if c.News.Valid {
-		loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(c.News) }))
-	}
+	loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(c.News) }))
 	asker.Start()
 	desk.Start()
 	front := clients.New(loop, sockets-forUnits)
 	if err := front.Listen(c.Listen); err != nil {
-		return err
+		return nil, err
 	}
-	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen}).Info("serving")
-
+	log.WithFields(logrus.Fields{"name": c.Name, "listen": front.Addr().String()}).Info("serving")
 	stop := make(chan struct{})
-	go signals(c, loop, front, stop)
-	loop.Run(stop)
-	log.Info("counters " + counters.Line())
-	return nil
+	return &program{loop, front, stop, sync.OnceFunc(func() { close(stop) })}, nil
+}
+
+// endGently goes on for a little while, closes each connection between its queries, and ends when none is
+// left, or when every query must have been answered.
+func (p *program) endGently() {
+	longest := leastWait
+	for _, t := range p.loop.Site.Settings.Categories {
+		longest = max(longest, t.Patience)
+	}
+	p.loop.Post(stage.Call(func(l *stage.Loop) {
+		p.front.Stop(p.end)
+		l.At(l.Clock.Now()+longest+lastWait, p.end)
+	}))
 }
 
 // signals ends the program gently at the first SIGTERM or interrupt and at once at the second, and prints
 // the counters on SIGUSR1.
-func signals(c config.Config, loop *stage.Loop, front *clients.Server, stop chan struct{}) {
+func (p *program) signals() {
 	got := make(chan os.Signal, 4)
 	signal.Notify(got, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
-	end := sync.OnceFunc(func() { close(stop) })
 	ending := false
 	for s := range got {
 		switch {
 		case s == syscall.SIGUSR1:
-			loop.Log.Info("counters " + loop.Stats.Line())
+			p.loop.Log.Info("counters " + p.loop.Stats.Line())
 		case ending:
-			end()
+			p.end()
 		default:
 			ending = true
-			loop.Log.WithField("signal", s.String()).Info("ending")
-			longest := leastWait
-			for _, t := range c.Site.Settings.Categories {
-				longest = max(longest, t.Patience)
-			}
-			loop.Post(stage.Call(func(l *stage.Loop) {
-				front.Stop(end)
-				l.At(l.Clock.Now()+longest+lastWait, end)
-			}))
+			p.loop.Log.WithField("signal", s.String()).Info("ending")
+			p.endGently()
 		}
 	}
 }
--- /dev/null
+++ b/cmd/lichenroad/serve_test.go
@@ -0,0 +1,409 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenroad/internal/config"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+)
+
+func TestHonoured(t *testing.T) {
+	u := newUnit(t, always(honour))
+	p := running(t, newFleet(t, u), nil)
+	c := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...) // the first query right behind the startup
+	c.until('Z')
+	if v, code := c.answer(); v != "value of SELECT" || code != "" {
+		t.Errorf("%q %q", v, code)
+	}
+	got := <-u.seen
+	var d int
+	at := strings.Index(got, ",d=")
+	fmt.Sscanf(got[at:], ",d=%d */", &d)
+	if d <= 0 || d > 1500 || strings.Replace(got, fmt.Sprint("d=", d), "d=1500", 1) != read("look", 1500) {
+		t.Errorf("changed on the way: %s", got)
+	}
+	c.send(" ; ")
+	if c.until('I'); len(c.until('Z')) != 1 {
+		t.Error("no answer to an empty query")
+	}
+	write := `INSERT INTO objects (oid, body) VALUES ('7f3a', '\x` + strings.Repeat("9f", pgwire.MaxValue) +
+		`') RETURNING body /* id=1,c=order,t=acme,d=1500,k=5c */`
+	c.send(write)
+	if v, _ := c.answer(); v != "value of INSERT" {
+		t.Errorf("%q", v)
+	}
+	if _, opened := u.count(); opened != 1 {
+		t.Errorf("%d connections for queries one after the other", opened)
+	}
+	c.Write([]byte{'X', 0, 0, 0, 4})
+	if !c.closed() {
+		t.Error("not closed after Terminate")
+	}
+	sums(t, p)
+}
+
+func TestQueriesSplitAnywhere(t *testing.T) {
+	p := running(t, newFleet(t, newUnit(t, always(honour))), nil)
+	stream := append(pgwire.Startup("worker", "catalog"), pgwire.QueryMessage(read("look", 1500))...)
+	for cut := 1; cut < len(stream); cut += 7 {
+		n, err := net.Dial("tcp", p.front.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.SetDeadline(time.Now().Add(patience))
+		n.Write(stream[:cut])
+		n.Write(stream[cut:])
+		c := &client{t, n, bufio.NewReader(n)}
+		c.until('Z')
+		if v, code := c.answer(); v == "" {
+			t.Fatalf("cut at %d: %q", cut, code)
+		}
+		n.Close()
+	}
+	sums(t, p)
+}
+
+func TestSeveralAheadAreAnsweredInOrder(t *testing.T) {
+	u := newUnit(t, always(honour))
+	p := running(t, newFleet(t, u), nil)
+	var ahead []byte
+	for range 5 {
+		ahead = append(ahead, pgwire.QueryMessage(read("look", 1500))...)
+		ahead = append(ahead, pgwire.QueryMessage("")...)
+	}
+	c := dialClient(t, p, ahead...)
+	c.until('Z')
+	for range 5 {
+		c.until('D')
+		c.until('Z')
+		c.until('I')
+		c.until('Z')
+	}
+	for range 40 {
+		c.send(read("look", 1500))
+	}
+	for code := ""; code != pgwire.CodeTooLong; {
+		if _, code = c.answer(); code == "closed" {
+			t.Fatal("closed without a word")
+		}
+	}
+	if !c.closed() {
+		t.Error("queries without bound are taken in")
+	}
+	c.Close()
+	sums(t, p)
+}
+
+// TestOutcomes gives each category to units that do one thing: what the client hears, and how often the
+// query may have run.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		does   deed
+		class  string
+		code   string
+		least  int // statements that come to units
+		most   int
+		inTime bool // answered before the patience ends
+	}{
+		{"an error of a query that may run again", failing, "look", pgwire.CodeFull, 2, 3, true},
+		{"an error of one that may not", failing, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"turned away", turnAway, "pay", pgwire.CodeFull, 1, 3, true},
+		{"reset behind the last byte", reset, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"reset of a numbered one", reset, "order", pgwire.CodeFull, 2, 3, true},
+		{"silence", silent, "pay", pgwire.CodeFailed, 1, 1, false},
+		{"garbage", garbage, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"two rows", twoRows, "pay", pgwire.CodeFailed, 1, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			a, b := newUnit(t, always(c.does)), newUnit(t, always(c.does))
+			p := running(t, newFleet(t, a, b), nil)
+			cl := dialClient(t, p)
+			cl.until('Z')
+			begun := time.Now()
+			cl.send(read(c.class, 600))
+			_, code := cl.answer()
+			n, _ := a.count()
+			m, _ := b.count()
+			if code != c.code || n+m < c.least || n+m > c.most {
+				t.Errorf("%q after %d statements", code, n+m)
+			}
+			if in := time.Since(begun) < 590*time.Millisecond; in != c.inTime {
+				t.Errorf("after %v", time.Since(begun))
+			}
+			sums(t, p)
+		})
+	}
+}
+
+func TestRefusedConnectsNeverRan(t *testing.T) {
+	gone, well := newUnit(t, always(honour)), newUnit(t, always(honour))
+	gone.ln.Close()
+	f := newFleet(t, gone, well)
+	p := running(t, f, nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	for range 20 { // one of them at least is sent to the unit that is not there first
+		c.send(read("pay", 1500))
+		if v, code := c.answer(); v == "" {
+			t.Fatal(code)
+		}
+	}
+	if p.loop.Stats.Get(stats.LegNoConnect) == 0 {
+		t.Error("no leg went to the unit that is not there")
+	}
+	sums(t, p)
+}
+
+func TestUnitThatNeverComesUp(t *testing.T) {
+	// It accepts, and says nothing to the startup.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f := newFleet(t, &unit{ln: ln})
+	p := running(t, f, nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	c.send(read("pay", 700))
+	if _, code := c.answer(); code != pgwire.CodeFull {
+		t.Errorf("%q: a leg without a connection never ran", code)
+	}
+	if p.loop.Stats.Get(stats.LegNoConnect) == 0 {
+		t.Error(p.loop.Stats.Line())
+	}
+	sums(t, p)
+}
+
+func TestClientLeaves(t *testing.T) {
+	u := newUnit(t, always(silent))
+	p := running(t, newFleet(t, u), nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	c.send(read("look", 1900))
+	<-u.seen
+	c.Close()
+	settled(t, p, stats.Left, 1)
+	<-u.ended // the leg's connection is closed, not kept
+	if p.loop.Stats.Get(stats.LegCancelled) != 1 {
+		t.Error(p.loop.Stats.Line())
+	}
+	sums(t, p)
+}
+
+func TestConnectionIsNotKeptAfterATimeout(t *testing.T) {
+	u := newUnit(t, func(s string) deed {
+		if strings.Contains(s, "c=pay") {
+			return silent
+		}
+		return honour
+	})
+	p := running(t, newFleet(t, u), nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	c.send(read("pay", 200))
+	if _, code := c.answer(); code != pgwire.CodeFailed {
+		t.Error(code)
+	}
+	<-u.ended
+	c.send(read("look", 1500))
+	if v, code := c.answer(); v == "" {
+		t.Error(code)
+	}
+	if _, opened := u.count(); opened != 2 {
+		t.Errorf("%d connections", opened)
+	}
+	sums(t, p)
+}
+
+func TestUnitThatClosesBetweenQueries(t *testing.T) {
+	u := newUnit(t, always(lastWord))
+	p := running(t, newFleet(t, u), nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	for range 5 {
+		c.send(read("pay", 1500))
+		if v, code := c.answer(); v == "" {
+			t.Fatal(code)
+		}
+		<-u.ended
+		settled(t, p, stats.UnitConnsOpen, 0)
+	}
+	sums(t, p)
+}
+
+func TestBadInputFromClients(t *testing.T) {
+	p := running(t, newFleet(t, newUnit(t, always(honour))), nil)
+	for name, c := range map[string]struct {
+		bytes []byte
+		code  string
+	}{
+		"another statement": {pgwire.QueryMessage("DROP TABLE objects"), pgwire.CodeSyntax},
+		"unknown class":     {pgwire.QueryMessage(read("none", 100)), pgwire.CodeSyntax},
+		"unknown tenant":    {pgwire.QueryMessage(strings.Replace(read("look", 1), "acme", "x", 1)), pgwire.CodeSyntax},
+		"without an id":     {pgwire.QueryMessage(strings.Replace(read("look", 1), "id=9b1f,", "", 1)), pgwire.CodeSyntax},
+		"extended protocol": {[]byte{'P', 0, 0, 0, 4}, pgwire.CodeNotKnown},
+		"oversized":         {[]byte{'Q', 0x7f, 0, 0, 0}, pgwire.CodeTooLong},
+		"short length":      {[]byte{'Q', 0, 0, 0, 1}, pgwire.CodeSyntax},
+	} {
+		before := p.loop.Stats.Get(stats.BadInput)
+		cl := dialClient(t, p)
+		cl.until('Z')
+		cl.Write(c.bytes)
+		if _, code := cl.answer(); code != c.code {
+			t.Errorf("%s: %q", name, code)
+		}
+		if !cl.closed() || p.loop.Stats.Get(stats.BadInput) != before+1 {
+			t.Errorf("%s: not closed or not counted", name)
+		}
+		cl.Close()
+	}
+	cl := dialClient(t, p, bytes.Repeat([]byte{0}, 8)...)
+	if cl.until('Z'); !cl.closed() {
+		t.Error("garbage behind the startup")
+	}
+	cl.Close()
+	settled(t, p, stats.ClientConnsOpen, 0)
+	sums(t, p)
+}
+
+func TestTooManyClientsAreTold(t *testing.T) {
+	p := running(t, newFleet(t, newUnit(t, always(honour))), func(c *config.Config) { c.Sockets = 128 })
+	var kept []*client
+	for i := 0; ; i++ {
+		c := dialClient(t, p)
+		kind, body, err := readMessage(c.r, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if kind != 'E' {
+			kept = append(kept, c)
+			continue
+		}
+		if _, code, _, _ := pgwire.ParseError(body); code != pgwire.CodeFull || !c.closed() || i != 32 {
+			t.Errorf("connection %d: %q", i, code)
+		}
+		c.Close()
+		break
+	}
+	kept[0].Close()
+	settled(t, p, stats.ClientConnsOpen, 31)
+	again := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
+	again.until('Z')
+	if v, code := again.answer(); v == "" {
+		t.Error(code)
+	}
+}
+
+func TestFullBuffersDeny(t *testing.T) {
+	p := running(t, newFleet(t, newUnit(t, always(honour))), nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	hog := p.loop.Pool.Chain()
+	for !p.loop.Pool.Full() {
+		hog.Write(make([]byte, 1<<20))
+	}
+	c.send(read("pay", 1500))
+	if _, code := c.answer(); code != pgwire.CodeFull {
+		t.Error(code)
+	}
+	hog.Free()
+	c.send(read("pay", 1500))
+	if v, code := c.answer(); v == "" {
+		t.Error(code)
+	}
+	sums(t, p)
+}
+
+func TestDrainedUnitGetsNothingNew(t *testing.T) {
+	a, b := newUnit(t, always(honour)), newUnit(t, always(honour))
+	f := newFleet(t, a, b)
+	p := running(t, f, nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	settled(t, p, stats.RosterCalls, 2) // the first call is answered, the watch waits
+	f.set(0, "DRAINING")
+	settled(t, p, stats.RosterCalls, 3) // the answer has been read
+	c.send(read("look", 1500))          // and is taken in before this
+	c.answer()
+	before, _ := a.count()
+	for range 20 {
+		c.send(read("look", 1500))
+		if v, code := c.answer(); v == "" {
+			t.Fatal(code)
+		}
+	}
+	if after, _ := a.count(); after != before {
+		t.Errorf("%d queries to a draining unit", after-before)
+	}
+	sums(t, p)
+}
+
+func TestDiscoveryDown(t *testing.T) {
+	f := newFleet(t, newUnit(t, always(honour)))
+	f.down = true
+	p := running(t, f, nil)
+	settled(t, p, stats.RosterFailed, 1)
+	c := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
+	c.until('Z')
+	if v, code := c.answer(); v == "" {
+		t.Error("the list as last held does not serve:", code)
+	}
+	f.mu.Lock()
+	f.down = false
+	f.mu.Unlock()
+	settled(t, p, stats.RosterCalls, 3) // asked again when the module ordered it
+}
+
+func TestGentleEnd(t *testing.T) {
+	release := make(chan struct{})
+	u := newUnit(t, func(s string) deed {
+		if strings.Contains(s, "c=pay") {
+			<-release
+		}
+		return honour
+	})
+	p := running(t, newFleet(t, u), nil)
+	busy, idle := dialClient(t, p), dialClient(t, p)
+	busy.until('Z')
+	idle.until('Z')
+	busy.send(read("pay", 1900))
+	<-u.seen
+	p.endGently()
+	idle.send(read("look", 1500)) // goes on being served for a while
+	if v, code := idle.answer(); v == "" {
+		t.Error(code)
+	}
+	late := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
+	late.until('Z')
+	if v, code := late.answer(); v == "" {
+		t.Error("a new connection just after the signal:", code)
+	}
+	if !idle.closed() {
+		t.Error("the idle connection should be closed cleanly")
+	}
+	idle.Close()
+	close(release)
+	if v, code := busy.answer(); v == "" || !busy.closed() {
+		t.Error("the open query should be answered, then the connection closed:", code)
+	}
+	busy.Close()
+	late.Close()
+	select {
+	case <-p.stop:
+	case <-time.After(patience):
+		t.Error("the program does not end")
+	}
+	if _, err := net.Dial("tcp", p.front.Addr().String()); err == nil {
+		t.Error("the listener still takes connections")
+	}
+}
--- /dev/null
+++ b/cmd/lichenroad/standin_test.go
@@ -0,0 +1,348 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/config"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+)
+
+// patience is how long a test waits for what should come at once.
+const patience = 10 * time.Second
+
+// readMessage reads one message from a connection; without a type byte where startup is set.
+func readMessage(r io.Reader, startup bool) (byte, []byte, error) {
+	head := make([]byte, 5)
+	if startup {
+		head = head[:4]
+	}
+	if _, err := io.ReadFull(r, head); err != nil {
+		return 0, nil, err
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head[len(head)-4:])-4)
+	_, err := io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// deed is what a stand-in unit does with a query.
+type deed int
+
+const (
+	honour   deed = iota
+	failing       // XX000
+	turnAway      // 53300
+	silent
+	reset    // the connection breaks after the query has come
+	garbage  // no message of the protocol
+	twoRows  // an answer of the wrong form
+	lastWord // honour, then close the connection
+)
+
+// unit is a small stand-in for a server.
+type unit struct {
+	t    *testing.T
+	ln   net.Listener
+	does func(statement string) deed
+
+	mu      sync.Mutex
+	asked   []string
+	opened  int
+	closing int
+	seen    chan string // each statement as it comes
+	ended   chan struct{}
+}
+
+func newUnit(t *testing.T, does func(string) deed) *unit {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &unit{t: t, ln: ln, does: does, seen: make(chan string, 1000), ended: make(chan struct{}, 1000)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			u.opened++
+			u.mu.Unlock()
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func always(d deed) func(string) deed { return func(string) deed { return d } }
+
+// row is the answer to a read: one column, binary.
+func row(value string) []byte {
+	b := append([]byte{'T', 0, 0, 0, 0, 0, 1}, "body\x00"...)
+	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1)
+	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-1))
+	b = append(b, 'D')
+	b = binary.BigEndian.AppendUint32(b, uint32(len(value)+10))
+	b = append(b, 0, 1)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(value)))
+	b = append(b, value...)
+	return append(append(b, 'C', 0, 0, 0, 13), "SELECT 1\x00"...)
+}
+
+func (u *unit) serve(c net.Conn) {
+	defer func() { c.Close(); u.ended <- struct{}{} }()
+	r := bufio.NewReader(c)
+	if _, _, err := readMessage(r, true); err != nil {
+		return
+	}
+	c.Write(pgwire.Welcome(1))
+	for {
+		kind, body, err := readMessage(r, false)
+		if err != nil || kind != 'Q' {
+			return
+		}
+		text := strings.TrimRight(string(body), "\x00")
+		u.mu.Lock()
+		u.asked = append(u.asked, text)
+		u.mu.Unlock()
+		u.seen <- text
+		switch u.does(text) {
+		case honour:
+			c.Write(pgwire.Ready(row("value of " + text[:6])))
+		case lastWord:
+			c.Write(pgwire.Ready(row("value of " + text[:6])))
+			return
+		case failing:
+			c.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, "XX000", "broken", "")))
+		case turnAway:
+			c.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, pgwire.CodeFull, "full", "")))
+		case reset:
+			return
+		case garbage:
+			c.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+		case twoRows:
+			b := row("a")
+			c.Write(pgwire.Ready(append(b[:len(b)-14], row("b")[len(row(""))-25:]...)))
+		}
+	}
+}
+
+func (u *unit) count() (asked, opened int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.asked), u.opened
+}
+
+func (u *unit) address() string { return u.ln.Addr().String() }
+
+// fleet is a stand-in for discovery: it answers calls with the entries it holds.
+type fleet struct {
+	mu      sync.Mutex
+	version int
+	entries []map[string]any
+	changed chan struct{}
+	down    bool
+	srv     *httptest.Server
+}
+
+func newFleet(t *testing.T, units ...*unit) *fleet {
+	f := &fleet{version: 1, changed: make(chan struct{})}
+	for i, u := range units {
+		f.entries = append(f.entries, map[string]any{"instanceId": fmt.Sprint("s-", i), "hostPort": u.address(),
+			"zone": "a", "machineType": "m1", "lifecycle": "SERVING", "build": 1})
+	}
+	f.srv = httptest.NewServer(f)
+	t.Cleanup(func() { f.srv.CloseClientConnections(); f.srv.Close() })
+	return f
+}
+
+func (f *fleet) list() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	raw, _ := json.Marshal(map[string]any{"generation": f.version, "reset": true, "instances": f.entries})
+	return string(raw)
+}
+
+// set changes an entry and ends the watches that wait for that.
+func (f *fleet) set(i int, lifecycle string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[i]["lifecycle"] = lifecycle
+	f.version++
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	changed, down := f.changed, f.down
+	same := r.FormValue("after") == fmt.Sprint(f.version)
+	f.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if same && r.FormValue("wait_ms") != "0" {
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	io.WriteString(w, f.list())
+}
+
+const testSettings = `{"areas":["a"],"kinds":["m1"],"az":0,"my_number":0,"replicas_of_me":1,"discovery":"subscribe",
+ "grades":[{"name":"look","repeat":"retryable","target":400000000,"deadline":2000000000,"worth":1},
+  {"name":"order","repeat":"dedup","group":"all","repeat_window":2000000000,"target":400000000,"deadline":2000000000,"worth":1},
+  {"name":"pay","repeat":"fragile","target":400000000,"deadline":2000000000,"worth":1}],
+ "tenants":[{"name":"acme","share":1,"quota_per_s":1000}],
+ "policy_limits":{"cancel":true,"conn_idle":30000000000,"dial_timeout":250000000,"max_attempts":3,"retry_after":true,
+  "max_retry_after":1000000000,"probes":true,"may_tell":true},
+ "report":{"via":"off"},"rules":{"drain_grace":250000000,"ask_every":10000000000},
+ "family_info":{"call_timeout":300000000,"exposure_caps":[1],"waves":[1],"uncounted":1,"span":2000000000,
+  "decided_by":"first_voice","to_advance":1,"to_abort":1,"ballot_ttl":10000000000,"votes_per_s":100}}`
+
+// running starts a whole relay on loopback.
+func running(t *testing.T, f *fleet, change func(*config.Config)) *program {
+	t.Helper()
+	raw := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"known":%s,"settings":%s}`,
+		f.srv.Listener.Addr().String(), f.list(), testSettings)
+	c, err := config.Parse([]byte(raw), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(&c)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p, err := start(c, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { p.loop.Run(p.stop); close(done) }()
+	t.Cleanup(func() { p.end(); <-done })
+	return p
+}
+
+// client is a stand-in for a client.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dialClient(t *testing.T, p *program, first ...byte) *client {
+	t.Helper()
+	n, err := net.Dial("tcp", p.front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { n.Close() })
+	c := &client{t, n, bufio.NewReader(n)}
+	n.Write(append(pgwire.Startup("worker", "catalog"), first...))
+	return c
+}
+
+// until reads messages up to one of a kind.
+func (c *client) until(kind byte) []byte {
+	c.t.Helper()
+	for {
+		k, body, err := readMessage(c.r, false)
+		if err != nil {
+			c.t.Fatalf("no %c: %v", kind, err)
+		}
+		if k == kind {
+			return body
+		}
+		if k == 'E' {
+			c.t.Fatalf("%q instead of %c", body, kind)
+		}
+	}
+}
+
+func read(class string, ms int) string {
+	return fmt.Sprintf("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=%s,t=acme,d=%d */", class, ms)
+}
+
+func (c *client) send(text string) { c.Write(pgwire.QueryMessage(text)) }
+
+// answer reads the answer to a query: its value, or the code of an error and its detail.
+func (c *client) answer() (value, code string) {
+	c.t.Helper()
+	for {
+		kind, body, err := readMessage(c.r, false)
+		switch {
+		case err != nil:
+			return "", "closed"
+		case kind == 'D':
+			value = string(body[6:])
+		case kind == 'E':
+			var severity string
+			if severity, code, _, err = pgwire.ParseError(body); err != nil || severity == pgwire.Fatal {
+				return "", code
+			}
+		case kind == 'Z':
+			return value, code
+		}
+	}
+}
+
+// closed says that the relay ends the connection.
+func (c *client) closed() bool {
+	_, err := io.Copy(io.Discard, c.r)
+	return err == nil
+}
+
+// settled waits until a counter has a value.
+func settled(t *testing.T, p *program, id stats.ID, want int64) {
+	t.Helper()
+	for until := time.Now().Add(patience); p.loop.Stats.Get(id) != want; {
+		if time.Now().After(until) {
+			t.Fatalf("%s: want %d of counter %d", p.loop.Stats.Line(), want, id)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// sums checks the books: everything taken in has ended in one way, and no buffer is out.
+func sums(t *testing.T, p *program) {
+	t.Helper()
+	settled(t, p, stats.Open, 0)
+	settled(t, p, stats.LegsOpen, 0)
+	s := p.loop.Stats
+	if in, out := s.Get(stats.TakenIn), s.Get(stats.Honoured)+s.Get(stats.Denied)+s.Get(stats.WrittenOff)+s.Get(stats.Left); in != out {
+		t.Errorf("taken in %d, ended %d", in, out)
+	}
+	legs := int64(0)
+	for id := stats.LegHonoured; id <= stats.LegNotSent; id++ {
+		legs += s.Get(id)
+	}
+	if legs != s.Get(stats.LegsSent) {
+		t.Errorf("%d legs sent, %d ended", s.Get(stats.LegsSent), legs)
+	}
+	for until := time.Now().Add(patience); p.loop.Pool.Out() != 0; {
+		if time.Now().After(until) {
+			t.Fatalf("%d bytes of buffers are out", p.loop.Pool.Out()/buffer.Size)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -242,7 +242,7 @@
 			text = s[:min(len(s), maxErrText)]
 		}
 	}
-	if len(b) != 1 || code == "" {
+	if len(b) != 1 || b[0] != 0 || code == "" {
 		return "", "", "", fmt.Errorf("%w: ErrorResponse", ErrMalformed)
 	}
 	return severity, code, text, nil
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,225 @@
+package pgwire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"lichenroad/internal/buffer"
+)
+
+const (
+	readText  = "SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=basket,t=acme,d=480 */"
+	writeText = `INSERT INTO objects (oid, body) VALUES ('7f3a', '\x9f03') RETURNING body ` +
+		"/* id=9b1f,c=order,t=acme,d=480,k=5c0f,r=1,h=1500,new=1 */"
+)
+
+// split feeds a stream in two pieces and writes down what came of it.
+func split(stream []byte, cut int) string {
+	pool := buffer.NewPool(1 << 20)
+	s := Splitter{Pool: pool, Startup: true}
+	var b strings.Builder
+	emit := func(m Message) error {
+		fmt.Fprintf(&b, "%d:%q ", m.Type, m.Body.Bytes())
+		if m.Type == 0 {
+			what, err := ParseStartup(m.Body.Bytes())
+			fmt.Fprint(&b, what, err, " ")
+			s.Startup = what != OpenSession
+		}
+		m.Body.Free()
+		return nil
+	}
+	err := s.Feed(stream[:cut], emit)
+	if err == nil {
+		err = s.Feed(stream[cut:], emit)
+	}
+	s.Free()
+	if pool.Out() != 0 {
+		return fmt.Sprintf("%d bytes are not given back", pool.Out())
+	}
+	fmt.Fprint(&b, err)
+	return b.String()
+}
+
+func session() []byte {
+	b := append([]byte{0, 0, 0, 8, 4, 210, 22, 47}, Startup("worker", "catalog")...)
+	b = append(b, QueryMessage(readText)...)
+	b = append(b, QueryMessage(strings.Repeat("x", 2*buffer.Size))...)
+	return append(b, 'X', 0, 0, 0, 4)
+}
+
+func TestSplitterCutAnywhere(t *testing.T) {
+	stream := session()
+	whole := split(stream, 0)
+	if !strings.HasSuffix(whole, "<nil>") || strings.Count(whole, "81:") != 2 {
+		t.Fatalf("%.300s", whole)
+	}
+	for cut := range stream {
+		if got := split(stream, cut); got != whole {
+			t.Fatalf("cut at %d: %.300s", cut, got)
+		}
+	}
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add(session(), 9)
+	f.Add([]byte{0, 0, 0, 3}, 1)
+	f.Add([]byte{0, 0, 0, 8, 0, 3, 0, 0, 'Q', 255, 255, 255, 255}, 10)
+	f.Fuzz(func(t *testing.T, stream []byte, cut int) {
+		if cut < 0 || cut > len(stream) {
+			cut = len(stream)
+		}
+		if a, b := split(stream, cut), split(stream, 0); a != b {
+			t.Errorf("cut at %d: %s\nwhole: %s", cut, a, b)
+		}
+	})
+}
+
+func TestSplitterBounds(t *testing.T) {
+	for _, c := range []struct {
+		stream  []byte
+		startup bool
+		want    error
+	}{
+		{[]byte{'Q', 0, 0, 0, 3}, false, ErrMalformed},
+		{[]byte{'Q', 0x7f, 0, 0, 0}, false, ErrTooLong},
+		{[]byte{0, 0, 0x20, 0}, true, ErrTooLong},
+		{[]byte{'Q', 0, 2, 0, 0}, false, nil}, // under the bound: it may still come
+	} {
+		s := Splitter{Pool: buffer.NewPool(1), Startup: c.startup}
+		if err := s.Feed(c.stream, nil); !errors.Is(err, c.want) {
+			t.Errorf("%v: %v", c.stream, err)
+		}
+	}
+}
+
+func TestSplitterShedsWhenFull(t *testing.T) {
+	pool := buffer.NewPool(1)
+	pool.Chain().Write([]byte("x"))
+	s := Splitter{Pool: pool, Shed: true}
+	var got []Message
+	s.Feed(append(QueryMessage(readText), 'X', 0, 0, 0, 4), func(m Message) error { got = append(got, m); return nil })
+	if len(got) != 2 || !got[0].Lost || got[0].Body != nil || got[1].Type != 'X' {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestParseQuery(t *testing.T) {
+	q, err := ParseQuery([]byte(readText))
+	if err != nil || q.ID != "9b1f" || q.Class != "basket" || q.Tenant != "acme" || q.Deadline != 480 || q.Write ||
+		q.Object != "7f3a" || readText[q.DeadlineAt:q.DeadlineEnd] != "480" {
+		t.Errorf("%+v %v", q, err)
+	}
+	q, err = ParseQuery([]byte(writeText))
+	if err != nil || !q.Write || q.Key != "5c0f" || !q.Retry || !q.HasHint || q.Hint != 1500 ||
+		writeText[q.DeadlineAt:q.DeadlineEnd] != "480" {
+		t.Errorf("%+v %v", q, err)
+	}
+	for _, change := range [][2]string{
+		{"SELECT", "select"}, {"'7f3a'", "''"}, {"7f3a", "7f'; DROP"}, {"id=9b1f,", ""}, {"c=basket,", ""}, {"d=480", "d=x"},
+		{"d=480", "d=-1"}, {"d=480", "d="}, {",d=480", ""}, {" */", " */;"}, {" */", ""}, {"t=acme", "t"}, {"t=acme", "t=a b"},
+		{"d=480", "d=99999999999"}, {"d=480 ", "d=480, "},
+	} {
+		if _, err := ParseQuery([]byte(strings.Replace(readText, change[0], change[1], 1))); err == nil && change[0] != "d=480 " {
+			t.Errorf("taken with %q for %q", change[1], change[0])
+		}
+	}
+	for _, value := range []string{"9f0", "9g", strings.Repeat("00", MaxValue+1)} {
+		if _, err := ParseQuery([]byte(strings.Replace(writeText, "9f03", value, 1))); err == nil {
+			t.Errorf("taken with a value of %d digits", len(value))
+		}
+	}
+	big := strings.Replace(writeText, "9f03", strings.Repeat("ab", MaxValue), 1)
+	if _, err := ParseQuery([]byte(big)); err != nil || len(big)+6 > MaxMessage {
+		t.Error(len(big), err)
+	}
+}
+
+func FuzzParseQuery(f *testing.F) {
+	f.Add([]byte(readText))
+	f.Add([]byte(writeText))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		q, err := ParseQuery(text)
+		if err == nil && (q.DeadlineAt <= 0 || q.DeadlineEnd > len(text) || q.DeadlineEnd <= q.DeadlineAt) {
+			t.Errorf("%q: %+v", text, q)
+		}
+	})
+}
+
+func TestStatement(t *testing.T) {
+	if s, err := Statement([]byte("a\x00")); err != nil || string(s) != "a" || !IsEmpty([]byte(" ;\n")) || IsEmpty(s) {
+		t.Error(s, err)
+	}
+	for _, bad := range []string{"", "a", "a\x00b\x00", "a\x00b"} {
+		if _, err := Statement([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+func TestStartup(t *testing.T) {
+	for body, want := range map[string]Opening{
+		"\x00\x03\x00\x00user\x00a\x00\x00": OpenSession, "\x00\x03\x00\x02\x00": OpenSession,
+		"\x04\xd2\x16\x2f": OpenEncryption, "\x04\xd2\x16\x30": OpenEncryption, "\x04\xd2\x16\x2e12345678": OpenCancel,
+	} {
+		if got, err := ParseStartup([]byte(body)); got != want || err != nil {
+			t.Errorf("%q: %v %v", body, got, err)
+		}
+	}
+	for _, bad := range []string{"", "\x00\x03", "\x00\x02\x00\x00\x00", "\x00\x04\x00\x00\x00", "\x00\x03\x00\x00user"} {
+		if _, err := ParseStartup([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+func TestErrorAnswer(t *testing.T) {
+	b := ErrorAnswer(Error, CodeFull, "no room", Later(250))
+	severity, code, text, err := ParseError(b[headLen:])
+	if severity != Error || code != CodeFull || text != "no room" || err != nil || !bytes.Contains(b, []byte("D250\x00")) {
+		t.Errorf("%q %q %q %v", severity, code, text, err)
+	}
+	for n := headLen; n < len(b); n++ {
+		if _, _, _, err := ParseError(b[headLen:n]); err == nil {
+			t.Errorf("taken when cut at %d", n)
+		}
+	}
+}
+
+func TestRowsAndStatus(t *testing.T) {
+	row := []byte{0, 1, 0, 0, 0, 2, 'o', 'k'}
+	if v, err := ParseRow(row); string(v) != "ok" || err != nil {
+		t.Errorf("%q %v", v, err)
+	}
+	for n := range row {
+		if _, err := ParseRow(row[:n]); err == nil {
+			t.Errorf("row taken when cut at %d", n)
+		}
+	}
+	null := []byte{0, 1, 255, 255, 255, 255}
+	if _, err := ParseRow(null); err == nil {
+		t.Error("a row without a value was taken")
+	}
+	column := append([]byte("\x00\x01body\x00"), make([]byte, 18)...)
+	if err := CheckRowDescription(column); err != nil {
+		t.Error(err)
+	}
+	if CheckRowDescription(column[:len(column)-1]) == nil || CheckRowDescription([]byte{0, 2}) == nil {
+		t.Error("a wrong RowDescription was taken")
+	}
+	if n, v, err := ParseStatus([]byte("vitals\x00a=1\x00")); n != "vitals" || v != "a=1" || err != nil {
+		t.Error(n, v, err)
+	}
+	if _, _, err := ParseStatus([]byte("vitals\x00a=1")); err == nil {
+		t.Error("a cut ParameterStatus was taken")
+	}
+	fields := []string{"recent_ms", "outstanding"}
+	if got := ParseReport("outstanding=7, recent_ms=0.5,more=1", fields); len(got) != 2 || got[0] != 0.5 || got[1] != 7 {
+		t.Error(got)
+	}
+	if ParseReport("outstanding=7", fields) != nil || ParseReport("outstanding=7,recent_ms=x", fields) != nil {
+		t.Error("a report with a field missing was taken")
+	}
+}
--- /dev/null
+++ b/internal/roster/list_test.go
@@ -0,0 +1,47 @@
+package roster
+
+import (
+	"strings"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+func TestParse(t *testing.T) {
+	r := NewReader([]string{"a", "b"}, []string{"m1"}, func(s float64) relay.Seconds { return s - 100 })
+	list, err := r.Parse([]byte(`{"generation":41,"reset":true,"instances":[
+		{"instanceId":"s-1","hostPort":"10.1.0.18:5433","zone":"b","machineType":"m2","cell":3,"lifecycle":"SERVING",
+		 "weight":1.5,"startedAtMs":99000,"build":41},
+		{"instanceId":"s-2","hostPort":"10.1.0.19:5433","lifecycle":"ASLEEP"},
+		{"instanceId":"s-3","hostPort":"nowhere","lifecycle":"SERVING"},
+		{"instanceId":7,"hostPort":"10.1.0.19:5433","lifecycle":"SERVING"},
+		{"instanceId":"s-4","hostPort":"10.1.0.20:5433","zone":"c","cell":"2","build":"42","lifecycle":"SERVING"},
+		{"instanceId":"s-4","hostPort":"10.1.0.21:5433","zone":"c","lifecycle":"DRAINING"},
+		{"instanceId":"s-5","lifecycle":"DELETED"}]}`))
+	if err != nil || list.Generation != 41 || !list.Whole || list.Bad != 3 || len(list.Lines) != 3 {
+		t.Fatalf("%+v %v", list, err)
+	}
+	one, four, five := list.Lines[0], list.Lines[1], list.Lines[2]
+	want := relay.UnitEntry{Unit: idOf("s-1"), Zone: 1, Kind: 1, Cell: 3, Build: 41, Weight: 1.5, State: relay.Ready,
+		Started: true, StartedAt: -1}
+	if one.UnitEntry != want || one.Address != "10.1.0.18:5433" || one.Name != "s-1" {
+		t.Errorf("%+v", one)
+	}
+	if four.State != relay.Draining || four.Address != "10.1.0.21:5433" || four.Zone != 2 || four.Started {
+		t.Errorf("the later of two entries should hold: %+v", four)
+	}
+	if five.State != relay.Gone {
+		t.Errorf("%+v", five)
+	}
+	again, err := r.Parse([]byte(`{"generation":42,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:5433",
+		"zone":"c","lifecycle":"SERVING"}]}`))
+	if err != nil || again.Lines[0].Zone != 2 || again.Lines[0].Unit != one.Unit {
+		t.Errorf("numbers should stay: %+v %v", again, err)
+	}
+	for _, bad := range []string{``, `{`, `[]`, `{"instances":[]}`, `{"generation":"x","instances":[]}`,
+		`{"generation":1,"instances":[` + strings.Repeat(`{},`, maxUnits) + `{}]}`} {
+		if _, err := r.Parse([]byte(bad)); err == nil {
+			t.Errorf("%.40q was taken", bad)
+		}
+	}
+}
