Write only through the connection's own Write: netpoll's Writer may be torn down under it

Seen on reading netpoll 0.7.2: closeBuffer sets the output buffer's nodes to nil when a peer hangs up, and only Write and Flush hold the lock that this waits for; WriteBinary and WriteByte, as used in units/conn.go write and clients/outbox.go drain, don't, so a peer that closes at the wrong moment could have crashed the relay.

--- /dev/null
+++ b/cmd/lichenroad/others_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenroad/internal/config"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+)
+
+// desk is a stand-in for the platform: it answers each line by a function, and hands over its connections.
+type desk struct {
+	ln    net.Listener
+	lines chan string
+	conns chan net.Conn
+}
+
+func newDesk(t *testing.T, answer func(line string) string) *desk {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &desk{ln, make(chan string, 100), make(chan net.Conn, 100)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			d.conns <- c
+			go func() {
+				for r := bufio.NewScanner(c); r.Scan(); {
+					d.lines <- r.Text()
+					fmt.Fprint(c, answer(r.Text()))
+				}
+			}()
+		}
+	}()
+	return d
+}
+
+func (d *desk) line(t *testing.T, begins string) string {
+	t.Helper()
+	for {
+		select {
+		case s := <-d.lines:
+			if strings.HasPrefix(s, begins) {
+				return s
+			}
+		case <-time.After(patience):
+			t.Fatalf("no %s", begins)
+		}
+	}
+}
+
+func withDesk(d *desk) func(*config.Config) {
+	return func(c *config.Config) { c.Platform = d.ln.Addr().String() }
+}
+
+func TestVotes(t *testing.T) {
+	votes := 0
+	d := newDesk(t, func(line string) string {
+		if line == "WATCH" {
+			return "OK\r\n* news 1 0 stable 1 5000\r\n"
+		}
+		votes++
+		switch votes {
+		case 1:
+			return "OK 2 0 canary 0.5 10\r\n"
+		case 2:
+			return "ERR Throttling\r\n"
+		case 3:
+			return "" // no answer in time
+		case 4:
+			return "what?\r\n"
+		}
+		return "OK 2 0 canary 0.5 10\r\n"
+	})
+	p := running(t, newFleet(t, newUnit(t, always(honour))), withDesk(d))
+	settled(t, p, stats.News, 1)
+	vote := func() { p.loop.Platform.Vote(relay.Vote{Build: 2, Verdict: relay.VoteOn}) }
+	for i, want := range []stats.ID{stats.VotesCounted, stats.VotesNotCounted, stats.VotesMaybe, stats.VotesMaybe} {
+		before := p.loop.Stats.Get(want)
+		vote()
+		if got := d.line(t, "VOTE"); got != "VOTE 2 0 approve" {
+			t.Errorf("%q", got)
+		}
+		settled(t, p, want, before+1)
+		if i == 3 {
+			settled(t, p, stats.BadInput, 1)
+		}
+	}
+	d.ln.Close()
+	vote() // the connection was given up with the last answer; no other comes up
+	settled(t, p, stats.VotesNotCounted, 2)
+}
+
+func TestWatchIsOpenedAgain(t *testing.T) {
+	d := newDesk(t, func(string) string { return "OK\r\n* news 1 0 stable 1 5000\r\n" })
+	p := running(t, newFleet(t, newUnit(t, always(honour))), withDesk(d))
+	for i := int64(1); i <= 3; i++ {
+		settled(t, p, stats.News, i)
+		c := <-d.conns
+		if i == 2 {
+			fmt.Fprint(c, strings.Repeat("x", 9<<10)) // a line over the bound
+			continue
+		}
+		c.Close()
+	}
+	settled(t, p, stats.BadInput, 1)
+}
+
+func TestSilentWatchIsReplaced(t *testing.T) {
+	d := newDesk(t, func(string) string { return "OK\r\n* news 1 0 stable 1 5000\r\n" })
+	p := running(t, newFleet(t, newUnit(t, always(honour))), withDesk(d))
+	old := <-d.conns
+	settled(t, p, stats.News, 2) // no sign of life came
+	old.SetDeadline(time.Now().Add(patience))
+	if _, err := old.Read(make([]byte, 1)); err == nil {
+		t.Error("the silent connection is kept")
+	}
+}
+
+func TestMemos(t *testing.T) {
+	open := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	own, peer, all, stranger := open(), open(), open(), open()
+	listen := own.LocalAddr().String()
+	own.Close()
+	p := running(t, newFleet(t, newUnit(t, always(honour))), func(c *config.Config) {
+		c.PeerListen, c.PeersAll = listen, all.LocalAddr().String()
+		c.Peers = []string{listen, peer.LocalAddr().String()}
+		c.Site.Relays = 2
+	})
+	var buf [512]byte
+	if n, _, err := all.ReadFromUDP(buf[:]); err != nil || n > 256 { // the module's own finding
+		t.Error(n, err)
+	}
+	p.loop.Peers.Tell(relay.Tell{To: 1, Body: []byte("hello")})
+	if n, _, err := peer.ReadFromUDP(buf[:]); err != nil || string(buf[:n]) != "hello" {
+		t.Errorf("%q %v", buf[:n], err)
+	}
+	to := net.UDPAddrFromAddrPort(own.LocalAddr().(*net.UDPAddr).AddrPort())
+	for _, c := range []struct {
+		from *net.UDPConn
+		n    int
+		id   stats.ID
+	}{{peer, 5, stats.MemosIn}, {stranger, 5, stats.MemosDropped}, {peer, 257, stats.MemosDropped}} {
+		before := p.loop.Stats.Get(c.id)
+		c.from.WriteToUDP(make([]byte, c.n), to)
+		settled(t, p, c.id, before+1)
+	}
+	before := p.loop.Stats.Get(stats.MemosDropped)
+	p.loop.Peers.Tell(relay.Tell{To: relay.Everyone, Body: make([]byte, 257)})
+	p.loop.Peers.Tell(relay.Tell{To: 7, Body: []byte("x")})
+	settled(t, p, stats.MemosDropped, before+2)
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -55,6 +55,7 @@
 	mu     sync.Mutex
 	gone   bool // the descriptor is about to be closed
 	reason string
+	fault  error // what was wrong with what came
 }
 
 // item is a query, or an empty one, in its turn on a connection.
@@ -70,15 +71,18 @@
 	if c.reason == "" {
 		c.reason = reasonPeer
 	}
-	why := c.reason
+	why, fault := c.reason, c.fault
 	c.mu.Unlock()
 	c.split.Free()
 	s := c.server
 	s.open.Add(-1)
 	s.loop.Stats.Add(stats.ClientConnsOpen, -1)
-	s.loop.Log.WithFields(logrus.Fields{"peer": "client", "client": c.net.RemoteAddr().String(), "reason": why,
-		"age":     math.Round((s.loop.Clock.Now()-c.begun)*1000) / 1000,
-		"queries": c.queries.Load()}).Info("connection ended")
+	line := s.loop.Log.WithFields(logrus.Fields{"peer": "client", "client": c.net.RemoteAddr().String(),
+		"reason": why, "age": math.Round((s.loop.Clock.Now()-c.begun)*1000) / 1000, "queries": c.queries.Load()})
+	if fault != nil {
+		line = line.WithError(fault)
+	}
+	line.Info("connection ended")
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		delete(s.conns, c)
 		if c.current != nil && c.current.q != nil {
@@ -176,6 +180,9 @@
 		c.server.loop.Stats.Add(stats.BadInput, 1)
 	}
 	c.because(why)
+	c.mu.Lock()
+	c.fault = err
+	c.mu.Unlock()
 	c.deaf.Store(true)
 	c.sendBytes(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), ""), func() {
 		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
--- a/internal/clients/outbox.go
+++ b/internal/clients/outbox.go
@@ -46,14 +46,11 @@
 		p := c.out.queue[0]
 		c.out.queue = c.out.queue[1:]
 		c.out.mu.Unlock()
-		w := c.net.Writer()
+		// The connection's own Write is held against being closed meanwhile; netpoll's Writer is not.
 		err := p.chain.Each(func(b []byte) error {
-			_, err := w.WriteBinary(b)
+			_, err := c.net.Write(b)
 			return err
 		})
-		if err == nil {
-			err = w.Flush()
-		}
 		p.chain.Free()
 		if err != nil {
 			c.end(reasonWrite)
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -80,6 +80,7 @@
 
 	mu      sync.Mutex
 	queue   []Event
+	taken   []Event // the space of the last batch, used again
 	waiting chan struct{}
 }
 
@@ -153,33 +154,20 @@
 
 // Run goes on until stop is closed.
 func (l *Loop) Run(stop <-chan struct{}) {
-	alarm := time.NewTimer(time.Hour)
+	alarm := time.NewTimer(0)
 	defer alarm.Stop()
-	var taken []Event
 	for {
-		l.mu.Lock()
-		taken, l.queue = l.queue, taken[:0]
-		l.mu.Unlock()
-		for i, e := range taken {
+		for _, e := range l.Pending() {
 			e.Take(l)
-			taken[i] = nil
-		}
-		if cap(taken) > keepsQueue {
-			taken = nil
-		}
-		now := l.Clock.Now()
-		for len(l.timers) > 0 && l.timers[0].at <= now {
-			heap.Pop(&l.timers).(timer).run()
 		}
+		l.alarms()
 		if len(l.batch) > 0 {
 			l.step()
 			continue // orders may have led to more
 		}
-		wait := time.Hour
 		if len(l.timers) > 0 {
-			wait = time.Duration(math.Ceil((l.timers[0].at - l.Clock.Now()) * 1e9))
+			alarm.Reset(time.Duration(math.Ceil((l.timers[0].at - l.Clock.Now()) * 1e9)))
 		}
-		alarm.Reset(max(wait, 0))
 		select {
 		case <-stop:
 			return
@@ -189,10 +177,35 @@
 	}
 }
 
+// Pending empties the queue. Only on the loop; what it gives is good until the next call.
+func (l *Loop) Pending() []Event {
+	clear(l.taken)
+	if cap(l.taken) > keepsQueue {
+		l.taken = nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken, l.queue = l.queue, l.taken[:0]
+	return l.taken
+}
+
+// Learned empties the batch. Only on the loop.
+func (l *Loop) Learned() []relay.Event {
+	events := l.batch
+	l.batch = nil
+	return events
+}
+
+// alarms runs the timers that are due.
+func (l *Loop) alarms() {
+	for now := l.Clock.Now(); len(l.timers) > 0 && l.timers[0].at <= now; {
+		heap.Pop(&l.timers).(timer).run()
+	}
+}
+
 // step lets the module see all that has happened, and carries out its orders.
 func (l *Loop) step() {
-	events, over := l.batch, len(l.over)
-	l.batch = nil
+	events, over := l.Learned(), len(l.over)
 	for _, o := range l.module.Step(l.Clock.Now(), events) {
 		l.order(o)
 	}
--- /dev/null
+++ b/internal/stage/stage_test.go
@@ -0,0 +1,183 @@
+package stage
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+// outside stands for all parts that carry out orders, and for the client.
+type outside struct {
+	sent    []*Leg
+	dropped []*Leg
+	answers []string
+}
+
+func (o *outside) Send(leg *Leg)          { o.sent = append(o.sent, leg) }
+func (o *outside) Drop(leg *Leg)          { o.dropped = append(o.dropped, leg) }
+func (o *outside) Probe(relay.UnitID)     {}
+func (o *outside) CloseIdle(relay.UnitID) {}
+func (o *outside) Answer(_ *Query, a *buffer.Chain) {
+	o.answers = append(o.answers, string(a.Bytes()))
+	a.Free()
+}
+
+func newLoop(t *testing.T) (*Loop, *outside) {
+	t.Helper()
+	site := settings.Site{Categories: map[string]relay.Category{"look": 0}}
+	site.Settings.Relays = 1
+	site.Settings.Categories = make([]relay.CategoryTerms, 1)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
+	o := &outside{}
+	l.Units = o
+	return l, o
+}
+
+func begun(t *testing.T, l *Loop, o *outside) *Query {
+	t.Helper()
+	text := l.Pool.Chain()
+	text.Write([]byte("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=look,d=480 */\x00"))
+	q, err := TakeIn(&l.Site, text, l.Clock.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Client = o
+	l.Begin(q, q.Arrived)
+	return q
+}
+
+func ends(l *Loop) (got []relay.LegEnded) {
+	for _, e := range l.Learned() {
+		if e, ok := e.(relay.LegEnded); ok {
+			got = append(got, e)
+		}
+	}
+	return got
+}
+
+func TestDeadlineCountsFromTheArrival(t *testing.T) {
+	l, o := newLoop(t)
+	q := begun(t, l, o)
+	if got := l.Learned()[0].(relay.Query); got.Until != q.Arrived+0.48 || got.Key != 0x7f3a || got.ID != q.ID {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestFirstAnswerHolds(t *testing.T) {
+	l, o := newLoop(t)
+	q := begun(t, l, o)
+	l.order(relay.SendLeg{Query: q.ID, Unit: 1})
+	l.order(relay.SendLeg{Query: q.ID, Unit: 2})
+	l.Learned()
+	for _, leg := range o.sent {
+		answer := l.Pool.Chain()
+		answer.Write([]byte{'T', byte(leg.No)})
+		l.End(leg, Ending{How: relay.Honoured, Answer: answer})
+		l.End(leg, Ending{How: relay.Broken})
+	}
+	got := ends(l)
+	if len(got) != 2 || !got[0].Over || !got[1].Over || len(o.answers) != 1 || o.answers[0][:2] != "T\x00" {
+		t.Errorf("%+v %q", got, o.answers)
+	}
+	l.order(relay.Deny{Query: q.ID})
+	l.order(relay.WriteOff{Query: q.ID})
+	l.order(relay.CancelLeg{Query: q.ID})
+	l.sweep(len(l.over))
+	if len(o.answers) != 1 || len(l.queries) != 0 || l.Pool.Out() != 0 || l.Stats.Get(stats.Honoured) != 1 {
+		t.Errorf("%q, %d held, %s", o.answers, len(l.queries), l.Stats.Line())
+	}
+}
+
+// TestLegOfAQueryThatLeft has an order come for a query that ended before the module saw it: the leg has its
+// one end all the same.
+func TestLegOfAQueryThatLeft(t *testing.T) {
+	l, o := newLoop(t)
+	q := begun(t, l, o)
+	l.ClientLeft(q)
+	l.order(relay.SendLeg{Query: q.ID, Unit: 1})
+	if got := ends(l); len(got) != 1 || got[0].How != relay.NotSent || !got[0].Over || len(o.sent) != 0 {
+		t.Errorf("%+v", got)
+	}
+	l.sweep(len(l.over))
+	if len(l.queries) != 0 || l.Pool.Out() != 0 {
+		t.Error("the record stays")
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	for _, c := range []struct {
+		order func(relay.QueryID) relay.Order
+		code  string
+		has   string
+	}{
+		{func(id relay.QueryID) relay.Order { return relay.Deny{Query: id} }, pgwire.CodeFull, ""},
+		{func(id relay.QueryID) relay.Order { return relay.Deny{Query: id, RetryAfter: 0.2501} }, pgwire.CodeFull, "D251\x00"},
+		{func(id relay.QueryID) relay.Order { return relay.WriteOff{Query: id} }, pgwire.CodeFailed, ""},
+	} {
+		l, o := newLoop(t)
+		q := begun(t, l, o)
+		l.order(c.order(q.ID))
+		_, code, _, err := pgwire.ParseError([]byte(o.answers[0])[5 : len(o.answers[0])-6])
+		if code != c.code || err != nil || !strings.Contains(o.answers[0], c.has) {
+			t.Errorf("%q %v", o.answers, err)
+		}
+	}
+}
+
+func TestLegIsGivenUpInTime(t *testing.T) {
+	l, o := newLoop(t)
+	q := begun(t, l, o)
+	q.Until = l.Clock.Now() // over at once
+	l.order(relay.SendLeg{Query: q.ID, Unit: 1, Wait: 5})
+	l.Learned()
+	l.alarms()
+	if got := ends(l); len(got) != 1 || got[0].How != relay.TimedOut || got[0].Over || len(o.dropped) != 1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestTimersKeepTheirOrderAndDontComeEarly(t *testing.T) {
+	l, _ := newLoop(t)
+	var got []int
+	now := l.Clock.Now()
+	for i, at := range []relay.Seconds{now + 3600, now, now - 1, now} {
+		l.At(at, func() { got = append(got, i) })
+	}
+	l.alarms()
+	if len(got) != 3 || got[0] != 2 || got[1] != 1 || got[2] != 3 {
+		t.Error(got)
+	}
+}
+
+func TestQueueOfTheLoop(t *testing.T) {
+	l, _ := newLoop(t)
+	for range maxQueue {
+		if !l.PostLoose(Call(func(*Loop) {})) {
+			t.Fatal("refused below the bound")
+		}
+	}
+	if l.PostLoose(Call(func(*Loop) {})) || l.Stats.Get(stats.BoundQueue) != 1 {
+		t.Error("taken over the bound")
+	}
+	l.Pending()
+	var order []int
+	stop := make(chan struct{})
+	for i := range 3 {
+		l.Post(Call(func(*Loop) { order = append(order, i) }))
+	}
+	l.Post(Call(func(*Loop) { close(stop) }))
+	l.Run(stop)
+	if len(order) != 3 || order[0] != 0 || order[2] != 2 {
+		t.Error(order)
+	}
+}
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
-	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/pgwire"
@@ -53,12 +53,14 @@
 type conn struct {
 	pool    *Pool
 	unit    *unit
+	address string
 	net     netpoll.Connection
 	state   state
 	leg     *stage.Leg
 	since   relay.Seconds // idle since
 	up      relay.Seconds
 	queries int
+	fault   error // what was wrong with what came
 
 	split  pgwire.Splitter
 	answer *buffer.Chain
@@ -76,13 +78,13 @@
 	if err != nil {
 		p.loop.Post(stage.Call(func(l *stage.Loop) {
 			u.coming--
-			p.ended(u, reasonRefused, l.Clock.Now()-begun, 0)
+			p.ended(u, reasonRefused, l.Clock.Now()-begun, 0, err)
 			p.refused(u)
 		}))
 		return
 	}
-	c := &conn{pool: p, unit: u, net: n, up: begun, split: pgwire.Splitter{Pool: p.loop.Pool}}
-	n.SetWriteTimeout(span(max(p.connect, closeReads)))
+	c := &conn{pool: p, unit: u, address: address, net: n, up: begun, split: pgwire.Splitter{Pool: p.loop.Pool}}
+	n.SetWriteTimeout(span(p.connect))
 	n.AddCloseCallback(func(netpoll.Connection) error {
 		// No read is under way here, and none follows.
 		c.split.Free()
@@ -122,7 +124,7 @@
 	c.state = dead
 	p, now := c.pool, c.pool.loop.Clock.Now()
 	c.net.Close()
-	p.ended(c.unit, why, now-c.up, c.queries)
+	p.ended(c.unit, why, now-c.up, c.queries, c.fault)
 	switch was {
 	case starting:
 		c.unit.coming--
@@ -161,34 +163,35 @@
 		out.Write(c.pool.probe)
 	}
 	if out.Len() <= inlineSize {
+		c.net.SetWriteTimeout(inlineWait)
 		c.write(out)
 		return
 	}
+	c.net.SetWriteTimeout(0) // the leg's own time-out closes the connection
 	go c.write(out)
 }
 
 // write sends a message in two steps, all but the last byte and then that: as long as the first has not
-// succeeded, the unit has surely not begun.
+// succeeded, the unit has surely not begun. It uses the connection's own Write alone, which holds it against
+// being closed meanwhile; netpoll's Writer does not.
 func (c *conn) write(out *buffer.Chain) {
 	defer out.Free()
-	w, left := c.net.Writer(), out.Len()
-	var last byte
+	left := out.Len()
 	err := out.Each(func(b []byte) error {
-		if left -= len(b); left == 0 {
-			last, b = b[len(b)-1], b[:len(b)-1]
+		if left -= len(b); left > 0 {
+			_, err := c.net.Write(b)
+			return err
+		}
+		all, last := b[:len(b)-1], b[len(b)-1:]
+		if len(all) > 0 {
+			if _, err := c.net.Write(all); err != nil {
+				return err
+			}
 		}
-		_, err := w.WriteBinary(b)
+		c.sentAt.Store(int64(c.pool.loop.Clock.Now() * 1e9))
+		_, err := c.net.Write(last)
 		return err
 	})
-	if err == nil {
-		err = w.Flush()
-	}
-	if err == nil {
-		c.sentAt.Store(int64(c.pool.loop.Clock.Now() * 1e9))
-		if err = w.WriteByte(last); err == nil {
-			err = w.Flush()
-		}
-	}
 	if err != nil {
 		c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.close(reasonWrite) }))
 	}
@@ -205,7 +208,10 @@
 		}
 		if err != nil {
 			c.pool.loop.Stats.Add(stats.BadInput, 1)
-			c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.close(reasonBadInput) }))
+			c.pool.loop.Post(stage.Call(func(*stage.Loop) {
+				c.fault = err
+				c.close(reasonBadInput)
+			}))
 			r.Skip(r.Len())
 			break
 		}
@@ -295,7 +301,7 @@
 	if c.state != busy || leg == nil {
 		e.answer.Free()
 		if c.state == starting {
-			l.Log.WithFields(logrus.Fields{"unit": c.unit.name, "code": e.code}).Debug("startup: " + e.text)
+			c.fault = fmt.Errorf("%s %s", e.code, e.text)
 			c.close(reasonStartup)
 		} else {
 			c.close(reasonPeer) // unasked: it is about to close
@@ -340,5 +346,8 @@
 	}
 	c.state, c.since = idle, l.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
+	if c.address != c.unit.address {
+		c.close(reasonMoved)
+	}
 	c.pool.serve(c.unit)
 }
--- /dev/null
+++ b/internal/units/conn_test.go
@@ -0,0 +1,225 @@
+package units
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+// pipe is a connection that takes so many bytes and then breaks.
+type pipe struct {
+	netpoll.Connection
+	takes  int
+	got    []byte
+	closed int
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.takes < len(b) {
+		return 0, errors.New("broken")
+	}
+	p.takes -= len(b)
+	p.got = append(p.got, b...)
+	return len(b), nil
+}
+
+func (p *pipe) Close() error                        { p.closed++; return nil }
+func (p *pipe) SetWriteTimeout(time.Duration) error { return nil }
+
+// bench is a pool with one unit, on a loop that is stepped by hand.
+type bench struct {
+	*stage.Loop
+	pool *Pool
+	unit *unit
+}
+
+func newBench(t *testing.T, change func(*settings.Site)) bench {
+	t.Helper()
+	site := settings.Site{ConnIdle: 10}
+	site.Settings.Relays = 1
+	site.Settings.Categories = make([]relay.CategoryTerms, 1)
+	if change != nil {
+		change(&site)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
+	p := New(l, 4)
+	l.Units = p
+	p.Name(1, "s-1", "127.0.0.1:1")
+	return bench{l, p, p.units[1]}
+}
+
+// conn puts a connection into the pool as one that has just come up.
+func (b bench) conn(n *pipe) *conn {
+	c := &conn{pool: b.pool, unit: b.unit, address: b.unit.address, net: n}
+	b.pool.open++
+	b.unit.coming++
+	ready{c}.Take(b.Loop)
+	return c
+}
+
+// told drains the loop's queue of what connections posted, and gives the ends that the module would see.
+func (b bench) told() (ends []relay.LegEnded) {
+	for _, e := range b.Pending() {
+		e.Take(b.Loop)
+	}
+	for _, e := range b.Learned() {
+		if end, ok := e.(relay.LegEnded); ok {
+			ends = append(ends, end)
+		}
+	}
+	return ends
+}
+
+func (b bench) leg() *stage.Leg {
+	text := b.Pool.Chain()
+	text.Write([]byte("SELECT /* d=500 */\x00"))
+	q := &stage.Query{Text: text, Until: b.Clock.Now() + 60}
+	q.DeadlineAt, q.DeadlineEnd = 12, 15
+	leg := &stage.Leg{Query: q, Unit: 1, Asked: b.Clock.Now(), Until: q.Until}
+	q.Legs = append(q.Legs, leg)
+	return leg
+}
+
+// TestBrokenWrites breaks a connection at every byte of a query: it never ran unless the last one went out.
+func TestBrokenWrites(t *testing.T) {
+	whole := &pipe{takes: 1 << 20}
+	b := newBench(t, nil)
+	b.conn(whole)
+	b.pool.Send(b.leg())
+	if ends := b.told(); len(ends) != 0 || whole.got[0] != 'Q' || whole.got[len(whole.got)-1] != 0 {
+		t.Fatalf("%q %v", whole.got, ends)
+	}
+	for takes := range len(whole.got) {
+		b := newBench(t, nil)
+		n := &pipe{takes: takes}
+		c := b.conn(n)
+		b.pool.Send(b.leg())
+		want := relay.NoConnect
+		if takes == len(whole.got)-1 {
+			want = relay.Broken // the last byte was tried
+		}
+		if ends := b.told(); len(ends) != 1 || ends[0].How != want || c.state != dead || n.closed == 0 {
+			t.Errorf("broken after %d of %d bytes: %+v", takes, len(whole.got), ends)
+		}
+	}
+}
+
+func TestAnAnswerCountsOnce(t *testing.T) {
+	b := newBench(t, nil)
+	c := b.conn(&pipe{takes: 1 << 20})
+	leg := b.leg()
+	b.pool.Send(leg)
+	b.pool.Drop(leg)
+	b.End(leg, stage.Ending{How: relay.Cancelled})
+	answered{c: c, how: relay.Honoured, answer: b.Pool.Chain()}.Take(b.Loop) // it was on its way
+	ready{c}.Take(b.Loop)
+	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.Cancelled || len(b.unit.idle) != 0 {
+		t.Errorf("%+v, %d idle", ends, len(b.unit.idle))
+	}
+}
+
+func TestIdleConnections(t *testing.T) {
+	b := newBench(t, nil)
+	first, last := &pipe{takes: 1 << 20}, &pipe{takes: 1 << 20}
+	b.conn(first)
+	b.conn(last)
+	b.pool.Send(b.leg())
+	if len(first.got) != 0 || len(last.got) == 0 {
+		t.Error("the one last used should be used first")
+	}
+	b.unit.idle[0].since = b.Clock.Now() - 9
+	b.pool.sweep()
+	if first.closed == 0 || len(b.unit.idle) != 0 {
+		t.Error("idle for nine of ten seconds, and kept")
+	}
+	third, fourth := &pipe{}, &pipe{}
+	b.conn(third)
+	b.pool.CloseIdle(1)
+	b.conn(fourth)
+	b.pool.Name(1, "s-1", "127.0.0.1:2")
+	if third.closed == 0 || fourth.closed == 0 {
+		t.Error("ordered closed, or moved, and kept")
+	}
+}
+
+func TestConnectionToAnOldAddressIsNotKept(t *testing.T) {
+	b := newBench(t, nil)
+	n := &pipe{takes: 1 << 20}
+	c := b.conn(n)
+	leg := b.leg()
+	b.pool.Send(leg)
+	b.pool.Name(1, "s-1", "127.0.0.1:2")
+	answered{c: c, how: relay.Errored, code: "XX000"}.Take(b.Loop)
+	ready{c}.Take(b.Loop)
+	if n.closed == 0 || len(b.unit.idle) != 0 {
+		t.Error("kept")
+	}
+}
+
+func TestNoMoreConnectionsThanAllowed(t *testing.T) {
+	b := newBench(t, nil)
+	b.pool.most = 1
+	idle := &pipe{takes: 1 << 20}
+	b.conn(idle)
+	b.pool.Name(2, "s-2", "127.0.0.1:1")
+	leg := b.leg()
+	leg.Unit = 2
+	b.pool.Send(leg)
+	if idle.closed == 0 || b.pool.open != 1 {
+		t.Error("no room made by closing an idle connection:", b.pool.open)
+	}
+	another := b.leg()
+	b.pool.Send(another)
+	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.NotSent {
+		t.Errorf("%+v", ends)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	b := newBench(t, func(s *settings.Site) { s.Reports = []string{"recent_ms", "outstanding"} })
+	n := &pipe{takes: 1 << 20}
+	c := b.conn(n)
+	b.pool.Probe(1)
+	answered{c: c, at: b.Clock.Now(), how: relay.Honoured, row: "outstanding=3,recent_ms=2.5"}.Take(b.Loop)
+	got, ok := b.Learned()[0].(relay.Probed)
+	if !ok || string(n.got[5:len(n.got)-1]) != "SHOW vitals" || got.Unit != 1 || len(got.Report) != 2 || got.Report[0] != 2.5 {
+		t.Errorf("%q %+v", n.got, got)
+	}
+}
+
+// TestUnitWithoutALiveSocket has the kernel refuse: the leg that waits never ran.
+func TestUnitWithoutALiveSocket(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	b := newBench(t, nil)
+	b.pool.Name(1, "s-1", address)
+	b.pool.Send(b.leg())
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if ends := b.told(); len(ends) == 1 {
+			if ends[0].How != relay.NoConnect || b.pool.open != 0 {
+				t.Errorf("%+v, %d open", ends, b.pool.open)
+			}
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("the leg does not end")
+		}
+	}
+}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -16,10 +16,10 @@
 
 // Socket matters, none of them a decision about a query.
 const (
-	idlePart    = 0.8  // of the settings' idle limit after which an idle connection is closed: well before the unit does
-	sweepEvery  = 1.0  // s between looks at idle connections
-	connectWait = 1.0  // s that a connection may take to come up where the settings name no limit
-	closeReads  = 0.25 // s: not used to wait, only to bound a write that a machine does not take
+	idlePart    = 0.8                   // of the settings' idle limit after which an idle connection is closed: well before the unit does
+	sweepEvery  = 1.0                   // s between looks at idle connections
+	connectWait = 1.0                   // s that a connection may take to come up where the settings name no limit
+	inlineWait  = 20 * time.Millisecond // that a small write may take on the loop; it takes none, its send buffer is empty
 )
 
 // Pool holds the connections to all units. Its state belongs to the loop.
@@ -198,11 +198,15 @@
 }
 
 // ended is the one place where a connection is given back, whether it came up or not.
-func (p *Pool) ended(u *unit, why string, age relay.Seconds, queries int) {
+func (p *Pool) ended(u *unit, why string, age relay.Seconds, queries int, fault error) {
 	p.open--
 	p.loop.Stats.Add(stats.UnitConnsOpen, -1)
-	p.loop.Log.WithFields(logrus.Fields{"peer": "unit", "unit": u.name, "reason": why,
-		"age": math.Round(age*1000) / 1000, "queries": queries}).Info("connection ended")
+	line := p.loop.Log.WithFields(logrus.Fields{"peer": "unit", "unit": u.name, "reason": why,
+		"age": math.Round(age*1000) / 1000, "queries": queries})
+	if fault != nil {
+		line = line.WithError(fault)
+	}
+	line.Info("connection ended")
 }
 
 func span(s relay.Seconds) time.Duration { return time.Duration(s * float64(time.Second)) }
