A leg that never left ends as never ran at its time-out; startups are not shed

Seen on reading: a leg still waiting for its connection, or whose last byte was not written, was booked as timed out at the deadline (stage/send.go), so a query that may run once was written off though nothing had run; Drop now says whether the last byte may have gone. A listener that fails by itself now ends the program with an error; it was only logged.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cloudwego/netpoll"
@@ -39,6 +40,7 @@
 	front *clients.Server
 	stop  chan struct{}
 	end   func() // at once; may be called again
+	fault atomic.Pointer[error]
 }
 
 // serve runs a relay until it is told to end.
@@ -56,6 +58,9 @@
 	go p.signals()
 	p.loop.Run(p.stop)
 	log.Info("counters " + p.loop.Stats.Line())
+	if fault := p.fault.Load(); fault != nil {
+		return *fault
+	}
 	return nil
 }
 
@@ -90,12 +95,17 @@
 	asker.Start()
 	desk.Start()
 	front := clients.New(loop, sockets-forUnits)
-	if err := front.Listen(c.Listen); err != nil {
+	p := &program{loop: loop, front: front, stop: make(chan struct{})}
+	p.end = sync.OnceFunc(func() { close(p.stop) })
+	failed := func(err error) {
+		p.fault.Store(&err)
+		p.end()
+	}
+	if err := front.Listen(c.Listen, failed); err != nil {
 		return nil, err
 	}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": front.Addr().String()}).Info("serving")
-	stop := make(chan struct{})
-	return &program{loop, front, stop, sync.OnceFunc(func() { close(stop) })}, nil
+	return p, nil
 }
 
 // endGently goes on for a little while, closes each connection between its queries, and ends when none is
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -35,6 +35,7 @@
 	open atomic.Int64
 	last atomic.Uint32
 	ln   net.Listener
+	deaf atomic.Bool
 	ev   netpoll.EventLoop
 
 	// Of the loop.
@@ -48,8 +49,8 @@
 	return &Server{loop: l, most: int64(most), conns: map[*conn]struct{}{}}
 }
 
-// Listen binds the address and serves it until Stop.
-func (s *Server) Listen(address string) error {
+// Listen binds the address and serves it until Stop. Should the listener fail before that, failed is called.
+func (s *Server) Listen(address string, failed func(error)) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -63,8 +64,8 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	go func() {
-		if err := s.ev.Serve(ln); err != nil {
-			s.loop.Log.WithError(err).Error("the listener failed")
+		if err := s.ev.Serve(ln); !s.deaf.Load() {
+			failed(fmt.Errorf("the listener failed: %w", err))
 		}
 	}()
 	return nil
@@ -119,6 +120,7 @@
 // deafen takes the listening socket out of service without closing it: its number can't be taken by another
 // socket while the poller still knows it.
 func (s *Server) deafen() {
+	s.deaf.Store(true)
 	if t, ok := s.ln.(*net.TCPListener); ok {
 		if raw, err := t.SyscallConn(); err == nil {
 			raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -199,8 +199,6 @@
 		defer m.Body.Free()
 	}
 	switch {
-	case m.Type == 0 && m.Lost:
-		return errFull
 	case m.Type == 0:
 		return c.startup(m.Body.Bytes())
 	case m.Type == 'X':
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -42,7 +42,7 @@
 type Splitter struct {
 	Pool    *buffer.Pool
 	Startup bool // the next message has no type byte
-	Shed    bool // pass over bodies that come while the pool is full
+	Shed    bool // pass over the bodies of queries that come while the pool is full
 
 	head  [headLen]byte
 	got   int
@@ -76,7 +76,7 @@
 				return fmt.Errorf("%w: %d bytes", ErrTooLong, n)
 			}
 			s.left, s.begun, s.got = n-4, true, 0
-			if s.msg.Lost = s.Shed && s.Pool.Full(); !s.msg.Lost {
+			if s.msg.Lost = s.Shed && s.msg.Type == 'Q' && s.Pool.Full(); !s.msg.Lost {
 				s.msg.Body = s.Pool.Chain()
 			}
 		}
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -44,7 +44,7 @@
 type (
 	Units interface {
 		Send(*Leg)
-		Drop(*Leg) // give the leg up; no answer of it is wanted
+		Drop(*Leg) (sent bool) // give the leg up; says whether its last byte may have gone out
 		Probe(relay.UnitID)
 		CloseIdle(relay.UnitID)
 	}
--- a/internal/stage/send.go
+++ b/internal/stage/send.go
@@ -18,10 +18,14 @@
 		return
 	}
 	l.At(leg.Until, func() {
-		if !leg.Ended {
-			l.Units.Drop(leg)
-			l.End(leg, Ending{How: relay.TimedOut, Took: l.Clock.Now() - leg.Asked})
+		if leg.Ended {
+			return
 		}
+		how := relay.TimedOut
+		if !l.Units.Drop(leg) {
+			how = relay.NoConnect // it never left this relay
+		}
+		l.End(leg, Ending{How: how, Took: l.Clock.Now() - leg.Asked})
 	})
 	l.Units.Send(leg)
 }
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -114,15 +114,19 @@
 	}
 }
 
-// Drop gives a leg up: it loses its place, or its connection is closed.
-func (p *Pool) Drop(leg *stage.Leg) {
+// Drop gives a leg up: it loses its place, or its connection is closed. Only a leg whose last byte was handed
+// to a connection may have been sent.
+func (p *Pool) Drop(leg *stage.Leg) (sent bool) {
 	u := p.units[leg.Unit]
 	if u == nil || u.leave(leg) {
-		return
+		return false
 	}
-	if c, ok := leg.Conn.(*conn); ok {
-		c.close(reasonGivenUp)
+	c, ok := leg.Conn.(*conn)
+	if !ok {
+		return false
 	}
+	c.close(reasonGivenUp)
+	return c.sentAt.Load() != 0 // after the close, so that a write under way either shows or fails
 }
 
 // leave takes a leg out of those that wait, and says whether it was there.
