--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -31,6 +31,7 @@
 	heapPart     = 0.7  // of the memory at which the collector works harder: the rest is stacks and the sockets' own
 	bufferPart   = 0.25 // of the memory that buffers may hold
 	lastWait     = 0.5  // s beyond the longest patience after which the program ends whatever is open
+	pollers      = 1    // of netpoll's: two, or a thread more for Go, answered no sooner and took more of the core
 	leastWait    = 3.0  // s of patience that are counted where the settings' is shorter, as the platform does
 )
 
@@ -47,7 +48,7 @@
 func serve(c config.Config, log *logrus.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB<<20)))
-	lib := netpoll.Config{PollerNum: 1, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
+	lib := netpoll.Config{PollerNum: pollers, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
 	if err := netpoll.Configure(lib); err != nil {
 		return err
 	}
