All socket matters in one block, internal/limits; a connection that comes as the listener goes is closed

Seen on reading: a client accepted just before the listener went was entered after the round that closes idle connections (clients.go accept), and stayed open until the program's last moment. No other behaviour changes.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -15,6 +15,7 @@
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/clients"
 	"lichenroad/internal/config"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/peers"
 	"lichenroad/internal/platform"
 	"lichenroad/internal/roster"
@@ -24,17 +25,6 @@
 	"lichenroad/relay"
 )
 
-// How the limits are divided.
-const (
-	spareSockets = 64   // descriptors for discovery, platform, peers, the poller, and clients told that it is full
-	unitPart     = 0.5  // of the other descriptors that units get: each open query has one leg, hardly ever two
-	heapPart     = 0.7  // of the memory at which the collector works harder: the rest is stacks and the sockets' own
-	bufferPart   = 0.25 // of the memory that buffers may hold
-	lastWait     = 0.5  // s beyond the longest patience after which the program ends whatever is open
-	pollers      = 1    // of netpoll's: two, or a thread more for Go, answered no sooner and took more of the core
-	leastWait    = 3.0  // s of patience that are counted where the settings' is shorter, as the platform does
-)
-
 // program is a relay that runs.
 type program struct {
 	loop  *stage.Loop
@@ -47,8 +37,8 @@
 // serve runs a relay until it is told to end.
 func serve(c config.Config, log *logrus.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
-	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB<<20)))
-	lib := netpoll.Config{PollerNum: pollers, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
+	debug.SetMemoryLimit(int64(limits.HeapPart * float64(c.MemoryMB<<20)))
+	lib := netpoll.Config{PollerNum: limits.Pollers, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
 	if err := netpoll.Configure(lib); err != nil {
 		return err
 	}
@@ -68,10 +58,10 @@
 // start puts the parts together and listens; what comes waits for the loop to run.
 func start(c config.Config, log *logrus.Logger) (*program, error) {
 	counters := &stats.Counters{}
-	pool := buffer.NewPool(int64(bufferPart * float64(c.MemoryMB<<20)))
+	pool := buffer.NewPool(int64(limits.BufferPart * float64(c.MemoryMB<<20)))
 	loop := stage.NewLoop(c.Site, c.Seed, pool, counters, log)
-	sockets := c.Sockets - spareSockets
-	forUnits := int(unitPart * float64(sockets))
+	sockets := c.Sockets - limits.SpareSockets
+	forUnits := int(limits.UnitPart * float64(sockets))
 	legs := units.New(loop, forUnits)
 	reader := roster.NewReader(c.Site.Zones, c.Site.Kinds, loop.Clock.Unix)
 	asker := roster.New(loop, c.Discovery, reader, legs.Name)
@@ -112,13 +102,13 @@
 // endGently goes on for a little while, closes each connection between its queries, and ends when none is
 // left, or when every query must have been answered.
 func (p *program) endGently() {
-	longest := leastWait
+	longest := limits.LongestWait
 	for _, t := range p.loop.Site.Settings.Categories {
 		longest = max(longest, t.Patience)
 	}
 	p.loop.Post(stage.Call(func(l *stage.Loop) {
 		p.front.Stop(p.end)
-		l.At(l.Clock.Now()+longest+lastWait, p.end)
+		l.At(l.Clock.Now()+longest+limits.LastWait, p.end)
 	}))
 }
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -8,26 +8,15 @@
 	"net"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 )
 
-// Socket matters.
-const (
-	overMost     = 32                     // connections over the bound that are told so; more are closed at once
-	maxAhead     = 16                     // queries that may wait on a connection behind the open one
-	writeWait    = 5 * time.Second        // that a client may take to accept one answer: longer than it waits for one
-	stillComing  = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
-	closeWait    = 1 * time.Second        // that a client gets to close its end when this end is shut
-	startupWait  = 10 * time.Second       // that a client may take over its startup
-	encryptionNo = "N"                    // the answer to requests for encryption
-)
-
 // Server accepts clients.
 type Server struct {
 	loop *stage.Loop
@@ -87,15 +76,18 @@
 	if c.full {
 		s.loop.Stats.Add(stats.BoundConns, 1)
 	}
-	n.SetWriteTimeout(writeWait)
+	n.SetWriteTimeout(limits.AnswerWait)
 	n.AddCloseCallback(c.closed)
-	if open > s.most+overMost {
+	if open > s.most+limits.OverClients {
 		c.end(reasonBound)
 		return context.Background()
 	}
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		s.conns[c] = struct{}{}
-		l.At(now+startupWait.Seconds(), func() {
+		if s.stopping {
+			c.rest() // it came in just before the listener went
+		}
+		l.At(now+limits.StartupWait.Seconds(), func() {
 			if !c.started.Load() {
 				c.shut(reasonStartup)
 			}
@@ -107,7 +99,7 @@
 // Stop ends service: for a little while new connections still come and are served, then the listener goes,
 // and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
 func (s *Server) Stop(then func()) {
-	s.loop.At(s.loop.Clock.Now()+stillComing.Seconds(), func() {
+	s.loop.At(s.loop.Clock.Now()+limits.StillComing.Seconds(), func() {
 		s.stopping, s.stopped = true, then
 		s.deafen()
 		for c := range s.conns {
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
@@ -125,7 +126,7 @@
 	}
 	c.mu.Unlock()
 	l := c.server.loop
-	l.At(l.Clock.Now()+closeWait.Seconds(), func() { c.net.Close() })
+	l.At(l.Clock.Now()+limits.CloseWait.Seconds(), func() { c.net.Close() })
 }
 
 // rest closes the connection if it is between queries. On the loop.
@@ -157,7 +158,7 @@
 // Complaints that are answered with a code of their own.
 var (
 	errNotOffered = errors.New("only simple queries are offered")
-	errAhead      = fmt.Errorf("more than %d queries ahead of their answers", maxAhead)
+	errAhead      = fmt.Errorf("more than %d queries ahead of their answers", limits.Ahead)
 	errFull       = errors.New("too many connections")
 )
 
@@ -221,7 +222,7 @@
 		it.q.Client = it
 		c.queries.Add(1)
 	}
-	if c.ahead.Add(1) > maxAhead {
+	if c.ahead.Add(1) > limits.Ahead {
 		if it.q != nil {
 			it.q.Text.Free()
 		}
@@ -243,7 +244,7 @@
 	}
 	switch what {
 	case pgwire.OpenEncryption:
-		c.sendBytes([]byte(encryptionNo), nil)
+		c.sendBytes([]byte{pgwire.NoEncryption}, nil)
 	case pgwire.OpenCancel:
 		c.end(reasonCancel)
 	case pgwire.OpenSession:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,21 +9,13 @@
 	"os"
 	"strconv"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/roster"
 	"lichenroad/relay"
 	"lichenroad/settings"
 )
 
-// Bounds and defaults.
-const (
-	maxFile       = 16 << 20 // bytes of a configuration
-	leastMemory   = 32       // MB below which the program can't serve
-	leastSockets  = 128      // descriptors below which it can't
-	normalMemory  = 192      // MB where no limit is named
-	normalSockets = 1024     // descriptors where no limit is named
-)
-
 // Config is the whole configuration of one relay.
 type Config struct {
 	Name       string
@@ -72,8 +64,8 @@
 	if err != nil {
 		return Config{}, err
 	}
-	if info.Size() > maxFile {
-		return Config{}, fmt.Errorf("%s: over %d bytes", path, maxFile)
+	if info.Size() > limits.ConfigFile {
+		return Config{}, fmt.Errorf("%s: over %d bytes", path, limits.ConfigFile)
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -102,10 +94,10 @@
 		MemoryMB: int64(w.Limits.Memory), Sockets: w.Limits.Sockets, PeerListen: w.PeerListen, Peers: w.Peers,
 		PeersAll: w.PeersAll, Platform: w.Platform.Address, Known: w.Known}
 	if c.MemoryMB == 0 {
-		c.MemoryMB = normalMemory
+		c.MemoryMB = limits.NormalMemory
 	}
 	if c.Sockets == 0 {
-		c.Sockets = normalSockets
+		c.Sockets = limits.NormalSockets
 	}
 	if c.Cores <= 0 {
 		c.Cores = 1
@@ -132,8 +124,8 @@
 		}
 		c.Seed = int64(seed)
 	}
-	if c.MemoryMB < leastMemory || c.Sockets < leastSockets {
-		fault("limits: less than %d MB or %d sockets", leastMemory, leastSockets)
+	if c.MemoryMB < limits.LeastMemory || c.Sockets < limits.LeastSockets {
+		fault("limits: less than %d MB or %d sockets", limits.LeastMemory, limits.LeastSockets)
 	}
 	var err error
 	if len(w.Settings) == 0 {
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,58 @@
+// Package limits holds every bound and time of the sockets, with its unit and the reason for its size. None
+// decides about a query: which unit, wait, denial, retry, probe or vote is package policy's. Facts of the
+// protocols, such as the longest value, stand with their parsers.
+package limits
+
+import "time"
+
+// The one block of socket matters. Times that depend on the site are derived from its settings where they are
+// used; the values here stand where the settings name none.
+const (
+	// The process.
+	SpareSockets  = 64       // descriptors for discovery, platform, memos, the poller, and clients told it is full
+	UnitPart      = 0.5      // of the other descriptors, for units: an open query has one leg, hardly ever two
+	HeapPart      = 0.7      // of the memory at which the collector works harder: the rest is stacks and sockets
+	BufferPart    = 0.25     // of the memory that buffers may hold: as much again is copies and the library's own
+	Pollers       = 1        // of netpoll's: two, or a thread more for Go, answered no sooner and took more of the core
+	NormalMemory  = 192      // MB where no limit is named
+	NormalSockets = 1024     // descriptors where no limit is named
+	LeastMemory   = 32       // MB below which a start is refused: the program alone takes 10
+	LeastSockets  = 128      // descriptors below which a start is refused: 64 are spare, and some must be left
+	ConfigFile    = 16 << 20 // bytes of a configuration: a list of units as long as one may be
+	LongestWait   = 3.0      // s of patience counted at the end where the settings' is shorter, as the platform does
+	LastWait      = 0.5      // s beyond that after which the program ends whatever is open
+	EventQueue    = 1 << 16  // events waiting for the loop: several for each descriptor; memos are dropped at it
+	EventsKept    = 1 << 12  // events whose space is kept for the next round: a busy moment's
+	HeldQueries   = 1 << 14  // open queries where the settings name no bound: far more than there are descriptors
+
+	// Clients.
+	Ahead       = 16                     // queries that may wait on a connection behind the open one
+	OverClients = 32                     // connections over the bound that are told so; more are closed at once
+	AnswerWait  = 5 * time.Second        // that a client may take to accept an answer: longer than it waits for one
+	StartupWait = 10 * time.Second       // that a client may take over its startup
+	StillComing = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
+	CloseWait   = 1 * time.Second        // that a client gets to close its end when this end is shut
+
+	// Units.
+	IdlePart    = 0.8                   // of the settings' idle limit after which a connection is closed: before the unit does
+	SweepEvery  = 1 * time.Second       // between looks at idle connections: small beside any idle limit
+	ConnectWait = 1 * time.Second       // that a connection may take to come up where the settings name no limit
+	InlineWait  = 20 * time.Millisecond // that a small write may hold the loop up; its send buffer is empty, it takes none
+
+	// Discovery.
+	WatchFor  = 20 * time.Second // that a watch waits for something new
+	AnswerFor = 2 * time.Second  // that an answer may take beyond what the call may wait: then it counts as told
+	PlainFor  = 6 * time.Second  // the same for a call that does not wait
+	DialFor   = 1 * time.Second  // that the connection may take to come up
+
+	// The platform.
+	CallFor    = 1 * time.Second        // that an answer may take where the settings name no limit
+	SignOfLife = 3 * time.Second        // without a line after which a second watch is opened: three signs of life
+	BackOff    = 100 * time.Millisecond // before a watch is opened again; doubled up to the next
+	MostOff    = 1 * time.Second        // as often as the platform tells that it lives
+	VoteIdle   = 5 * time.Second        // after which the votes' connection is closed: the platform does at about 10
+	VotesAhead = 64                     // votes that may wait to be sent: the module has one out at a time
+
+	// Other relays.
+	MemosAhead = 256 // memos that may wait to be sent: the module tells a few a second
+)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,17 +8,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
 )
 
-const (
-	// MaxBody of a datagram, by the protocol page.
-	MaxBody = 256
-	// waiting memos; the module tells one or two a second.
-	waiting = 256
-)
+// MaxBody of a datagram in bytes, by the protocol page.
+const MaxBody = 256
 
 // Tier is the relays that may tell one another things.
 type Tier struct {
@@ -32,7 +29,7 @@
 
 // Open binds the address for memos; peers are the relays' addresses in the order of their numbers.
 func Open(l *stage.Loop, listen string, peers []string, all string) (*Tier, error) {
-	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, waiting)}
+	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, limits.MemosAhead)}
 	for i, s := range peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -102,6 +102,9 @@
 	s.msg = Message{}
 }
 
+// NoEncryption answers requests for encryption.
+const NoEncryption = 'N'
+
 // Opening is what a startup packet asks for.
 type Opening int
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,22 +8,13 @@
 	"github.com/cloudwego/netpoll"
 	"github.com/sirupsen/logrus"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
 )
 
-// Socket matters.
-const (
-	signOfLife = 3 * time.Second        // without a line after which a second watch is opened: three signs of life
-	callFor    = 1 * time.Second        // that an answer may take where the settings name no limit
-	backOff    = 100 * time.Millisecond // before a watch is opened again; doubled up to the next
-	mostOff    = 1 * time.Second
-	voteIdle   = 5 * time.Second // after which the votes' connection is closed: the platform closes at about 10
-	mostVotes  = 64              // votes that may wait to be sent
-)
-
 // Reasons why a connection to the platform ended.
 const (
 	reasonPeer   = "peer_closed"
@@ -44,7 +35,7 @@
 
 // New returns a desk; without an address there is no platform, and votes are not counted.
 func New(l *stage.Loop, address string) *Desk {
-	d := &Desk{loop: l, address: address, wait: callFor, votes: make(chan relay.Vote, mostVotes)}
+	d := &Desk{loop: l, address: address, wait: limits.CallFor, votes: make(chan relay.Vote, limits.VotesAhead)}
 	if t := l.Site.Rollout.CallTimeout; t > 0 {
 		d.wait = time.Duration(t * float64(time.Second))
 	}
@@ -167,7 +158,7 @@
 		if c == nil {
 			v = <-d.votes
 		} else {
-			idle := time.NewTimer(voteIdle)
+			idle := time.NewTimer(limits.VoteIdle)
 			select {
 			case v = <-d.votes:
 				idle.Stop()
@@ -232,17 +223,17 @@
 // one is opened beside it and takes its place once it stands.
 func (d *Desk) watching() {
 	var c *line
-	off := backOff
+	off := time.Duration(limits.BackOff)
 	for {
 		if c == nil {
 			if c = d.watch(); c == nil {
 				time.Sleep(off)
-				off = min(2*off, mostOff)
+				off = min(2*off, limits.MostOff)
 				continue
 			}
-			off = backOff
+			off = limits.BackOff
 		}
-		s, err := c.next(signOfLife)
+		s, err := c.next(limits.SignOfLife)
 		if errors.Is(err, errLate) {
 			if fresh := d.watch(); fresh != nil {
 				c.end(reasonNewer)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,19 +9,14 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/httpwire"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
 )
 
-// Socket matters.
-const (
-	watchFor  = 20 * time.Second // that a watch waits for something new
-	answerFor = 2 * time.Second  // that an answer may take beyond what the call may wait: as long as it counts as told
-	plainFor  = 6 * time.Second  // the same for a call that does not wait
-	dialFor   = 1 * time.Second  // that the connection may take to come up
-	target    = "/api/targets"
-)
+// target is the path of the list.
+const target = "/api/targets"
 
 // Reasons why a connection to discovery ended.
 const (
@@ -137,7 +132,7 @@
 	for on := range a.watch {
 		c := &call{a: a}
 		for first := true; on; first = false {
-			wait := watchFor
+			wait := limits.WatchFor
 			if first {
 				wait = 0
 			}
@@ -201,20 +196,20 @@
 		c.end(reasonPeer)
 	}
 	if c.net == nil {
-		n, err := netpoll.DialConnection("tcp", c.a.address, dialFor)
+		n, err := netpoll.DialConnection("tcp", c.a.address, limits.DialFor)
 		if err != nil {
 			return List{}, reasonRefused, err
 		}
 		c.net, c.begun, c.calls = n, time.Now(), 0
-		n.SetWriteTimeout(dialFor)
+		n.SetWriteTimeout(limits.DialFor)
 	}
 	c.calls++
 	if _, err := c.net.Write([]byte(httpwire.Get(c.a.address, path))); err != nil {
 		return List{}, reasonPeer, err
 	}
-	limit := plainFor
+	limit := limits.PlainFor
 	if wait > 0 {
-		limit = wait + answerFor
+		limit = wait + limits.AnswerFor
 	}
 	resp, why, err := c.answer(time.Now().Add(limit))
 	if err != nil {
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -5,23 +5,22 @@
 	"math"
 	"strconv"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/relay"
 )
 
 const (
-	// heldQueries bounds the open queries where the settings name no bound.
-	heldQueries = 1 << 14
-	textFull    = "no room for another query"
-	textDenied  = "turned away, nothing was done"
-	textFailed  = "given up, with no word on what was done"
+	textFull   = "no room for another query"
+	textDenied = "turned away, nothing was done"
+	textFailed = "given up, with no word on what was done"
 )
 
 // admit shows a query to the module, which denies it or orders legs; near a bound it is denied unseen.
 func (l *Loop) admit(q *Query) {
 	most := l.Site.MostHeld
-	if most <= 0 || most > heldQueries {
-		most = heldQueries
+	if most <= 0 || most > limits.HeldQueries {
+		most = limits.HeldQueries
 	}
 	if q.Refused == "" && len(l.queries) >= most {
 		q.Refused = textFull
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -13,18 +13,13 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/stats"
 	"lichenroad/policy"
 	"lichenroad/relay"
 	"lichenroad/settings"
 )
 
-// Bounds of the loop.
-const (
-	maxQueue   = 1 << 16 // events waiting: several for each descriptor; only messages of peers are dropped at it
-	keepsQueue = 1 << 12 // events whose space is kept for the next batch
-)
-
 // Clock counts seconds since the start of the program, as the module does.
 type Clock struct{ start time.Time }
 
@@ -105,7 +100,7 @@
 // PostLoose posts an event that may be lost, and says whether it was taken.
 func (l *Loop) PostLoose(e Event) bool {
 	l.mu.Lock()
-	full := len(l.queue) >= maxQueue
+	full := len(l.queue) >= limits.EventQueue
 	l.mu.Unlock()
 	if full {
 		l.Stats.Add(stats.BoundQueue, 1)
@@ -180,7 +175,7 @@
 // Pending empties the queue. Only on the loop; what it gives is good until the next call.
 func (l *Loop) Pending() []Event {
 	clear(l.taken)
-	if cap(l.taken) > keepsQueue {
+	if cap(l.taken) > limits.EventsKept {
 		l.taken = nil
 	}
 	l.mu.Lock()
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
@@ -165,7 +166,7 @@
 
 func TestQueueOfTheLoop(t *testing.T) {
 	l, _ := newLoop(t)
-	for range maxQueue {
+	for range limits.EventQueue {
 		if !l.PostLoose(Call(func(*Loop) {})) {
 			t.Fatal("refused below the bound")
 		}
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
@@ -163,7 +164,7 @@
 		out.Write(c.pool.probe)
 	}
 	if out.Len() <= inlineSize {
-		c.net.SetWriteTimeout(inlineWait)
+		c.net.SetWriteTimeout(limits.InlineWait)
 		c.write(out)
 		return
 	}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -8,20 +8,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
 )
 
-// Socket matters, none of them a decision about a query.
-const (
-	idlePart    = 0.8                   // of the settings' idle limit after which an idle connection is closed: well before the unit does
-	sweepEvery  = 1.0                   // s between looks at idle connections
-	connectWait = 1.0                   // s that a connection may take to come up where the settings name no limit
-	inlineWait  = 20 * time.Millisecond // that a small write may take on the loop; it takes none, its send buffer is empty
-)
-
 // Pool holds the connections to all units. Its state belongs to the loop.
 type Pool struct {
 	loop    *stage.Loop
@@ -47,16 +40,16 @@
 // New returns a pool that holds at most so many connections.
 func New(l *stage.Loop, most int) *Pool {
 	p := &Pool{loop: l, units: map[relay.UnitID]*unit{}, most: most, connect: l.Site.Limits.ConnectTimeout,
-		idleFor: l.Site.ConnIdle * idlePart, hello: pgwire.Startup("worker", "catalog"),
+		idleFor: l.Site.ConnIdle * limits.IdlePart, hello: pgwire.Startup("worker", "catalog"),
 		probe: pgwire.QueryMessage("SELECT 1")}
 	if len(l.Site.Reports) > 0 {
 		p.probe = pgwire.QueryMessage("SHOW " + reportName)
 	}
 	if p.connect <= 0 {
-		p.connect = connectWait
+		p.connect = limits.ConnectWait.Seconds()
 	}
 	if p.idleFor > 0 {
-		l.At(l.Clock.Now()+sweepEvery, p.sweep)
+		l.At(l.Clock.Now()+limits.SweepEvery.Seconds(), p.sweep)
 	}
 	return p
 }
@@ -198,7 +191,7 @@
 			u.idle[0].close(reasonIdle)
 		}
 	}
-	p.loop.At(now+sweepEvery, p.sweep)
+	p.loop.At(now+limits.SweepEvery.Seconds(), p.sweep)
 }
 
 // ended is the one place where a connection is given back, whether it came up or not.
