What can't be read on a connection waits its turn behind the open query; one list of reasons

Seen on reading: a malformed message behind an open query shut the connection at once, so the query before it was lost by the relay's own doing (clients/conn.go reject). The complaint now has its turn as a query has. Values in a statement's comment may hold any printable byte that can't end it: a name unknown here must not end a connection. The reasons that end connections, and the line they leave, are one list in one place (stats/reasons.go).

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -276,6 +276,24 @@
 	sums(t, p)
 }
 
+func TestComplaintWaitsForTheAnswersBeforeIt(t *testing.T) {
+	release := make(chan struct{})
+	p := running(t, newFleet(t, newUnit(t, func(string) deed { <-release; return honour })), nil)
+	c := dialClient(t, p)
+	c.until('Z')
+	c.Write(append(pgwire.QueryMessage(read("pay", 1900)), 'P', 0, 0, 0, 4))
+	settled(t, p, stats.LegsOpen, 1)
+	close(release)
+	if v, code := c.answer(); v == "" {
+		t.Error("the open query was lost over what came behind it:", code)
+	}
+	if _, code := c.answer(); code != pgwire.CodeNotKnown || !c.closed() {
+		t.Errorf("%q", code)
+	}
+	c.Close()
+	sums(t, p)
+}
+
 func TestTooManyClientsAreTold(t *testing.T) {
 	p := running(t, newFleet(t, newUnit(t, always(honour))), func(c *config.Config) { c.Sockets = 128 })
 	var kept []*client
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -79,7 +79,7 @@
 	n.SetWriteTimeout(limits.AnswerWait)
 	n.AddCloseCallback(c.closed)
 	if open > s.most+limits.OverClients {
-		c.end(reasonBound)
+		c.end(stats.ByBound)
 		return context.Background()
 	}
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
@@ -89,7 +89,7 @@
 		}
 		l.At(now+limits.StartupWait.Seconds(), func() {
 			if !c.started.Load() {
-				c.shut(reasonStartup)
+				c.shut(stats.ByLateConnect)
 			}
 		})
 	}))
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"github.com/cloudwego/netpoll"
-	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/limits"
@@ -19,18 +18,6 @@
 	"lichenroad/relay"
 )
 
-// Reasons why a client's connection ended.
-const (
-	reasonPeer      = "peer_closed"  // the client closed it or was lost
-	reasonTerminate = "terminate"    // the client said so
-	reasonCancel    = "cancel"       // it carried a request to cancel, which is not offered
-	reasonStartup   = "connect_late" // no startup in time
-	reasonBadInput  = "bad_input"    // what came could not be read
-	reasonBound     = "bound"        // too many connections, or too many queries ahead
-	reasonWrite     = "write_failed" // an answer was not taken
-	reasonShutdown  = "shutdown"     // this program ends
-)
-
 // conn is one client's connection.
 type conn struct {
 	server *Server
@@ -44,9 +31,10 @@
 	packets int // startup packets
 
 	// Of the loop.
-	current *item
-	waiting []*item
-	idleAt  relay.Seconds // when the last answer was written
+	current  *item
+	waiting  []*item
+	idleAt   relay.Seconds // when the last answer was written
+	shutting bool
 
 	started atomic.Bool
 	deaf    atomic.Bool  // nothing more is taken in
@@ -55,14 +43,22 @@
 
 	mu     sync.Mutex
 	gone   bool // the descriptor is about to be closed
-	reason string
+	reason stats.Reason
 	fault  error // what was wrong with what came
 }
 
-// item is a query, or an empty one, in its turn on a connection.
+// item is what has its turn on a connection: a query, an empty one, or what could not be read.
 type item struct {
-	c *conn
-	q *stage.Query // nil: an empty query
+	c   *conn
+	q   *stage.Query
+	bad error
+}
+
+// drop gives up an item that never had its turn.
+func (it *item) drop() {
+	if it.q != nil {
+		it.q.Text.Free()
+	}
 }
 
 // closed runs once when the connection has ended, with no read under way.
@@ -70,7 +66,7 @@
 	c.mu.Lock()
 	c.gone = true
 	if c.reason == "" {
-		c.reason = reasonPeer
+		c.reason = stats.ByPeer
 	}
 	why, fault := c.reason, c.fault
 	c.mu.Unlock()
@@ -78,21 +74,15 @@
 	s := c.server
 	s.open.Add(-1)
 	s.loop.Stats.Add(stats.ClientConnsOpen, -1)
-	line := s.loop.Log.WithFields(logrus.Fields{"peer": "client", "client": c.net.RemoteAddr().String(),
-		"reason": why, "age": math.Round((s.loop.Clock.Now()-c.begun)*1000) / 1000, "queries": c.queries.Load()})
-	if fault != nil {
-		line = line.WithError(fault)
-	}
-	line.Info("connection ended")
+	stats.LogEnd(s.loop.Log, "client", c.net.RemoteAddr().String(), why, s.loop.Clock.Now()-c.begun,
+		int(c.queries.Load()), fault)
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		delete(s.conns, c)
 		if c.current != nil && c.current.q != nil {
 			l.ClientLeft(c.current.q)
 		}
 		for _, it := range c.waiting {
-			if it.q != nil {
-				it.q.Text.Free()
-			}
+			it.drop()
 		}
 		c.current, c.waiting = nil, nil
 		s.check()
@@ -101,13 +91,13 @@
 }
 
 // end closes the connection at once.
-func (c *conn) end(why string) {
+func (c *conn) end(why stats.Reason) {
 	c.because(why)
 	c.deaf.Store(true)
 	c.net.Close()
 }
 
-func (c *conn) because(why string) {
+func (c *conn) because(why stats.Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reason == "" {
@@ -117,9 +107,10 @@
 
 // shut closes this side, so that the client reads all that was sent and then the end, and the rest when the
 // client has closed its side or is slow to. On the loop.
-func (c *conn) shut(why string) {
+func (c *conn) shut(why stats.Reason) {
 	c.because(why)
 	c.deaf.Store(true)
+	c.shutting = true
 	c.mu.Lock()
 	if n, ok := c.net.(netpoll.Conn); ok && !c.gone {
 		syscall.Shutdown(n.Fd(), syscall.SHUT_WR)
@@ -132,7 +123,7 @@
 // rest closes the connection if it is between queries. On the loop.
 func (c *conn) rest() {
 	if c.current == nil && len(c.waiting) == 0 {
-		c.shut(reasonShutdown)
+		c.shut(stats.ByShutdown)
 	}
 }
 
@@ -162,14 +153,20 @@
 	errFull       = errors.New("too many connections")
 )
 
-// reject ends a connection over what came on it, with an ErrorResponse.
+// reject takes nothing more in; the complaint has its turn behind the queries that came before it.
 func (c *conn) reject(err error) {
-	code, why := pgwire.CodeProtocol, reasonBadInput
+	c.deaf.Store(true)
+	c.server.loop.Post(&item{c: c, bad: err})
+}
+
+// complain ends the connection over what came on it, with an ErrorResponse.
+func (c *conn) complain(err error) {
+	code, why := pgwire.CodeProtocol, stats.ByBadInput
 	switch {
 	case errors.Is(err, errFull):
-		code, why = pgwire.CodeFull, reasonBound
+		code, why = pgwire.CodeFull, stats.ByBound
 	case errors.Is(err, errAhead):
-		code, why = pgwire.CodeTooLong, reasonBound
+		code, why = pgwire.CodeTooLong, stats.ByBound
 	case errors.Is(err, errNotOffered):
 		code = pgwire.CodeNotKnown
 	case errors.Is(err, pgwire.ErrTooLong):
@@ -177,14 +174,13 @@
 	case c.started.Load():
 		code = pgwire.CodeSyntax
 	}
-	if why == reasonBadInput {
+	if why == stats.ByBadInput {
 		c.server.loop.Stats.Add(stats.BadInput, 1)
 	}
 	c.because(why)
 	c.mu.Lock()
 	c.fault = err
 	c.mu.Unlock()
-	c.deaf.Store(true)
 	c.sendBytes(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), ""), func() {
 		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
 	})
@@ -203,7 +199,7 @@
 	case m.Type == 0:
 		return c.startup(m.Body.Bytes())
 	case m.Type == 'X':
-		c.end(reasonTerminate)
+		c.end(stats.ByTerminate)
 		return nil
 	case m.Type != 'Q':
 		return errNotOffered
@@ -223,9 +219,7 @@
 		c.queries.Add(1)
 	}
 	if c.ahead.Add(1) > limits.Ahead {
-		if it.q != nil {
-			it.q.Text.Free()
-		}
+		it.drop()
 		return errAhead
 	}
 	c.server.loop.Post(it)
@@ -246,7 +240,7 @@
 	case pgwire.OpenEncryption:
 		c.sendBytes([]byte{pgwire.NoEncryption}, nil)
 	case pgwire.OpenCancel:
-		c.end(reasonCancel)
+		c.end(stats.ByCancel)
 	case pgwire.OpenSession:
 		c.split.Startup = false
 		c.started.Store(true)
@@ -261,10 +255,8 @@
 // Take starts an item, or lets it wait for its turn.
 func (it *item) Take(l *stage.Loop) {
 	c := it.c
-	if c.deaf.Load() {
-		if it.q != nil {
-			it.q.Text.Free()
-		}
+	if c.shutting {
+		it.drop() // it crossed the end of the connection
 		return
 	}
 	if c.current != nil {
@@ -277,6 +269,10 @@
 func (c *conn) start(it *item) {
 	l := c.server.loop
 	c.current = it
+	if it.bad != nil {
+		c.complain(it.bad)
+		return
+	}
 	if it.q != nil {
 		l.Begin(it.q, math.Max(it.q.Arrived, c.idleAt))
 		return
--- a/internal/clients/outbox.go
+++ b/internal/clients/outbox.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/stats"
 )
 
 // outbox writes what a connection sends, in order, without ever holding its callers up.
@@ -53,7 +54,7 @@
 		})
 		p.chain.Free()
 		if err != nil {
-			c.end(reasonWrite)
+			c.end(stats.ByWrite)
 		}
 		if p.after != nil {
 			p.after()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,7 +26,7 @@
 	HeldQueries   = 1 << 14  // open queries where the settings name no bound: far more than there are descriptors
 
 	// Clients.
-	Ahead       = 16                     // queries that may wait on a connection behind the open one
+	Ahead       = 16                     // queries of a connection not yet answered: far more than a client has out
 	OverClients = 32                     // connections over the bound that are told so; more are closed at once
 	AnswerWait  = 5 * time.Second        // that a client may take to accept an answer: longer than it waits for one
 	StartupWait = 10 * time.Second       // that a client may take over its startup
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -123,7 +123,7 @@
 		t.Errorf("%+v %v", q, err)
 	}
 	for _, change := range [][2]string{
-		{"SELECT", "select"}, {"'7f3a'", "''"}, {"7f3a", "7f'; DROP"}, {"id=9b1f,", ""}, {"c=basket,", ""}, {"d=480", "d=x"},
+		{"SELECT", "select"}, {"'7f3a'", "''"}, {"7f3a", "7f'; DROP"}, {"t=acme", "t=a*/b"}, {"id=9b1f,", ""}, {"c=basket,", ""}, {"d=480", "d=x"},
 		{"d=480", "d=-1"}, {"d=480", "d="}, {",d=480", ""}, {" */", " */;"}, {" */", ""}, {"t=acme", "t"}, {"t=acme", "t=a b"},
 		{"d=480", "d=99999999999"}, {"d=480 ", "d=480, "},
 	} {
--- a/internal/pgwire/query.go
+++ b/internal/pgwire/query.go
@@ -45,11 +45,11 @@
 	return body[:len(body)-1], nil
 }
 
+// word says whether b may stand as an object, a name or a value: nothing that could end the literal, the
+// value or the comment that it stands in.
 func word(b []byte) bool {
 	for _, c := range b {
-		switch {
-		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c == '-', c == '_', c == '.', c == ':':
-		default:
+		if c <= ' ' || c > '~' || c == '\'' || c == '\\' || c == ',' || c == '*' {
 			return false
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,16 +15,6 @@
 	"lichenroad/relay"
 )
 
-// Reasons why a connection to the platform ended.
-const (
-	reasonPeer   = "peer_closed"
-	reasonLate   = "answer_late"
-	reasonInput  = "bad_input"
-	reasonIdle   = "idle"
-	reasonNewer  = "replaced" // a fresh watch stands in its place
-	reasonRefuse = "refused"
-)
-
 // Desk talks to the platform.
 type Desk struct {
 	loop    *stage.Loop
@@ -91,21 +81,20 @@
 func (d *Desk) dial() (*line, error) {
 	n, err := netpoll.DialConnection("tcp", d.address, d.wait)
 	if err != nil {
-		d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "reason": reasonRefuse}).WithError(err).Warn("no connection")
+		stats.LogEnd(d.loop.Log, "platform", d.address, stats.ByRefusal, 0, 0, err)
 		return nil, err
 	}
 	n.SetWriteTimeout(d.wait)
 	return &line{d: d, net: n, begun: time.Now()}, nil
 }
 
-func (c *line) end(why string) {
+func (c *line) end(why stats.Reason) {
 	if c.net == nil {
 		return
 	}
 	c.net.Close()
 	c.net = nil
-	c.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "reason": why,
-		"age": time.Since(c.begun).Round(time.Millisecond).Seconds(), "queries": c.calls}).Info("connection ended")
+	stats.LogEnd(c.d.loop.Log, "platform", c.d.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
 var errLate = errors.New("no line in time")
@@ -139,15 +128,15 @@
 }
 
 // reason sorts a failure to read.
-func (d *Desk) reason(err error) string {
+func (d *Desk) reason(err error) stats.Reason {
 	switch {
 	case errors.Is(err, errLate):
-		return reasonLate
+		return stats.ByLateAnswer
 	case errors.Is(err, linewire.ErrMalformed), errors.Is(err, linewire.ErrTooLong):
 		d.loop.Stats.Add(stats.BadInput, 1)
-		return reasonInput
+		return stats.ByBadInput
 	}
-	return reasonPeer
+	return stats.ByPeer
 }
 
 // voting sends votes one by one, as the module casts them, and matches the answers to them.
@@ -163,13 +152,13 @@
 			case v = <-d.votes:
 				idle.Stop()
 			case <-idle.C:
-				c.end(reasonIdle)
+				c.end(stats.ByIdle)
 				c = nil
 				continue
 			}
 		}
 		if c != nil && !c.net.IsActive() {
-			c.end(reasonPeer)
+			c.end(stats.ByPeer)
 			c = nil
 		}
 		if c == nil {
@@ -236,7 +225,7 @@
 		s, err := c.next(limits.SignOfLife)
 		if errors.Is(err, errLate) {
 			if fresh := d.watch(); fresh != nil {
-				c.end(reasonNewer)
+				c.end(stats.ByNewer)
 				c = fresh
 			}
 			continue
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,16 +18,6 @@
 // target is the path of the list.
 const target = "/api/targets"
 
-// Reasons why a connection to discovery ended.
-const (
-	reasonPeer    = "peer_closed"
-	reasonRefused = "refused"
-	reasonLate    = "answer_late"
-	reasonInput   = "bad_input"
-	reasonAsked   = "ordered" // the module wants no watch any more
-	reasonStatus  = "error_status"
-)
-
 // Asker talks to discovery. The module's orders reach it through channels that never block the loop.
 type Asker struct {
 	loop    *stage.Loop
@@ -101,9 +91,9 @@
 	l.Listed(r)
 }
 
-func (a *Asker) failed(why string, err error) {
+func (a *Asker) failed(why stats.Reason, err error) {
 	a.loop.Stats.Add(stats.RosterFailed, 1)
-	a.loop.Log.WithFields(logrus.Fields{"peer": "roster", "reason": why}).WithError(err).Warn("call failed")
+	a.loop.Log.WithFields(logrus.Fields{"peer": "roster", "reason": string(why)}).WithError(err).Warn("call failed")
 	a.loop.Post(told{a: a, form: relay.RosterFailed})
 }
 
@@ -153,7 +143,7 @@
 			default:
 			}
 		}
-		c.end(reasonAsked)
+		c.end(stats.ByOrder)
 	}
 }
 
@@ -167,7 +157,7 @@
 			continue
 		}
 		a.got(list, true)
-		c.end(reasonAsked)
+		c.end(stats.ByOrder)
 	}
 }
 
@@ -179,33 +169,32 @@
 	calls int
 }
 
-func (c *call) end(why string) {
+func (c *call) end(why stats.Reason) {
 	if c.net == nil {
 		return
 	}
 	c.net.Close()
 	c.net = nil
-	c.a.loop.Log.WithFields(logrus.Fields{"peer": "roster", "reason": why,
-		"age": time.Since(c.begun).Round(time.Millisecond).Seconds(), "queries": c.calls}).Info("connection ended")
+	stats.LogEnd(c.a.loop.Log, "roster", c.a.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
 // get makes one call, on the connection that stands or on a new one. It is made once, whatever comes of it.
-func (c *call) get(path string, wait time.Duration) (List, string, error) {
+func (c *call) get(path string, wait time.Duration) (List, stats.Reason, error) {
 	c.a.loop.Stats.Add(stats.RosterCalls, 1)
 	if c.net != nil && !c.net.IsActive() {
-		c.end(reasonPeer)
+		c.end(stats.ByPeer)
 	}
 	if c.net == nil {
 		n, err := netpoll.DialConnection("tcp", c.a.address, limits.DialFor)
 		if err != nil {
-			return List{}, reasonRefused, err
+			return List{}, stats.ByRefusal, err
 		}
 		c.net, c.begun, c.calls = n, time.Now(), 0
 		n.SetWriteTimeout(limits.DialFor)
 	}
 	c.calls++
 	if _, err := c.net.Write([]byte(httpwire.Get(c.a.address, path))); err != nil {
-		return List{}, reasonPeer, err
+		return List{}, stats.ByPeer, err
 	}
 	limit := limits.PlainFor
 	if wait > 0 {
@@ -216,34 +205,34 @@
 		return List{}, why, err
 	}
 	if resp.Close {
-		defer c.end(reasonPeer)
+		defer c.end(stats.ByPeer)
 	}
 	if resp.Status != 200 {
-		return List{}, reasonStatus, fmt.Errorf("status %d", resp.Status)
+		return List{}, stats.ByStatus, fmt.Errorf("status %d", resp.Status)
 	}
 	list, err := c.a.reader.Parse(resp.Body)
 	if err != nil {
 		c.a.loop.Stats.Add(stats.BadInput, 1)
-		return List{}, reasonInput, err
+		return List{}, stats.ByBadInput, err
 	}
 	return list, "", nil
 }
 
-func (c *call) answer(until time.Time) (httpwire.Response, string, error) {
+func (c *call) answer(until time.Time) (httpwire.Response, stats.Reason, error) {
 	var resp httpwire.Response
 	r := c.net.Reader()
 	for !resp.Done() {
 		left := time.Until(until)
 		if left <= 0 {
-			return resp, reasonLate, fmt.Errorf("no answer in time")
+			return resp, stats.ByLateAnswer, fmt.Errorf("no answer in time")
 		}
 		c.net.SetReadTimeout(left)
 		if _, err := r.Peek(1); err != nil {
 			if time.Until(until) <= 0 {
-				return resp, reasonLate, err
+				return resp, stats.ByLateAnswer, err
 			}
 			if e := resp.End(); e != nil {
-				return resp, reasonPeer, err
+				return resp, stats.ByPeer, err
 			}
 			break
 		}
@@ -252,7 +241,7 @@
 		r.Release()
 		if err != nil {
 			c.a.loop.Stats.Add(stats.BadInput, 1)
-			return resp, reasonInput, err
+			return resp, stats.ByBadInput, err
 		}
 	}
 	return resp, "", nil
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -16,21 +16,6 @@
 	"lichenroad/relay"
 )
 
-// Reasons why a connection to a unit ended.
-const (
-	reasonPeer     = "peer_closed"   // the unit closed it or was lost
-	reasonIdle     = "idle"          // idle for long
-	reasonGivenUp  = "given_up"      // its leg was cancelled, timed out or is no longer wanted
-	reasonRefused  = "refused"       // it never came up
-	reasonStartup  = "startup_error" // the unit answered the startup with an error
-	reasonLate     = "connect_late"  // it did not come up in time
-	reasonMoved    = "moved"         // the unit has another address
-	reasonOrdered  = "ordered"       // the module ordered idle connections closed
-	reasonBound    = "bound"         // room was needed for another
-	reasonBadInput = "bad_input"     // what came could not be read
-	reasonWrite    = "write_failed"  // what was to be sent was not taken
-)
-
 // reportName is the parameter that holds a unit's load report.
 const reportName = "vitals"
 
@@ -79,7 +64,7 @@
 	if err != nil {
 		p.loop.Post(stage.Call(func(l *stage.Loop) {
 			u.coming--
-			p.ended(u, reasonRefused, l.Clock.Now()-begun, 0, err)
+			p.ended(u, stats.ByRefusal, l.Clock.Now()-begun, 0, err)
 			p.refused(u)
 		}))
 		return
@@ -90,20 +75,20 @@
 		// No read is under way here, and none follows.
 		c.split.Free()
 		c.answer.Free()
-		p.loop.Post(stage.Call(func(*stage.Loop) { c.close(reasonPeer) }))
+		p.loop.Post(stage.Call(func(*stage.Loop) { c.close(stats.ByPeer) }))
 		return nil
 	})
 	n.SetOnRequest(func(_ context.Context, n netpoll.Connection) error { return c.read(n) })
 	p.loop.Post(stage.Call(func(l *stage.Loop) {
 		l.At(begun+p.connect, func() {
 			if c.state == starting {
-				c.close(reasonLate)
+				c.close(stats.ByLateConnect)
 			}
 		})
 	}))
 	_, err = n.Write(p.hello)
 	if err != nil || !n.IsActive() {
-		p.loop.Post(stage.Call(func(*stage.Loop) { c.close(reasonPeer) }))
+		p.loop.Post(stage.Call(func(*stage.Loop) { c.close(stats.ByPeer) }))
 	}
 }
 
@@ -117,7 +102,7 @@
 }
 
 // close ends the connection, on the loop; whatever leg it carried ends by what is known of it.
-func (c *conn) close(why string) {
+func (c *conn) close(why stats.Reason) {
 	if c.state == dead {
 		return
 	}
@@ -138,7 +123,7 @@
 			}
 		}
 	case busy:
-		if c.leg == nil || why == reasonGivenUp {
+		if c.leg == nil || why == stats.ByGivenUp {
 			break // it has ended, or whoever gave it up books it
 		}
 		if sent := c.sentAt.Load(); sent == 0 {
@@ -194,7 +179,7 @@
 		return err
 	})
 	if err != nil {
-		c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.close(reasonWrite) }))
+		c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.close(stats.ByWrite) }))
 	}
 }
 
@@ -211,7 +196,7 @@
 			c.pool.loop.Stats.Add(stats.BadInput, 1)
 			c.pool.loop.Post(stage.Call(func(*stage.Loop) {
 				c.fault = err
-				c.close(reasonBadInput)
+				c.close(stats.ByBadInput)
 			}))
 			r.Skip(r.Len())
 			break
@@ -303,9 +288,9 @@
 		e.answer.Free()
 		if c.state == starting {
 			c.fault = fmt.Errorf("%s %s", e.code, e.text)
-			c.close(reasonStartup)
+			c.close(stats.ByStartupError)
 		} else {
-			c.close(reasonPeer) // unasked: it is about to close
+			c.close(stats.ByPeer) // unasked: it is about to close
 		}
 		return
 	}
@@ -325,7 +310,7 @@
 	c.leg = nil
 	l.End(leg, end)
 	if sent == 0 {
-		c.close(reasonBadInput) // answered before it was asked in full
+		c.close(stats.ByBadInput) // answered before it was asked in full
 	}
 }
 
@@ -340,7 +325,7 @@
 		c.unit.coming--
 	case c.state == busy && c.leg == nil:
 	case c.state == busy:
-		c.close(reasonBadInput) // no answer, no error
+		c.close(stats.ByBadInput) // no answer, no error
 		return
 	default:
 		return
@@ -348,7 +333,7 @@
 	c.state, c.since = idle, l.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
 	if c.address != c.unit.address {
-		c.close(reasonMoved)
+		c.close(stats.ByMove)
 	}
 	c.pool.serve(c.unit)
 }
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -3,11 +3,8 @@
 package units
 
 import (
-	"math"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
@@ -64,7 +61,7 @@
 	}
 	if u.address != address {
 		u.address = address
-		p.closeIdle(u, reasonMoved)
+		p.closeIdle(u, stats.ByMove)
 	}
 }
 
@@ -103,7 +100,7 @@
 // CloseIdle closes the idle connections to a unit.
 func (p *Pool) CloseIdle(id relay.UnitID) {
 	if u := p.units[id]; u != nil {
-		p.closeIdle(u, reasonOrdered)
+		p.closeIdle(u, stats.ByOrder)
 	}
 }
 
@@ -118,7 +115,7 @@
 	if !ok {
 		return false
 	}
-	c.close(reasonGivenUp)
+	c.close(stats.ByGivenUp)
 	return c.sentAt.Load() != 0 // after the close, so that a write under way either shows or fails
 }
 
@@ -173,11 +170,11 @@
 	if oldest == nil {
 		return false
 	}
-	oldest.close(reasonBound)
+	oldest.close(stats.ByBound)
 	return true
 }
 
-func (p *Pool) closeIdle(u *unit, why string) {
+func (p *Pool) closeIdle(u *unit, why stats.Reason) {
 	for len(u.idle) > 0 {
 		u.idle[len(u.idle)-1].close(why)
 	}
@@ -188,22 +185,17 @@
 	now := p.loop.Clock.Now()
 	for _, u := range p.units {
 		for len(u.idle) > 0 && now-u.idle[0].since > p.idleFor {
-			u.idle[0].close(reasonIdle)
+			u.idle[0].close(stats.ByIdle)
 		}
 	}
 	p.loop.At(now+limits.SweepEvery.Seconds(), p.sweep)
 }
 
 // ended is the one place where a connection is given back, whether it came up or not.
-func (p *Pool) ended(u *unit, why string, age relay.Seconds, queries int, fault error) {
+func (p *Pool) ended(u *unit, why stats.Reason, age relay.Seconds, queries int, fault error) {
 	p.open--
 	p.loop.Stats.Add(stats.UnitConnsOpen, -1)
-	line := p.loop.Log.WithFields(logrus.Fields{"peer": "unit", "unit": u.name, "reason": why,
-		"age": math.Round(age*1000) / 1000, "queries": queries})
-	if fault != nil {
-		line = line.WithError(fault)
-	}
-	line.Info("connection ended")
+	stats.LogEnd(p.loop.Log, "unit", u.name, why, age, queries, fault)
 }
 
 func span(s relay.Seconds) time.Duration { return time.Duration(s * float64(time.Second)) }
