--- a/cmd/lichenroad/main.go
+++ b/cmd/lichenroad/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/pflag"
 
 	"lichenroad/internal/config"
+	"lichenroad/internal/stats"
 )
 
 const usage = `lichenroad passes queries between clients and units.
@@ -70,10 +71,15 @@
 	if err != nil {
 		return fail(errs, 2, err)
 	}
+	counters := &stats.Counters{}
+	to := newLines(errs, counters)
 	log := logrus.New()
-	log.SetOutput(errs)
+	log.SetOutput(to)
 	log.SetLevel(parsed)
-	if err := serve(c, log); err != nil {
+	err = serve(c, log, counters)
+	log.SetOutput(io.Discard)
+	to.Close()
+	if err != nil {
 		return fail(errs, 1, err)
 	}
 	return 0
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -35,20 +35,20 @@
 }
 
 // serve runs a relay until it is told to end.
-func serve(c config.Config, log *logrus.Logger) error {
+func serve(c config.Config, log *logrus.Logger, counters *stats.Counters) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(int64(limits.HeapPart * float64(c.MemoryMB<<20)))
 	lib := netpoll.Config{PollerNum: limits.Pollers, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
 	if err := netpoll.Configure(lib); err != nil {
 		return err
 	}
-	p, err := start(c, log)
+	p, err := start(c, log, counters)
 	if err != nil {
 		return err
 	}
 	go p.signals()
 	p.loop.Run(p.stop)
-	log.Info("counters " + p.loop.Stats.Line())
+	log.WithFields(counters.Fields()).Info("counters")
 	if fault := p.fault.Load(); fault != nil {
 		return *fault
 	}
@@ -56,8 +56,7 @@
 }
 
 // start puts the parts together and listens; what comes waits for the loop to run.
-func start(c config.Config, log *logrus.Logger) (*program, error) {
-	counters := &stats.Counters{}
+func start(c config.Config, log *logrus.Logger, counters *stats.Counters) (*program, error) {
 	pool := buffer.NewPool(int64(limits.BufferPart * float64(c.MemoryMB<<20)))
 	loop := stage.NewLoop(c.Site, c.Seed, pool, counters, log)
 	sockets := c.Sockets - limits.SpareSockets
@@ -121,7 +120,7 @@
 	for s := range got {
 		switch {
 		case s == syscall.SIGUSR1:
-			p.loop.Log.Info("counters " + p.loop.Stats.Line())
+			p.loop.Log.WithFields(p.loop.Stats.Fields()).Info("counters")
 		case ending:
 			p.end()
 		default:
--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -179,7 +179,7 @@
 		t.Errorf("%q: a leg without a connection never ran", code)
 	}
 	if p.loop.Stats.Get(stats.LegNoConnect) == 0 {
-		t.Error(p.loop.Stats.Line())
+		t.Error(p.loop.Stats.Fields())
 	}
 	sums(t, p)
 }
@@ -195,7 +195,7 @@
 	settled(t, p, stats.Left, 1)
 	<-u.ended // the leg's connection is closed, not kept
 	if p.loop.Stats.Get(stats.LegCancelled) != 1 {
-		t.Error(p.loop.Stats.Line())
+		t.Error(p.loop.Stats.Fields())
 	}
 	sums(t, p)
 }
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -232,7 +232,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p, err := start(c, log)
+	p, err := start(c, log, &stats.Counters{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -317,7 +317,7 @@
 	t.Helper()
 	for until := time.Now().Add(patience); p.loop.Stats.Get(id) != want; {
 		if time.Now().After(until) {
-			t.Fatalf("%s: want %d of counter %d", p.loop.Stats.Line(), want, id)
+			t.Fatalf("%s: want %d of counter %d", p.loop.Stats.Fields(), want, id)
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -9,21 +9,23 @@
 // used; the values here stand where the settings name none.
 const (
 	// The process.
-	SpareSockets  = 64       // descriptors for discovery, platform, memos, the poller, and clients told it is full
-	UnitPart      = 0.5      // of the other descriptors, for units: an open query has one leg, hardly ever two
-	HeapPart      = 0.7      // of the memory at which the collector works harder: the rest is stacks and sockets
-	BufferPart    = 0.25     // of the memory that buffers may hold: as much again is copies and the library's own
-	Pollers       = 1        // of netpoll's: two, or a thread more for Go, answered no sooner and took more of the core
-	NormalMemory  = 192      // MB where no limit is named
-	NormalSockets = 1024     // descriptors where no limit is named
-	LeastMemory   = 32       // MB below which a start is refused: the program alone takes 10
-	LeastSockets  = 128      // descriptors below which a start is refused: 64 are spare, and some must be left
-	ConfigFile    = 16 << 20 // bytes of a configuration: a list of units as long as one may be
-	LongestWait   = 3.0      // s of patience counted at the end where the settings' is shorter, as the platform does
-	LastWait      = 0.5      // s beyond that after which the program ends whatever is open
-	EventQueue    = 1 << 16  // events waiting for the loop: several for each descriptor; memos are dropped at it
-	EventsKept    = 1 << 12  // events whose space is kept for the next round: a busy moment's
-	HeldQueries   = 1 << 14  // open queries where the settings name no bound: far more than there are descriptors
+	SpareSockets  = 64          // descriptors for discovery, platform, memos, the poller, and clients told it is full
+	UnitPart      = 0.5         // of the other descriptors, for units: an open query has one leg, hardly ever two
+	HeapPart      = 0.7         // of the memory at which the collector works harder: the rest is stacks and sockets
+	BufferPart    = 0.25        // of the memory that buffers may hold: as much again is copies and the library's own
+	Pollers       = 1           // of netpoll's: two, or a thread more for Go, answered no sooner and took more of the core
+	NormalMemory  = 192         // MB where no limit is named
+	NormalSockets = 1024        // descriptors where no limit is named
+	LeastMemory   = 32          // MB below which a start is refused: the program alone takes 10
+	LeastSockets  = 128         // descriptors below which a start is refused: 64 are spare, and some must be left
+	ConfigFile    = 16 << 20    // bytes of a configuration: a list of units as long as one may be
+	LongestWait   = 3.0         // s of patience counted at the end where the settings' is shorter, as the platform does
+	LastWait      = 0.5         // s beyond that after which the program ends whatever is open
+	EventQueue    = 1 << 16     // events waiting for the loop: several for each descriptor; memos are dropped at it
+	EventsKept    = 1 << 12     // events whose space is kept for the next round: a busy moment's
+	LogAhead      = 1 << 12     // lines of the log waiting to be written, some 600 KB; more are dropped
+	LogWait       = time.Second // that the log may take at the end
+	HeldQueries   = 1 << 14     // open queries where the settings name no bound: far more than there are descriptors
 
 	// Clients.
 	Ahead       = 16                     // queries of a connection not yet answered: far more than a client has out
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -27,21 +28,20 @@
 
 	watch   chan bool
 	fetch   chan struct{}
-	version chan int64 // holds the version of the list that stands
+	version atomic.Int64 // of the list that stands; -1: none
 }
 
 // New returns an asker; name is told of each unit's address, on the loop.
 func New(l *stage.Loop, address string, r *Reader, name func(relay.UnitID, string, string)) *Asker {
 	a := &Asker{loop: l, address: address, reader: r, name: name, watch: make(chan bool, 1),
-		fetch: make(chan struct{}, 1), version: make(chan int64, 1)}
-	a.version <- -1
+		fetch: make(chan struct{}, 1)}
+	a.version.Store(-1)
 	return a
 }
 
 // Known hands over the list that the relay had last.
 func (a *Asker) Known(list List) {
-	<-a.version
-	a.version <- list.Generation
+	a.version.Store(list.Generation)
 	a.loop.Post(told{a, list, relay.RosterCached})
 }
 
@@ -99,8 +99,7 @@
 
 // got passes a list on; a watch that brought nothing is not worth an event unless it answers an order.
 func (a *Asker) got(list List, answers bool) {
-	<-a.version
-	a.version <- list.Generation
+	a.version.Store(list.Generation)
 	form := relay.RosterDelta
 	if list.Whole {
 		form = relay.RosterFull
@@ -110,12 +109,6 @@
 	}
 }
 
-func (a *Asker) have() int64 {
-	v := <-a.version
-	a.version <- v
-	return v
-}
-
 // watching makes one call after the other while the watch is on. The first does not wait: its answer is
 // the one that the module's order gets.
 func (a *Asker) watching() {
@@ -127,7 +120,7 @@
 				wait = 0
 			}
 			path := target
-			if v := a.have(); v >= 0 {
+			if v := a.version.Load(); v >= 0 {
 				path = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, v, wait.Milliseconds())
 			}
 			list, why, err := c.get(path, wait)
@@ -156,6 +149,9 @@
 			a.failed(why, err)
 			continue
 		}
+		if list.Generation < a.version.Load() {
+			list = List{Generation: a.version.Load()} // the watch has told more meanwhile; this brings nothing new
+		}
 		a.got(list, true)
 		c.end(stats.ByOrder)
 	}
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -96,7 +96,7 @@
 	l.order(relay.CancelLeg{Query: q.ID})
 	l.sweep(len(l.over))
 	if len(o.answers) != 1 || len(l.queries) != 0 || l.Pool.Out() != 0 || l.Stats.Get(stats.Honoured) != 1 {
-		t.Errorf("%q, %d held, %s", o.answers, len(l.queries), l.Stats.Line())
+		t.Errorf("%q, %d held, %s", o.answers, len(l.queries), l.Stats.Fields())
 	}
 }
 
@@ -151,6 +151,41 @@
 	}
 }
 
+func TestAnswerThatRacesTheDeadlineCountsOnce(t *testing.T) {
+	l, o := newLoop(t)
+	o.left = true
+	q := begun(t, l, o)
+	q.Until = l.Clock.Now()
+	l.order(relay.SendLeg{Query: q.ID, Unit: 1})
+	l.Learned()
+	l.alarms()
+	answer := l.Pool.Chain()
+	answer.Write([]byte("T"))
+	l.End(o.sent[0], Ending{How: relay.Honoured, Answer: answer})
+	l.order(relay.WriteOff{Query: q.ID})
+	if got := ends(l); len(got) != 1 || got[0].How != relay.TimedOut || len(o.answers) != 1 || o.answers[0][0] != 'E' {
+		t.Errorf("%+v %q", got, o.answers)
+	}
+	if l.Pool.Out() != 0 {
+		t.Error("the late answer's buffers are out")
+	}
+}
+
+func TestClientsAreLetInWhenAListStands(t *testing.T) {
+	l, _ := newLoop(t)
+	in := 0
+	l.WhenListed(func() { in++ })
+	l.Listed(relay.Roster{Form: relay.RosterFailed})
+	if in != 0 {
+		t.Error("let in without a list")
+	}
+	l.Listed(relay.Roster{Form: relay.RosterCached})
+	l.WhenListed(func() { in++ })
+	if in != 2 {
+		t.Errorf("let in %d times", in)
+	}
+}
+
 func TestTimersKeepTheirOrderAndDontComeEarly(t *testing.T) {
 	l, _ := newLoop(t)
 	var got []int
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -1,11 +1,11 @@
 // Package stats counts what the program takes in, sends and answers. The counters are safe for use by any
-// goroutine; Line prints them all, in a fixed order, as one line of JSON.
+// goroutine; Fields gives them all, for one line of the log.
 package stats
 
 import (
-	"fmt"
-	"strings"
 	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
 )
 
 // ID names a counter.
@@ -48,6 +48,7 @@
 	BoundConns
 	BoundBuffers
 	BoundQueue
+	LogDropped
 	counters
 )
 
@@ -61,7 +62,7 @@
 	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMaybe: "votes_maybe_counted",
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
 	RosterCalls: "roster_calls", RosterFailed: "roster_failed", BadInput: "bad_input",
-	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue",
+	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
 }
 
 // Counters holds one value for each ID.
@@ -73,17 +74,11 @@
 // Get reads a counter.
 func (c *Counters) Get(id ID) int64 { return c.v[id].Load() }
 
-// Line gives all counters as one line of JSON.
-func (c *Counters) Line() string {
-	var b strings.Builder
-	for id := ID(0); id < counters; id++ {
-		sep := byte(',')
-		if id == 0 {
-			sep = '{'
-		}
-		b.WriteByte(sep)
-		fmt.Fprintf(&b, "%q:%d", names[id], c.v[id].Load())
+// Fields gives all counters by name, for one line of the log.
+func (c *Counters) Fields() logrus.Fields {
+	fields := logrus.Fields{}
+	for id, name := range names {
+		fields[name] = c.v[id].Load()
 	}
-	b.WriteByte('}')
-	return b.String()
+	return fields
 }
