--- a/cmd/lichenroad/others_test.go
+++ b/cmd/lichenroad/others_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -14,57 +13,6 @@
 	"lichenroad/relay"
 )
 
-// desk is a stand-in for the platform: it answers each line by a function, and hands over its connections.
-type desk struct {
-	ln    net.Listener
-	lines chan string
-	conns chan net.Conn
-}
-
-func newDesk(t *testing.T, answer func(line string) string) *desk {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := &desk{ln, make(chan string, 100), make(chan net.Conn, 100)}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			d.conns <- c
-			go func() {
-				for r := bufio.NewScanner(c); r.Scan(); {
-					d.lines <- r.Text()
-					fmt.Fprint(c, answer(r.Text()))
-				}
-			}()
-		}
-	}()
-	return d
-}
-
-func (d *desk) line(t *testing.T, begins string) string {
-	t.Helper()
-	for {
-		select {
-		case s := <-d.lines:
-			if strings.HasPrefix(s, begins) {
-				return s
-			}
-		case <-time.After(patience):
-			t.Fatalf("no %s", begins)
-		}
-	}
-}
-
-func withDesk(d *desk) func(*config.Config) {
-	return func(c *config.Config) { c.Platform = d.ln.Addr().String() }
-}
-
 func TestVotes(t *testing.T) {
 	votes := 0
 	d := newDesk(t, func(line string) string {
--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -165,12 +165,7 @@
 
 func TestUnitThatNeverComesUp(t *testing.T) {
 	// It accepts, and says nothing to the startup.
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	f := newFleet(t, &unit{ln: ln})
+	f := newFleet(t, &unit{ln: listening(t)})
 	p := running(t, f, nil)
 	c := dialClient(t, p)
 	c.until('Z')
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -67,13 +67,19 @@
 	ended   chan struct{}
 }
 
-func newUnit(t *testing.T, does func(string) deed) *unit {
+func listening(t *testing.T) net.Listener {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &unit{t: t, ln: ln, does: does, seen: make(chan string, 1000), ended: make(chan struct{}, 1000)}
 	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func newUnit(t *testing.T, does func(string) deed) *unit {
+	ln := listening(t)
+	u := &unit{t: t, ln: ln, does: does, seen: make(chan string, 1000), ended: make(chan struct{}, 1000)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -346,3 +352,50 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// desk is a stand-in for the platform: it answers each line by a function, and hands over its connections.
+type desk struct {
+	ln    net.Listener
+	lines chan string
+	conns chan net.Conn
+}
+
+func newDesk(t *testing.T, answer func(line string) string) *desk {
+	ln := listening(t)
+	d := &desk{ln, make(chan string, 100), make(chan net.Conn, 100)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			d.conns <- c
+			go func() {
+				for r := bufio.NewScanner(c); r.Scan(); {
+					d.lines <- r.Text()
+					fmt.Fprint(c, answer(r.Text()))
+				}
+			}()
+		}
+	}()
+	return d
+}
+
+func (d *desk) line(t *testing.T, begins string) string {
+	t.Helper()
+	for {
+		select {
+		case s := <-d.lines:
+			if strings.HasPrefix(s, begins) {
+				return s
+			}
+		case <-time.After(patience):
+			t.Fatalf("no %s", begins)
+		}
+	}
+}
+
+func withDesk(d *desk) func(*config.Config) {
+	return func(c *config.Config) { c.Platform = d.ln.Addr().String() }
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -207,7 +207,7 @@
 	it := &item{c: c}
 	if m.Lost {
 		c.server.loop.Stats.Add(stats.BoundBuffers, 1)
-		it.q = stage.Refuse("no room for the query", at)
+		it.q = stage.NoRoom("no room for the query", at)
 	} else if text, err := pgwire.Statement(m.Body.Bytes()); err == nil && pgwire.IsEmpty(text) {
 		m.Body.Free()
 	} else if it.q, err = stage.TakeIn(&c.server.loop.Site, m.Body, at); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -133,7 +133,7 @@
 	} else if c.Site, err = settings.Parse(w.Settings); err != nil {
 		fault("%w", err)
 	} else if len(c.Site.Categories) == 0 {
-		fault("settings: no classes")
+		fault("settings: no categories (grades)")
 	}
 	if len(w.Platform.News) > 0 {
 		if c.News, err = news(w.Platform.News); err != nil {
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -113,13 +113,13 @@
 
 func TestParseQuery(t *testing.T) {
 	q, err := ParseQuery([]byte(readText))
-	if err != nil || q.ID != "9b1f" || q.Class != "basket" || q.Tenant != "acme" || q.Deadline != 480 || q.Write ||
-		q.Object != "7f3a" || readText[q.DeadlineAt:q.DeadlineEnd] != "480" {
+	if err != nil || q.ID != "9b1f" || q.Category != "basket" || q.Customer != "acme" || q.Patience != 480 || q.Write ||
+		q.Object != "7f3a" || readText[q.PatienceAt:q.PatienceEnd] != "480" {
 		t.Errorf("%+v %v", q, err)
 	}
 	q, err = ParseQuery([]byte(writeText))
-	if err != nil || !q.Write || q.Key != "5c0f" || !q.Retry || !q.HasHint || q.Hint != 1500 ||
-		writeText[q.DeadlineAt:q.DeadlineEnd] != "480" {
+	if err != nil || !q.Write || q.Number != "5c0f" || !q.Again || !q.HasWork || q.Work != 1500 ||
+		writeText[q.PatienceAt:q.PatienceEnd] != "480" {
 		t.Errorf("%+v %v", q, err)
 	}
 	for _, change := range [][2]string{
@@ -147,7 +147,7 @@
 	f.Add([]byte(writeText))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		q, err := ParseQuery(text)
-		if err == nil && (q.DeadlineAt <= 0 || q.DeadlineEnd > len(text) || q.DeadlineEnd <= q.DeadlineAt) {
+		if err == nil && (q.PatienceAt <= 0 || q.PatienceEnd > len(text) || q.PatienceEnd <= q.PatienceAt) {
 			t.Errorf("%q: %+v", text, q)
 		}
 	})
--- a/internal/pgwire/query.go
+++ b/internal/pgwire/query.go
@@ -9,17 +9,17 @@
 // Query is what a statement of one of the two published forms holds.
 type Query struct {
 	ID       string
-	Class    string
-	Tenant   string
-	Key      string // the mark of a statement that may come twice
+	Category string // its name in the settings
+	Customer string // the same
+	Number   string // of a query that may come twice: units know it by that
 	Object   string
-	Deadline int64 // ms that the client waits
-	Hint     int64 // microseconds of work
-	HasHint  bool
-	Retry    bool
+	Patience int64 // ms that the client waits
+	Work     int64 // expected, in microseconds
+	HasWork  bool
+	Again    bool // marked as a repeat by the client
 	Write    bool
-	// Where the digits of the deadline stand in the statement.
-	DeadlineAt, DeadlineEnd int
+	// Where the digits of the patience stand in the statement.
+	PatienceAt, PatienceEnd int
 }
 
 const (
@@ -30,8 +30,8 @@
 	writeTail = "') RETURNING body /* "
 	noteEnd   = " */"
 	maxWord   = 128             // bytes of an object, a name or a value
-	maxWait   = 24 * 3600_000   // ms of a deadline
-	maxHint   = 3600 * 1000_000 // microseconds of a hint
+	maxWait   = 24 * 3600_000   // ms of patience
+	mostWork  = 3600 * 1000_000 // microseconds of work
 )
 
 // IsEmpty says whether a statement is an empty query.
@@ -107,7 +107,7 @@
 		at += len(pair) + 1
 		note = after
 	}
-	if q.ID == "" || q.Class == "" || q.DeadlineEnd == 0 {
+	if q.ID == "" || q.Category == "" || q.PatienceEnd == 0 {
 		return bad("comment without id, c or d")
 	}
 	return q, nil
@@ -125,17 +125,17 @@
 	case "id":
 		q.ID = value
 	case "c":
-		q.Class = value
+		q.Category = value
 	case "t":
-		q.Tenant = value
+		q.Customer = value
 	case "k":
-		q.Key = value
+		q.Number = value
 	case "r":
-		q.Retry = value == "1"
+		q.Again = value == "1"
 	case "d":
-		q.Deadline, q.DeadlineAt, q.DeadlineEnd = number(maxWait), at, at+len(value)
+		q.Patience, q.PatienceAt, q.PatienceEnd = number(maxWait), at, at+len(value)
 	case "h":
-		q.Hint, q.HasHint = number(maxHint), true
+		q.Work, q.HasWork = number(mostWork), true
 	}
 	if err != nil {
 		return fmt.Errorf("%w: value of %s", ErrMalformed, name)
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -22,19 +22,19 @@
 	if most <= 0 || most > limits.HeldQueries {
 		most = limits.HeldQueries
 	}
-	if q.Refused == "" && len(l.queries) >= most {
-		q.Refused = textFull
+	if q.NoRoom == "" && len(l.queries) >= most {
+		q.NoRoom = textFull
 	}
-	if q.Refused != "" {
-		l.answerError(q, IsDenied, pgwire.CodeFull, q.Refused, "")
+	if q.NoRoom != "" {
+		l.answerError(q, IsDenied, pgwire.CodeFull, q.NoRoom, "")
 		return
 	}
 	for l.lastID++; l.queries[l.lastID] != nil; l.lastID++ {
 	}
 	q.ID = l.lastID
 	l.queries[q.ID] = q
-	l.Learn(relay.Query{ID: q.ID, Until: q.Until, Work: float64(q.Hint) / 1e6, HasWork: q.HasHint,
-		Again: q.Retry, Key: keyOf(q.Object), Customer: q.Customer, Category: q.Category})
+	l.Learn(relay.Query{ID: q.ID, Until: q.Until, Work: float64(q.Work) / 1e6, HasWork: q.HasWork,
+		Again: q.Again, Key: keyOf(q.Object), Customer: q.Customer, Category: q.Category})
 }
 
 // keyOf gives what a query concerns as a number: the number that it is, or a hash.
--- a/internal/stage/query.go
+++ b/internal/stage/query.go
@@ -35,11 +35,11 @@
 	Customer relay.Customer
 	Legs     []*Leg
 	Final    Final
-	Refused  string // why it is denied before the module sees it
+	NoRoom   string // why it is denied before the module sees it
 	open     int    // legs that have not ended
 }
 
-// Leg is one attempt at a query, or a probe.
+// Leg is a query on its way to one unit, or a probe.
 type Leg struct {
 	Query *Query // nil: a probe
 	No    relay.LegNo
--- a/internal/stage/send.go
+++ b/internal/stage/send.go
@@ -34,11 +34,11 @@
 func (leg *Leg) Message(pool *buffer.Pool, now relay.Seconds) *buffer.Chain {
 	q := leg.Query
 	wait := strconv.FormatInt(max(1, int64((leg.Until-now)*1000)), 10)
-	size := q.Text.Len() - (q.DeadlineEnd - q.DeadlineAt) + len(wait)
+	size := q.Text.Len() - (q.PatienceEnd - q.PatienceAt) + len(wait)
 	out := pool.Chain()
 	out.Write(pgwire.Header(nil, 'Q', size))
-	out.Append(q.Text, 0, q.DeadlineAt)
+	out.Append(q.Text, 0, q.PatienceAt)
 	out.Write([]byte(wait))
-	out.Append(q.Text, q.DeadlineEnd, q.Text.Len())
+	out.Append(q.Text, q.PatienceEnd, q.Text.Len())
 	return out
 }
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -67,7 +67,7 @@
 	return got
 }
 
-func TestDeadlineCountsFromTheArrival(t *testing.T) {
+func TestPatienceCountsFromTheArrival(t *testing.T) {
 	l, o := newLoop(t)
 	q := begun(t, l, o)
 	if got := l.Learned()[0].(relay.Query); got.Until != q.Arrived+0.48 || got.Key != 0x7f3a || got.ID != q.ID {
@@ -151,7 +151,7 @@
 	}
 }
 
-func TestAnswerThatRacesTheDeadlineCountsOnce(t *testing.T) {
+func TestAnswerThatRacesTheEndOfPatienceCountsOnce(t *testing.T) {
 	l, o := newLoop(t)
 	o.left = true
 	q := begun(t, l, o)
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -23,22 +23,22 @@
 	}
 	q := &Query{Query: parsed, Text: body, Arrived: at}
 	var known bool
-	if q.Category, known = site.Categories[parsed.Class]; !known {
-		return nil, fmt.Errorf("%w: class %q is not known", pgwire.ErrMalformed, parsed.Class)
+	if q.Category, known = site.Categories[parsed.Category]; !known {
+		return nil, fmt.Errorf("%w: category %q is not known", pgwire.ErrMalformed, parsed.Category)
 	}
-	if q.Customer, known = site.Customers[parsed.Tenant]; !known && len(site.Customers) > 0 {
-		return nil, fmt.Errorf("%w: tenant %q is not known", pgwire.ErrMalformed, parsed.Tenant)
+	if q.Customer, known = site.Customers[parsed.Customer]; !known && len(site.Customers) > 0 {
+		return nil, fmt.Errorf("%w: customer %q is not known", pgwire.ErrMalformed, parsed.Customer)
 	}
 	return q, nil
 }
 
-// Refuse makes the record of a query that there is no room for. It is counted and denied.
-func Refuse(why string, at relay.Seconds) *Query { return &Query{Refused: why, Arrived: at} }
+// NoRoom makes the record of a query that there is no room for. It is counted and denied.
+func NoRoom(why string, at relay.Seconds) *Query { return &Query{NoRoom: why, Arrived: at} }
 
 // Begin starts a query whose turn on its connection has come; from is when its time began to count.
 func (l *Loop) Begin(q *Query, from relay.Seconds) {
 	l.Stats.Add(stats.TakenIn, 1)
 	l.Stats.Add(stats.Open, 1)
-	q.Until = from + float64(q.Deadline)/1000
+	q.Until = from + float64(q.Patience)/1000
 	l.admit(q)
 }
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -65,7 +65,7 @@
 		p.loop.Post(stage.Call(func(l *stage.Loop) {
 			u.coming--
 			p.ended(u, stats.ByRefusal, l.Clock.Now()-begun, 0, err)
-			p.refused(u)
+			p.missed(u)
 		}))
 		return
 	}
@@ -92,8 +92,8 @@
 	}
 }
 
-// refused ends the oldest leg that waits for a connection which did not come up, when no other is coming.
-func (p *Pool) refused(u *unit) {
+// missed ends the oldest leg that waits for a connection which did not come up, when no other is coming.
+func (p *Pool) missed(u *unit) {
 	for len(u.waiting) > u.coming {
 		leg := u.waiting[0]
 		u.waiting = u.waiting[1:]
@@ -114,7 +114,7 @@
 	switch was {
 	case starting:
 		c.unit.coming--
-		p.refused(c.unit)
+		p.missed(c.unit)
 	case idle:
 		for i, d := range c.unit.idle {
 			if d == c {
--- a/internal/units/conn_test.go
+++ b/internal/units/conn_test.go
@@ -87,7 +87,7 @@
 	text := b.Pool.Chain()
 	text.Write([]byte("SELECT /* d=500 */\x00"))
 	q := &stage.Query{Text: text, Until: b.Clock.Now() + 60}
-	q.DeadlineAt, q.DeadlineEnd = 12, 15
+	q.PatienceAt, q.PatienceEnd = 12, 15
 	leg := &stage.Leg{Query: q, Unit: 1, Asked: b.Clock.Now(), Until: q.Until}
 	q.Legs = append(q.Legs, leg)
 	return leg
