News is read while a fresh watch comes up beside a silent one

Seen on reading: while a silent watch was being replaced, the old connection was not read until the fresh one stood or timed out (platform.go watching, up to 1.6 s), longer than the 150 ms after which a lower cap binds. Each watch now has a goroutine of its own. The test fails with the earlier code.

--- a/cmd/lichenroad/others_test.go
+++ b/cmd/lichenroad/others_test.go
@@ -118,3 +118,23 @@
 	p.loop.Peers.Tell(relay.Tell{To: 7, Body: []byte("x")})
 	settled(t, p, stats.MemosDropped, before+2)
 }
+
+// TestNewsPassesWhileAnotherWatchComesUp has a watch fall silent and the fresh one beside it never stand.
+func TestNewsPassesWhileAnotherWatchComesUp(t *testing.T) {
+	watches := 0
+	d := newDesk(t, func(string) string {
+		if watches++; watches == 1 {
+			return "OK\r\n"
+		}
+		return ""
+	})
+	p := running(t, newFleet(t, newUnit(t, always(honour))), func(c *config.Config) {
+		withDesk(d)(c)
+		c.Site.Rollout.CallTimeout = 10 * patience.Seconds()
+	})
+	old := <-d.conns
+	d.line(t, "WATCH")
+	d.line(t, "WATCH") // the fresh one asks, and hears nothing
+	fmt.Fprint(old, "* news 2 0 canary 0.1 5\r\n")
+	settled(t, p, stats.News, 1)
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -208,67 +209,112 @@
 	}
 }
 
-// watching keeps a connection on which the platform tells things. When it has been silent for long, a fresh
-// one is opened beside it and takes its place once it stands.
+// sign is what a watch tells the one who keeps them.
+type sign struct {
+	w    *watch
+	what int
+}
+
+const (
+	stands = iota // the platform tells things on it
+	silent        // no line for a while
+	over          // it ended, or never came up
+)
+
+// watch is a connection that is told things, on a goroutine of its own: news must not wait while another
+// connection comes up.
+type watch struct {
+	d        *Desk
+	signs    chan sign
+	replaced atomic.Bool
+}
+
+// watching keeps a watch. When it has been silent for long, a fresh one is opened beside it and takes its
+// place once it stands.
 func (d *Desk) watching() {
-	var c *line
+	signs := make(chan sign)
+	var standing, coming *watch
+	begin := func(after time.Duration) {
+		coming = &watch{d: d, signs: signs}
+		go coming.run(after)
+	}
+	begin(0)
 	off := time.Duration(limits.BackOff)
-	for {
-		if c == nil {
-			if c = d.watch(); c == nil {
-				time.Sleep(off)
+	for s := range signs {
+		switch {
+		case s.what == stands:
+			if standing != nil {
+				standing.replaced.Store(true)
+			}
+			standing, coming, off = s.w, nil, limits.BackOff
+		case s.w == coming: // it did not come up
+			coming = nil
+			if standing == nil {
+				begin(off)
 				off = min(2*off, limits.MostOff)
-				continue
 			}
-			off = limits.BackOff
-		}
-		s, err := c.next(limits.SignOfLife)
-		if errors.Is(err, errLate) {
-			if fresh := d.watch(); fresh != nil {
-				c.end(stats.ByNewer)
-				c = fresh
+		case s.w != standing || coming != nil: // it was replaced, or will be
+			if s.w == standing && s.what == over {
+				standing = nil
 			}
-			continue
-		}
-		if err == nil {
-			err = d.heard(s)
-		}
-		if err != nil {
-			c.end(d.reason(err))
-			c = nil
+		case s.what == silent:
+			begin(0)
+		default:
+			standing = nil
+			begin(0)
 		}
 	}
 }
 
-func (d *Desk) heard(s string) error {
-	reply, err := linewire.Parse(s)
-	if err == nil && reply.Told && reply.News.Valid {
-		d.tell(reply.News)
-	}
-	return err
-}
-
-// watch opens a connection that is told things, and waits for the word that it stands.
-func (d *Desk) watch() *line {
-	c, err := d.dial()
+// run opens the connection, waits for the word that it stands, and hands over what is told.
+func (w *watch) run(after time.Duration) {
+	time.Sleep(after)
+	c, err := w.d.dial()
 	if err != nil {
-		return nil
+		w.signs <- sign{w, over}
+		return
 	}
 	c.calls++
 	if _, err = c.net.Write([]byte(linewire.Watch)); err == nil {
-		var s string
-		for err == nil {
-			if s, err = c.next(d.wait); err != nil || s == "OK" {
-				break
-			}
-			if err = d.heard(s); err == nil && s[0] != '*' {
-				err = linewire.ErrMalformed
+		err = w.read(c)
+	}
+	why := w.d.reason(err)
+	if w.replaced.Load() {
+		why = stats.ByNewer
+	}
+	c.end(why)
+	w.signs <- sign{w, over}
+}
+
+func (w *watch) read(c *line) error {
+	up := false
+	for wait := w.d.wait; !w.replaced.Load(); {
+		s, err := c.next(wait)
+		switch {
+		case errors.Is(err, errLate) && up:
+			w.signs <- sign{w, silent}
+		case err != nil:
+			return err
+		case !up && s == "OK":
+			up, wait = true, limits.SignOfLife
+			w.signs <- sign{w, stands}
+		default:
+			if err := w.d.heard(s); err != nil {
+				return err
 			}
 		}
 	}
-	if err != nil {
-		c.end(d.reason(err))
-		return nil
+	return nil
+}
+
+// heard takes a line that was told.
+func (d *Desk) heard(s string) error {
+	reply, err := linewire.Parse(s)
+	if err == nil && !reply.Told {
+		return linewire.ErrMalformed // nothing was asked
 	}
-	return c
+	if err == nil && reply.News.Valid {
+		d.tell(reply.News)
+	}
+	return err
 }
