--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -358,11 +358,12 @@
 	ln    net.Listener
 	lines chan string
 	conns chan net.Conn
+	mu    sync.Mutex // held while a line is answered
 }
 
 func newDesk(t *testing.T, answer func(line string) string) *desk {
 	ln := listening(t)
-	d := &desk{ln, make(chan string, 100), make(chan net.Conn, 100)}
+	d := &desk{ln: ln, lines: make(chan string, 100), conns: make(chan net.Conn, 100)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -374,7 +375,10 @@
 			go func() {
 				for r := bufio.NewScanner(c); r.Scan(); {
 					d.lines <- r.Text()
-					fmt.Fprint(c, answer(r.Text()))
+					d.mu.Lock()
+					s := answer(r.Text())
+					d.mu.Unlock()
+					fmt.Fprint(c, s)
 				}
 			}()
 		}
--- a/internal/stage/book.go
+++ b/internal/stage/book.go
@@ -59,7 +59,8 @@
 // forget lists the record of a query that is over and has no leg out. It goes once the module has seen the
 // end: orders of the step that is under way may still be about it.
 func (l *Loop) forget(q *Query) {
-	if q.Final != StillOpen && q.open == 0 {
+	if q.Final != StillOpen && q.open == 0 && !q.over {
+		q.over = true
 		l.over = append(l.over, q)
 	}
 }
--- a/internal/stage/query.go
+++ b/internal/stage/query.go
@@ -37,6 +37,7 @@
 	Final    Final
 	NoRoom   string // why it is denied before the module sees it
 	open     int    // legs that have not ended
+	over     bool   // listed to go
 }
 
 // Leg is a query on its way to one unit, or a probe.
