--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -59,12 +59,11 @@
 	ln   net.Listener
 	does func(statement string) deed
 
-	mu      sync.Mutex
-	asked   []string
-	opened  int
-	closing int
-	seen    chan string // each statement as it comes
-	ended   chan struct{}
+	mu     sync.Mutex
+	asked  []string
+	opened int
+	seen   chan string // each statement as it comes
+	ended  chan struct{}
 }
 
 func listening(t *testing.T) net.Listener {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -56,5 +56,6 @@
 	VotesAhead = 64                     // votes that may wait to be sent: the module has one out at a time
 
 	// Other relays.
-	MemosAhead = 256 // memos that may wait to be sent: the module tells a few a second
+	MemoPause  = 100 * time.Millisecond // after an error of the socket, so that a lasting one is no busy loop
+	MemosAhead = 256                    // memos that may wait to be sent: the module tells a few a second
 )
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -2,9 +2,11 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -101,10 +103,14 @@
 	var buf [MaxBody + 1]byte
 	for {
 		n, addr, err := t.conn.ReadFromUDPAddrPort(buf[:])
-		if err != nil {
-			t.loop.Log.WithField("peer", "relay").WithError(err).Error("memos can't be read any more")
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			t.loop.Log.WithField("peer", "relay").WithError(err).Warn("reading memos")
+			time.Sleep(limits.MemoPause)
+			continue
+		}
 		no, known := t.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
 		if !known || n > MaxBody || no == t.loop.Site.Self {
 			t.loop.Stats.Add(stats.MemosDropped, 1)
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -180,15 +180,12 @@
 
 // Codes of ErrorResponses, from PostgreSQL's list.
 const (
-	CodeFull      = "53300" // too_many_connections: trying again is harmless
-	CodeNotNow    = "57P03" // cannot_connect_now
-	CodeFailed    = "58000" // system_error: no promise about what was done
-	CodeProtocol  = "08P01" // protocol_violation
-	CodeSyntax    = "42601" // syntax_error
-	CodeTooLong   = "54000" // program_limit_exceeded
-	CodeNotKnown  = "0A000" // feature_not_supported
-	CodeShutdown  = "57P01" // admin_shutdown
-	CodeBadParams = "22023" // invalid_parameter_value
+	CodeFull     = "53300" // too_many_connections: trying again is harmless
+	CodeFailed   = "58000" // system_error: no promise about what was done
+	CodeProtocol = "08P01" // protocol_violation
+	CodeSyntax   = "42601" // syntax_error
+	CodeTooLong  = "54000" // program_limit_exceeded
+	CodeNotKnown = "0A000" // feature_not_supported
 )
 
 // ErrorAnswer builds an ErrorResponse; detail may be empty.
--- a/internal/roster/list.go
+++ b/internal/roster/list.go
@@ -58,10 +58,7 @@
 }
 
 // names numbers words: those that the settings list by their place there, others behind them as they come.
-type names struct {
-	known []string
-	no    map[string]int
-}
+type names struct{ no map[string]int }
 
 func newNames(known []string) *names {
 	n := &names{no: map[string]int{}}
