--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -59,7 +59,8 @@
 func start(c config.Config, log *logrus.Logger, counters *stats.Counters) (*program, error) {
 	pool := buffer.NewPool(int64(limits.BufferPart * float64(c.MemoryMB<<20)))
 	loop := stage.NewLoop(c.Site, c.Seed, pool, counters, log)
-	sockets := c.Sockets - limits.SpareSockets
+	spare := max(limits.SpareLeast, min(limits.SpareSockets, int(limits.SparePart*float64(c.Sockets))))
+	sockets := c.Sockets - spare
 	forUnits := int(limits.UnitPart * float64(sockets))
 	legs := units.New(loop, forUnits)
 	reader := roster.NewReader(c.Site.Zones, c.Site.Kinds, loop.Clock.Unix)
@@ -84,7 +85,7 @@
 	loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(c.News) }))
 	asker.Start()
 	desk.Start()
-	front := clients.New(loop, sockets-forUnits)
+	front := clients.New(loop, sockets-forUnits, int(limits.OverPart*float64(spare)))
 	p := &program{loop: loop, front: front, stop: make(chan struct{})}
 	p.end = sync.OnceFunc(func() { close(p.stop) })
 	failed := func(err error) {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -21,6 +21,7 @@
 type Server struct {
 	loop *stage.Loop
 	most int64 // descriptors for clients
+	over int64 // and for those that are told it is full
 	open atomic.Int64
 	last atomic.Uint32
 	ln   net.Listener
@@ -33,9 +34,9 @@
 	stopped  func()
 }
 
-// New returns a server for at most so many connections.
-func New(l *stage.Loop, most int) *Server {
-	return &Server{loop: l, most: int64(most), conns: map[*conn]struct{}{}}
+// New returns a server for at most so many connections, and so many over that which are told that it is full.
+func New(l *stage.Loop, most, over int) *Server {
+	return &Server{loop: l, most: int64(most), over: int64(over), conns: map[*conn]struct{}{}}
 }
 
 // Listen binds the address and serves it until Stop. Should the listener fail before that, failed is called.
@@ -78,7 +79,7 @@
 	}
 	n.SetWriteTimeout(limits.AnswerWait)
 	n.AddCloseCallback(c.closed)
-	if open > s.most+limits.OverClients {
+	if open > s.most+s.over {
 		c.end(stats.ByBound)
 		return context.Background()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,6 +140,9 @@
 			fault("platform.news: %w", err)
 		}
 	}
+	if string(c.Known) == "null" {
+		c.Known = nil
+	}
 	if len(c.Known) > 0 {
 		probe := roster.NewReader(nil, nil, func(s float64) relay.Seconds { return s })
 		if _, err := probe.Parse(c.Known); err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -26,6 +26,13 @@
 	}
 }
 
+func TestNoListIsNoFault(t *testing.T) {
+	c, err := Parse([]byte(strings.Replace(good, `{"generation":41,"reset":true,"instances":[]}`, "null", 1)), none)
+	if err != nil || c.Known != nil {
+		t.Errorf("%s %v", c.Known, err)
+	}
+}
+
 func TestFaultsAreNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, names string }{
 		{`"listen":"127.0.0.1:5433"`, `"listen":"here"`, "listen"},
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -9,7 +9,9 @@
 // used; the values here stand where the settings name none.
 const (
 	// The process.
-	SpareSockets  = 64          // descriptors for discovery, platform, memos, the poller, and clients told it is full
+	SpareSockets  = 64          // descriptors, at most, for discovery, platform, memos, the poller, and clients told it is full
+	SpareLeast    = 32          // and at least: half of it is in use from the start
+	SparePart     = 0.25        // of all descriptors, between the two
 	UnitPart      = 0.5         // of the other descriptors, for units: an open query has one leg, hardly ever two
 	HeapPart      = 0.7         // of the memory at which the collector works harder: the rest is stacks and sockets
 	BufferPart    = 0.25        // of the memory that buffers may hold: as much again is copies and the library's own
@@ -17,7 +19,7 @@
 	NormalMemory  = 192         // MB where no limit is named
 	NormalSockets = 1024        // descriptors where no limit is named
 	LeastMemory   = 32          // MB below which a start is refused: the program alone takes 10
-	LeastSockets  = 128         // descriptors below which a start is refused: 64 are spare, and some must be left
+	LeastSockets  = 64          // descriptors below which it is: 32 are spare, and some must be left
 	ConfigFile    = 16 << 20    // bytes of a configuration: a list of units as long as one may be
 	LongestWait   = 3.0         // s of patience counted at the end where the settings' is shorter, as the platform does
 	LastWait      = 0.5         // s beyond that after which the program ends whatever is open
@@ -29,7 +31,7 @@
 
 	// Clients.
 	Ahead       = 16                     // queries of a connection not yet answered: far more than a client has out
-	OverClients = 32                     // connections over the bound that are told so; more are closed at once
+	OverPart    = 0.5                    // of the spare descriptors, for clients over the bound that are told so; more are closed at once
 	AnswerWait  = 5 * time.Second        // that a client may take to accept an answer: longer than it waits for one
 	StartupWait = 10 * time.Second       // that a client may take over its startup
 	StillComing = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
