--- a/cmd/lichenroad/others_test.go
+++ b/cmd/lichenroad/others_test.go
@@ -51,6 +51,42 @@
 	settled(t, p, stats.VotesNotCounted, 2)
 }
 
+// TestVotesAhead has several votes out on one connection, the answers in one write, and then the connection
+// break under two more.
+func TestVotesAhead(t *testing.T) {
+	seen := 0
+	d := newDesk(t, func(line string) string {
+		if line == "WATCH" {
+			return "OK\r\n"
+		}
+		if seen++; seen == 3 {
+			return "OK 2 0 canary 0.5 10\r\nERR ConditionFailed\r\nOK 2 1 canary 0.5 10\r\n"
+		}
+		return ""
+	})
+	p := running(t, newFleet(t, newUnit(t, always(honour))), func(c *config.Config) {
+		withDesk(d)(c)
+		c.Site.Rollout.CallTimeout = 10 * patience.Seconds()
+	})
+	d.line(t, "WATCH")
+	<-d.conns
+	vote := func(n int) {
+		for range n {
+			p.loop.Platform.Vote(relay.Vote{Build: 2, Verdict: relay.VoteOn})
+			d.line(t, "VOTE")
+		}
+	}
+	vote(3)
+	settled(t, p, stats.VotesCounted, 2)
+	settled(t, p, stats.VotesNotCounted, 1)
+	vote(2)
+	(<-d.conns).Close()
+	settled(t, p, stats.VotesMaybe, 2)
+	if len(d.conns) != 0 {
+		t.Error("more than one connection for votes")
+	}
+}
+
 func TestWatchIsOpenedAgain(t *testing.T) {
 	d := newDesk(t, func(string) string { return "OK\r\n* news 1 0 stable 1 5000\r\n" })
 	p := running(t, newFleet(t, newUnit(t, always(honour))), withDesk(d))
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -140,75 +141,124 @@
 	return stats.ByPeer
 }
 
-// voting sends votes one by one, as the module casts them, and matches the answers to them.
+// ballot is a connection for votes: they are written one behind another, and the answers come in their order.
+type ballot struct {
+	*line
+	mu     sync.Mutex
+	open   []time.Time // when the votes without an answer were cast
+	usedAt time.Time
+	over   bool
+}
+
+// voting casts votes as the module orders them.
 func (d *Desk) voting() {
-	var c *line
-	for {
-		var v relay.Vote
-		if c == nil {
-			v = <-d.votes
-		} else {
-			idle := time.NewTimer(limits.VoteIdle)
-			select {
-			case v = <-d.votes:
-				idle.Stop()
-			case <-idle.C:
-				c.end(stats.ByIdle)
-				c = nil
-				continue
-			}
-		}
-		if c != nil && !c.net.IsActive() {
-			c.end(stats.ByPeer)
-			c = nil
-		}
-		if c == nil {
-			var err error
-			if c, err = d.dial(); err != nil {
-				c = nil
-				d.tell(relay.StageNews{Reply: relay.NotCounted})
-				continue
-			}
+	var b *ballot
+	for v := range d.votes {
+		if b != nil && b.cast(v) {
+			continue
 		}
-		news, err := c.vote(v)
-		d.tell(news)
+		c, err := d.dial()
 		if err != nil {
-			c.end(d.reason(err))
-			c = nil
+			d.tell(relay.StageNews{Reply: relay.NotCounted})
+			continue
+		}
+		b = &ballot{line: c, usedAt: time.Now()}
+		go b.answers()
+		if !b.cast(v) {
+			d.tell(relay.StageNews{Reply: relay.NotCounted}) // gone again, before anything was written
 		}
 	}
 }
 
-// vote sends one vote and reads its answer. Where none can be read, the vote may have counted.
-func (c *line) vote(v relay.Vote) (relay.StageNews, error) {
-	maybe := relay.StageNews{Reply: relay.MaybeCounted}
-	c.calls++
-	if _, err := c.net.Write([]byte(linewire.Vote(v))); err != nil {
-		return maybe, err
+// cast writes a vote, and says whether the connection took it on: then its answer, or that there is none, is
+// told later.
+func (b *ballot) cast(v relay.Vote) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.over || !b.net.IsActive() {
+		return false
+	}
+	b.usedAt = time.Now()
+	b.open = append(b.open, b.usedAt)
+	b.calls++
+	b.net.Write([]byte(linewire.Vote(v))) // where it fails, the reader sees the end of the connection
+	return true
+}
+
+// due is how long the oldest vote may still wait for its answer, or else an idle connection be kept.
+func (b *ballot) due() (left time.Duration, idle bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.open) == 0 {
+		return limits.VoteIdle - time.Since(b.usedAt), true
 	}
-	until := time.Now().Add(c.d.wait)
+	return b.d.wait - time.Since(b.open[0]), false
+}
+
+// answers reads until an answer is late or can't be read, or nothing was asked for long. Votes that are open
+// then may have counted.
+func (b *ballot) answers() {
+	why, err := stats.ByIdle, error(nil)
 	for {
-		s, err := c.next(time.Until(until))
-		if err != nil {
-			return maybe, err
+		left, idle := b.due()
+		if left <= 0 {
+			if !idle {
+				why = stats.ByLateAnswer
+			}
+			break
 		}
-		reply, err := linewire.Parse(s)
-		switch {
-		case err != nil:
-			return maybe, err
-		case reply.Told:
+		var s string
+		s, err = b.next(min(left, b.d.wait)) // no longer, as a vote may be cast meanwhile
+		if errors.Is(err, errLate) {
 			continue
-		case reply.Error != "":
-			c.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "error": reply.Error}).Info("vote not counted")
-			return relay.StageNews{Reply: relay.NotCounted}, nil
-		case !reply.News.Valid:
-			return maybe, linewire.ErrMalformed
 		}
-		reply.News.Reply = relay.Counted
-		return reply.News, nil
+		if err == nil {
+			err = b.answer(s)
+		}
+		if err != nil {
+			why = b.d.reason(err)
+			break
+		}
+	}
+	b.mu.Lock()
+	b.over = true
+	open := b.open
+	b.open = nil
+	b.end(why)
+	b.mu.Unlock()
+	for range open {
+		b.d.tell(relay.StageNews{Reply: relay.MaybeCounted})
 	}
 }
 
+// answer matches a line to the oldest open vote.
+func (b *ballot) answer(s string) error {
+	reply, err := linewire.Parse(s)
+	if err != nil || reply.Told {
+		return err
+	}
+	if reply.Error == "" && !reply.News.Valid {
+		return linewire.ErrMalformed
+	}
+	b.mu.Lock()
+	known := len(b.open) > 0
+	if known {
+		b.open = b.open[1:]
+	}
+	b.mu.Unlock()
+	if !known {
+		return linewire.ErrMalformed // nothing was asked
+	}
+	news := reply.News
+	news.Reply = relay.Counted
+	if reply.Error != "" {
+		b.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "error": reply.Error}).Info("vote not counted")
+		news.Reply = relay.NotCounted
+	}
+	b.d.tell(news)
+	return nil
+}
+
 // sign is what a watch tells the one who keeps them.
 type sign struct {
 	w    *watch
