Put a statement together once, fill chains in one place, drop what nothing uses

Found on reading the whole change again; behaviour stays as it is. A query over one buffer was copied into one piece twice, to see whether it is empty and to read it (clients/conn.go take, stage/takein.go). The same two lines that fill a chain stood in five places. Gone: a unit's id in the pool, the event loop kept by the listener, the query handed to the client that already has it, a nil check of the platform's connection that could not be met. A load report's bound joins the other bounds; the comment on route said that orders about ended queries are skipped, which the code rightly does not do.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -30,6 +30,13 @@
 // Chain starts an empty chain.
 func (p *Pool) Chain() *Chain { return &Chain{pool: p} }
 
+// Filled starts a chain that holds a copy of b.
+func (p *Pool) Filled(b []byte) *Chain {
+	c := p.Chain()
+	c.Write(b)
+	return c
+}
+
 func (p *Pool) get() *[Size]byte {
 	p.out.Add(Size)
 	if b, ok := p.free.Get().(*[Size]byte); ok {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -26,7 +26,6 @@
 	last atomic.Uint32
 	ln   net.Listener
 	deaf atomic.Bool
-	ev   netpoll.EventLoop
 
 	// Of the loop.
 	conns    map[*conn]struct{}
@@ -46,7 +45,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	s.ln = ln
-	s.ev, err = netpoll.NewEventLoop(
+	ev, err := netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error { return ctx.Value(connKey{}).(*conn).read() },
 		netpoll.WithOnPrepare(s.accept))
 	if err != nil {
@@ -54,7 +53,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	go func() {
-		if err := s.ev.Serve(ln); !s.deaf.Load() {
+		if err := ev.Serve(ln); !s.deaf.Load() {
 			failed(fmt.Errorf("the listener failed: %w", err))
 		}
 	}()
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -181,7 +181,7 @@
 	c.mu.Lock()
 	c.fault = err
 	c.mu.Unlock()
-	c.sendBytes(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), ""), func() {
+	c.send(c.server.loop.Pool.Filled(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), "")), func() {
 		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
 	})
 }
@@ -192,7 +192,7 @@
 		m.Body.Free()
 		return nil
 	}
-	if m.Type != 'Q' || m.Lost {
+	if m.Type != 'Q' {
 		defer m.Body.Free()
 	}
 	switch {
@@ -204,18 +204,14 @@
 	case m.Type != 'Q':
 		return errNotOffered
 	}
-	it := &item{c: c}
-	if m.Lost {
-		c.server.loop.Stats.Add(stats.BoundBuffers, 1)
-		it.q = stage.NoRoom("no room for the query", at)
-	} else if text, err := pgwire.Statement(m.Body.Bytes()); err == nil && pgwire.IsEmpty(text) {
-		m.Body.Free()
-	} else if it.q, err = stage.TakeIn(&c.server.loop.Site, m.Body, at); err != nil {
+	q, err := c.query(m, at)
+	if err != nil {
 		m.Body.Free()
 		return err
 	}
-	if it.q != nil {
-		it.q.Client = it
+	it := &item{c: c, q: q}
+	if q != nil {
+		q.Client = it
 		c.queries.Add(1)
 	}
 	if c.ahead.Add(1) > limits.Ahead {
@@ -226,6 +222,23 @@
 	return nil
 }
 
+// query makes the record of a query; there is none of an empty one.
+func (c *conn) query(m pgwire.Message, at relay.Seconds) (*stage.Query, error) {
+	if m.Lost {
+		c.server.loop.Stats.Add(stats.BoundBuffers, 1)
+		return stage.NoRoom("no room for the query", at), nil
+	}
+	text, err := pgwire.Statement(m.Body.Bytes())
+	if err != nil {
+		return nil, err
+	}
+	if pgwire.IsEmpty(text) {
+		m.Body.Free()
+		return nil, nil
+	}
+	return stage.TakeIn(&c.server.loop.Site, text, m.Body, at)
+}
+
 // startup answers a startup packet.
 func (c *conn) startup(body []byte) error {
 	const most = 3 // two requests for encryption and the startup
@@ -238,7 +251,7 @@
 	}
 	switch what {
 	case pgwire.OpenEncryption:
-		c.sendBytes([]byte{pgwire.NoEncryption}, nil)
+		c.send(c.server.loop.Pool.Filled([]byte{pgwire.NoEncryption}), nil)
 	case pgwire.OpenCancel:
 		c.end(stats.ByCancel)
 	case pgwire.OpenSession:
@@ -247,7 +260,7 @@
 		if c.full {
 			return errFull
 		}
-		c.sendBytes(pgwire.Welcome(c.server.last.Add(1)), nil)
+		c.send(c.server.loop.Pool.Filled(pgwire.Welcome(c.server.last.Add(1))), nil)
 	}
 	return nil
 }
@@ -278,14 +291,12 @@
 		return
 	}
 	l.WhenListed(func() {
-		chain := l.Pool.Chain()
-		chain.Write(pgwire.EmptyAnswer())
-		it.Answer(nil, chain)
+		it.Answer(l.Pool.Filled(pgwire.EmptyAnswer()))
 	})
 }
 
 // Answer sends the answer to an item, and lets the next one have its turn when it is written.
-func (it *item) Answer(_ *stage.Query, answer *buffer.Chain) {
+func (it *item) Answer(answer *buffer.Chain) {
 	c := it.c
 	if c.current != it {
 		answer.Free() // the client is gone
--- a/internal/clients/outbox.go
+++ b/internal/clients/outbox.go
@@ -30,12 +30,6 @@
 	}
 }
 
-func (c *conn) sendBytes(b []byte, after func()) {
-	chain := c.server.loop.Pool.Chain()
-	chain.Write(b)
-	c.send(chain, after)
-}
-
 func (c *conn) drain() {
 	for {
 		c.out.mu.Lock()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -41,6 +41,7 @@
 	IdlePart    = 0.8                   // of the settings' idle limit after which a connection is closed: before the unit does
 	SweepEvery  = 1 * time.Second       // between looks at idle connections: small beside any idle limit
 	ConnectWait = 1 * time.Second       // that a connection may take to come up where the settings name no limit
+	ReportSize  = 256                   // bytes of the longest load report that is looked at: a few names and figures
 	InlineWait  = 20 * time.Millisecond // that a small write may hold the loop up; its send buffer is empty, it takes none
 
 	// Discovery.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -91,11 +91,7 @@
 }
 
 func (c *line) end(why stats.Reason) {
-	if c.net == nil {
-		return
-	}
 	c.net.Close()
-	c.net = nil
 	stats.LogEnd(c.d.loop.Log, "platform", c.d.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
--- a/internal/stage/query.go
+++ b/internal/stage/query.go
@@ -8,8 +8,8 @@
 
 // Client is the connection that a query came on. Its methods don't block.
 type Client interface {
-	// Answer sends the one final answer; the chain goes over to the client.
-	Answer(q *Query, answer *buffer.Chain)
+	// Answer sends the one final answer to its query; the chain goes over to the client.
+	Answer(answer *buffer.Chain)
 }
 
 // Final is how a query ended.
--- a/internal/stage/relay.go
+++ b/internal/stage/relay.go
@@ -9,13 +9,11 @@
 func (l *Loop) pass(q *Query, answer *buffer.Chain) {
 	answer.Write(pgwire.Ready(nil))
 	l.finish(q, IsHonoured)
-	q.Client.Answer(q, answer)
+	q.Client.Answer(answer)
 }
 
 // answerError gives a final answer that is not a unit's.
 func (l *Loop) answerError(q *Query, how Final, code, text, detail string) {
-	answer := l.Pool.Chain()
-	answer.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, code, text, detail)))
 	l.finish(q, how)
-	q.Client.Answer(q, answer)
+	q.Client.Answer(l.Pool.Filled(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, code, text, detail))))
 }
--- a/internal/stage/route.go
+++ b/internal/stage/route.go
@@ -6,8 +6,8 @@
 	"lichenroad/relay"
 )
 
-// route turns the module's choice of a unit into a leg with its time-out. Orders about a query that is over
-// are skipped: the module learns of its end in the same batch as of the leg.
+// route turns the module's choice of a unit into a leg with its time-out. A query that has ended since the
+// module was last told gets a leg too, which ends as not sent: each order to send is owed one end.
 func (l *Loop) route(o relay.SendLeg) {
 	q := l.queries[o.Query]
 	if q == nil {
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -27,7 +27,7 @@
 func (o *outside) Drop(leg *Leg) bool     { o.dropped = append(o.dropped, leg); return o.left }
 func (o *outside) Probe(relay.UnitID)     {}
 func (o *outside) CloseIdle(relay.UnitID) {}
-func (o *outside) Answer(_ *Query, a *buffer.Chain) {
+func (o *outside) Answer(a *buffer.Chain) {
 	o.answers = append(o.answers, string(a.Bytes()))
 	a.Free()
 }
@@ -47,9 +47,12 @@
 
 func begun(t *testing.T, l *Loop, o *outside) *Query {
 	t.Helper()
-	text := l.Pool.Chain()
-	text.Write([]byte("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=look,d=480 */\x00"))
-	q, err := TakeIn(&l.Site, text, l.Clock.Now())
+	body := l.Pool.Filled([]byte("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=look,d=480 */\x00"))
+	text, err := pgwire.Statement(body.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, err := TakeIn(&l.Site, text, body, l.Clock.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/stage/takein.go
+++ b/internal/stage/takein.go
@@ -10,13 +10,9 @@
 	"lichenroad/settings"
 )
 
-// TakeIn makes the record of a query of the body of its message, which it takes over when there is no
-// error. It touches no state of the loop, so connections call it where they read.
-func TakeIn(site *settings.Site, body *buffer.Chain, at relay.Seconds) (*Query, error) {
-	text, err := pgwire.Statement(body.Bytes())
-	if err != nil {
-		return nil, err
-	}
+// TakeIn makes the record of a query of its statement and the body of the message that holds it, which it
+// takes over when there is no error. It touches no state of the loop, so connections call it where they read.
+func TakeIn(site *settings.Site, text []byte, body *buffer.Chain, at relay.Seconds) (*Query, error) {
 	parsed, err := pgwire.ParseQuery(text)
 	if err != nil {
 		return nil, err
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -19,9 +19,6 @@
 // reportName is the parameter that holds a unit's load report.
 const reportName = "vitals"
 
-// maxReport is the longest load report that is looked at, in bytes.
-const maxReport = 256
-
 // inlineSize is what the loop may write itself: an empty send buffer takes it at once, so it never waits.
 const inlineSize = buffer.Size
 
@@ -145,8 +142,7 @@
 	if leg.Query != nil {
 		out = leg.Message(c.pool.loop.Pool, c.pool.loop.Clock.Now())
 	} else {
-		out = c.pool.loop.Pool.Chain()
-		out.Write(c.pool.probe)
+		out = c.pool.loop.Pool.Filled(c.pool.probe)
 	}
 	if out.Len() <= inlineSize {
 		c.net.SetWriteTimeout(limits.InlineWait)
@@ -233,7 +229,7 @@
 		if c.rows++; c.answer == nil || c.rows > 1 {
 			return errState
 		}
-		if c.row = ""; len(value) <= maxReport {
+		if c.row = ""; len(value) <= limits.ReportSize {
 			c.row = string(value)
 		}
 	case 'C':
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -26,7 +26,6 @@
 
 // unit is one server as the pool sees it.
 type unit struct {
-	id      relay.UnitID
 	name    string
 	address string
 	idle    []*conn      // the one last used is last
@@ -56,7 +55,7 @@
 func (p *Pool) Name(id relay.UnitID, name, address string) {
 	u := p.units[id]
 	if u == nil {
-		u = &unit{id: id, name: name}
+		u = &unit{name: name}
 		p.units[id] = u
 	}
 	if u.address != address {
