SIGHUP reads the configuration again; discovery and platform move at once

Checked: the relay's signals were SIGTERM, SIGINT and SIGUSR1 (cmd/lichenroad/serve.go, signals), so SIGHUP kept its default and ended the process; nothing else crashed.

At fault: cmd/lichenroad/serve.go signals; Asker and Desk held one address for good (roster.go, platform.go). Now serve notes SIGHUP before anything starts, reads the file whole with the checks of the start, and swaps it in one place. Discovery's connections at the old address are shut, with no failure told; the new place is asked for the whole list. Votes open at the old platform keep their connection, new ones go to the new address, the watch is opened there beside the old one. BALANCER_DISCOVERY does not outlive the start.

--- a/cmd/lichenroad/main.go
+++ b/cmd/lichenroad/main.go
@@ -76,7 +76,7 @@
 	log := logrus.New()
 	log.SetOutput(to)
 	log.SetLevel(parsed)
-	err = serve(c, log, counters)
+	err = serve(c, func() (config.Config, error) { return config.Reload(*path, env) }, log, counters)
 	log.SetOutput(io.Discard)
 	to.Close()
 	if err != nil {
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -27,15 +27,21 @@
 
 // program is a relay that runs.
 type program struct {
-	loop  *stage.Loop
-	front *clients.Server
-	stop  chan struct{}
-	end   func() // at once; may be called again
-	fault atomic.Pointer[error]
+	config config.Config // of the loop: what holds now
+	loop   *stage.Loop
+	front  *clients.Server
+	asker  *roster.Asker
+	desk   *platform.Desk
+	stop   chan struct{}
+	end    func() // at once; may be called again
+	fault  atomic.Pointer[error]
 }
 
-// serve runs a relay until it is told to end.
-func serve(c config.Config, log *logrus.Logger, counters *stats.Counters) error {
+// serve runs a relay until it is told to end; load reads the configuration again.
+func serve(c config.Config, load func() (config.Config, error), log *logrus.Logger, counters *stats.Counters) error {
+	got, hups := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(got, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
+	signal.Notify(hups, syscall.SIGHUP) // one that finds another waiting is covered by that one
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(int64(limits.HeapPart * float64(c.MemoryMB<<20)))
 	lib := netpoll.Config{PollerNum: limits.Pollers, LoggerOutput: log.WriterLevel(logrus.DebugLevel)}
@@ -46,7 +52,12 @@
 	if err != nil {
 		return err
 	}
-	go p.signals()
+	go p.signals(got)
+	go func() {
+		for range hups {
+			p.reload(load())
+		}
+	}()
 	p.loop.Run(p.stop)
 	log.WithFields(counters.Fields()).Info("counters")
 	if fault := p.fault.Load(); fault != nil {
@@ -86,7 +97,7 @@
 	asker.Start()
 	desk.Start()
 	front := clients.New(loop, sockets-forUnits, int(limits.OverPart*float64(spare)))
-	p := &program{loop: loop, front: front, stop: make(chan struct{})}
+	p := &program{config: c, loop: loop, front: front, asker: asker, desk: desk, stop: make(chan struct{})}
 	p.end = sync.OnceFunc(func() { close(p.stop) })
 	failed := func(err error) {
 		p.fault.Store(&err)
@@ -112,11 +123,29 @@
 	}))
 }
 
+// reload puts the next configuration in the place of the one that holds: discovery and platform are asked at
+// the addresses that it names. One that can't be read leaves everything as it is.
+func (p *program) reload(next config.Config, err error) {
+	if err != nil {
+		p.loop.Stats.Add(stats.ReloadsRefused, 1)
+		p.loop.Log.WithError(err).Error("configuration refused, the old one stays")
+		return
+	}
+	p.loop.Post(stage.Call(func(l *stage.Loop) {
+		p.asker.Move(next.Discovery)
+		if next.Platform != "" {
+			p.desk.Move(next.Platform)
+		}
+		l.Stats.Add(stats.Reloads, 1)
+		l.Log.WithFields(logrus.Fields{"discovery": next.Discovery, "platform": next.Platform,
+			"needs_restart": p.config.NeedRestart(next)}).Info("configuration reloaded")
+		p.config.Discovery, p.config.Platform = next.Discovery, next.Platform
+	}))
+}
+
 // signals ends the program gently at the first SIGTERM or interrupt and at once at the second, and prints
 // the counters on SIGUSR1.
-func (p *program) signals() {
-	got := make(chan os.Signal, 4)
-	signal.Notify(got, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
+func (p *program) signals(got <-chan os.Signal) {
 	ending := false
 	for s := range got {
 		switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,4 @@
-// Package config reads what a relay is told at its start.
+// Package config reads what a relay is told at its start, and again at a reload.
 package config
 
 import (
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"lichenroad/internal/limits"
@@ -78,6 +80,35 @@
 	return c, nil
 }
 
+// Reload reads the file again, for a relay that runs. The discovery that the environment names was that of the
+// start: the address in the file holds now.
+func Reload(path string, env func(string) string) (Config, error) {
+	return Load(path, func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+}
+
+// NeedRestart names what differs in the next configuration and only holds from the next start on. The seed and
+// the list as last held belong to a start alone, so they are not named.
+func (c Config) NeedRestart(next Config) []string {
+	var names []string
+	differ := func(name string, is bool) {
+		if is {
+			names = append(names, name)
+		}
+	}
+	differ("name", c.Name != next.Name)
+	differ("listen", c.Listen != next.Listen)
+	differ("limits", c.Cores != next.Cores || c.MemoryMB != next.MemoryMB || c.Sockets != next.Sockets)
+	differ("peers", c.PeerListen != next.PeerListen || c.PeersAll != next.PeersAll || !slices.Equal(c.Peers, next.Peers))
+	differ("platform.address", c.Platform != "" && next.Platform == "")
+	differ("settings", !reflect.DeepEqual(c.Site, next.Site))
+	return names
+}
+
 // Parse reads a configuration and checks it.
 func Parse(raw []byte, env func(string) string) (Config, error) {
 	var w wire
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,14 +20,16 @@
 // Desk talks to the platform.
 type Desk struct {
 	loop    *stage.Loop
-	address string
+	address atomic.Value // string
 	wait    time.Duration
 	votes   chan relay.Vote
+	signs   chan sign
 }
 
 // New returns a desk; without an address there is no platform, and votes are not counted.
 func New(l *stage.Loop, address string) *Desk {
-	d := &Desk{loop: l, address: address, wait: limits.CallFor, votes: make(chan relay.Vote, limits.VotesAhead)}
+	d := &Desk{loop: l, wait: limits.CallFor, votes: make(chan relay.Vote, limits.VotesAhead), signs: make(chan sign)}
+	d.address.Store(address)
 	if t := l.Site.Rollout.CallTimeout; t > 0 {
 		d.wait = time.Duration(t * float64(time.Second))
 	}
@@ -36,16 +38,30 @@
 
 // Start serves until the program ends.
 func (d *Desk) Start() {
-	if d.address == "" {
+	if d.where() == "" {
 		return
 	}
 	go d.voting()
 	go d.watching()
 }
 
+func (d *Desk) where() string { return d.address.Load().(string) }
+
+// Move goes over to another address. Votes that are open at the old one still get their answers there; a fresh
+// watch is opened at the new one at once and takes the old one's place when it stands.
+func (d *Desk) Move(address string) {
+	switch old := d.address.Swap(address).(string); {
+	case old == address:
+	case old == "":
+		d.Start()
+	default:
+		go func() { d.signs <- sign{what: moved} }()
+	}
+}
+
 // Vote casts a vote; the answer reaches the module as news.
 func (d *Desk) Vote(v relay.Vote) {
-	if d.address != "" {
+	if d.where() != "" {
 		select {
 		case d.votes <- v:
 			return
@@ -73,6 +89,7 @@
 // line is a connection that is read line by line.
 type line struct {
 	d     *Desk
+	where string
 	net   netpoll.Connection
 	split linewire.Splitter
 	lines []string
@@ -80,19 +97,19 @@
 	calls int
 }
 
-func (d *Desk) dial() (*line, error) {
-	n, err := netpoll.DialConnection("tcp", d.address, d.wait)
+func (d *Desk) dial(where string) (*line, error) {
+	n, err := netpoll.DialConnection("tcp", where, d.wait)
 	if err != nil {
-		stats.LogEnd(d.loop.Log, "platform", d.address, stats.ByRefusal, 0, 0, err)
+		stats.LogEnd(d.loop.Log, "platform", where, stats.ByRefusal, 0, 0, err)
 		return nil, err
 	}
 	n.SetWriteTimeout(d.wait)
-	return &line{d: d, net: n, begun: time.Now()}, nil
+	return &line{d: d, where: where, net: n, begun: time.Now()}, nil
 }
 
 func (c *line) end(why stats.Reason) {
 	c.net.Close()
-	stats.LogEnd(c.d.loop.Log, "platform", c.d.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
+	stats.LogEnd(c.d.loop.Log, "platform", c.where, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
 var errLate = errors.New("no line in time")
@@ -150,10 +167,14 @@
 func (d *Desk) voting() {
 	var b *ballot
 	for v := range d.votes {
-		if b != nil && b.cast(v) {
+		where := d.where()
+		if b != nil && b.where == where && b.cast(v) {
 			continue
 		}
-		c, err := d.dial()
+		c, err := d.dial(where)
+		for ; err != nil && where != d.where(); c, err = d.dial(where) {
+			where = d.where() // it moved meanwhile; nothing was written
+		}
 		if err != nil {
 			d.tell(relay.StageNews{Reply: relay.NotCounted})
 			continue
@@ -257,7 +278,7 @@
 
 // sign is what a watch tells the one who keeps them.
 type sign struct {
-	w    *watch
+	w    *watch // nil: of a move
 	what int
 }
 
@@ -265,59 +286,66 @@
 	stands = iota // the platform tells things on it
 	silent        // no line for a while
 	over          // it ended, or never came up
+	moved         // the platform is at another address
 )
 
 // watch is a connection that is told things, on a goroutine of its own: news must not wait while another
 // connection comes up.
 type watch struct {
 	d        *Desk
-	signs    chan sign
+	where    string
 	replaced atomic.Bool
 }
 
-// watching keeps a watch. When it has been silent for long, a fresh one is opened beside it and takes its
-// place once it stands.
+// watching keeps a watch. When it has been silent for long, or the platform has moved, a fresh one is opened
+// beside it and takes its place once it stands.
 func (d *Desk) watching() {
-	signs := make(chan sign)
 	var standing, coming *watch
+	off := time.Duration(limits.BackOff)
 	begin := func(after time.Duration) {
-		coming = &watch{d: d, signs: signs}
+		coming = &watch{d: d, where: d.where()}
 		go coming.run(after)
 	}
 	begin(0)
-	off := time.Duration(limits.BackOff)
-	for s := range signs {
+	for s := range d.signs {
 		switch {
-		case s.what == stands:
+		case s.what == moved:
+			if coming != nil {
+				coming.replaced.Store(true)
+			}
+			off = limits.BackOff
+			begin(0)
+		case s.w == coming && s.what == stands:
 			if standing != nil {
 				standing.replaced.Store(true)
 			}
 			standing, coming, off = s.w, nil, limits.BackOff
 		case s.w == coming: // it did not come up
 			coming = nil
-			if standing == nil {
+			if standing == nil || standing.where != d.where() {
 				begin(off)
 				off = min(2*off, limits.MostOff)
 			}
-		case s.w != standing || coming != nil: // it was replaced, or will be
-			if s.w == standing && s.what == over {
+		case s.w == standing:
+			if s.what == over {
 				standing = nil
 			}
-		case s.what == silent:
-			begin(0)
-		default:
-			standing = nil
-			begin(0)
+			if coming == nil {
+				begin(0)
+			}
 		}
 	}
 }
 
 // run opens the connection, waits for the word that it stands, and hands over what is told.
 func (w *watch) run(after time.Duration) {
+	defer func() { w.d.signs <- sign{w, over} }()
 	time.Sleep(after)
-	c, err := w.d.dial()
+	if w.replaced.Load() {
+		return
+	}
+	c, err := w.d.dial(w.where)
 	if err != nil {
-		w.signs <- sign{w, over}
 		return
 	}
 	c.calls++
@@ -329,7 +357,6 @@
 		why = stats.ByNewer
 	}
 	c.end(why)
-	w.signs <- sign{w, over}
 }
 
 func (w *watch) read(c *line) error {
@@ -338,12 +365,12 @@
 		s, err := c.next(wait)
 		switch {
 		case errors.Is(err, errLate) && up:
-			w.signs <- sign{w, silent}
+			w.d.signs <- sign{w, silent}
 		case err != nil:
 			return err
 		case !up && s == "OK":
 			up, wait = true, limits.SignOfLife
-			w.signs <- sign{w, stands}
+			w.d.signs <- sign{w, stands}
 		default:
 			if err := w.d.heard(s); err != nil {
 				return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,7 +3,9 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -19,68 +21,146 @@
 // target is the path of the list.
 const target = "/api/targets"
 
-// Asker talks to discovery. The module's orders reach it through channels that never block the loop.
+// Asker talks to discovery. Its fields belong to the loop.
 type Asker struct {
-	loop    *stage.Loop
-	address string
-	reader  *Reader
-	name    func(id relay.UnitID, name, address string)
-
-	watch   chan bool
-	fetch   chan struct{}
-	version atomic.Int64 // of the list that stands; -1: none
+	loop   *stage.Loop
+	reader *Reader
+	name   func(id relay.UnitID, name, address string)
+	at     *place
+	on     bool // the module wants the watch
 }
 
 // New returns an asker; name is told of each unit's address, on the loop.
 func New(l *stage.Loop, address string, r *Reader, name func(relay.UnitID, string, string)) *Asker {
-	a := &Asker{loop: l, address: address, reader: r, name: name, watch: make(chan bool, 1),
-		fetch: make(chan struct{}, 1)}
-	a.version.Store(-1)
+	a := &Asker{loop: l, reader: r, name: name}
+	a.at = a.place(address)
 	return a
 }
 
 // Known hands over the list that the relay had last.
 func (a *Asker) Known(list List) {
-	a.version.Store(list.Generation)
-	a.loop.Post(told{a, list, relay.RosterCached})
+	a.at.version.Store(list.Generation)
+	a.loop.Post(told{a.at, list, relay.RosterCached})
 }
 
 // Start serves the module's orders until the program ends.
-func (a *Asker) Start() {
-	go a.watching()
-	go a.fetching()
+func (a *Asker) Start() { a.at.start() }
+
+// Move goes over to another address, on the loop. What waits at the old one ends unsaid, and the list is asked
+// for whole: the generations there need not be those known here.
+func (a *Asker) Move(address string) {
+	if a.at.address == address {
+		return
+	}
+	a.at.leave()
+	a.at = a.place(address)
+	a.at.start()
+	if a.on {
+		a.Watch(true)
+	} else {
+		a.Fetch()
+	}
 }
 
 // Watch orders the watch on or off; the last order holds.
 func (a *Asker) Watch(on bool) {
+	a.on = on
 	select {
-	case <-a.watch:
+	case <-a.at.watch:
 	default:
 	}
-	a.watch <- on
+	a.at.watch <- on
 }
 
 // Fetch orders the whole list once.
 func (a *Asker) Fetch() {
 	select {
-	case a.fetch <- struct{}{}:
+	case a.at.fetch <- struct{}{}:
 	default: // one is waiting; its answer will do for both
 	}
 }
 
+// place is discovery at one address, up to a move. The orders reach its goroutines through channels that never
+// block the loop.
+type place struct {
+	a       *Asker
+	address string
+	watch   chan bool
+	fetch   chan struct{}
+	version atomic.Int64 // of the list that stands; -1: none
+	left    chan struct{}
+
+	mu   sync.Mutex
+	open map[netpoll.Connection]struct{}
+}
+
+func (a *Asker) place(address string) *place {
+	p := &place{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
+		left: make(chan struct{}), open: map[netpoll.Connection]struct{}{}}
+	p.version.Store(-1)
+	return p
+}
+
+func (p *place) start() {
+	go p.watching()
+	go p.fetching()
+}
+
+// leave wakes whatever waits here. The connections are shut, not closed: their readers close them.
+func (p *place) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.left)
+	for n := range p.open {
+		shut(n)
+	}
+}
+
+func (p *place) isLeft() bool {
+	select {
+	case <-p.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// holds notes a connection that stands, or no longer does.
+func (p *place) holds(n netpoll.Connection, stands bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !stands {
+		delete(p.open, n)
+		return
+	}
+	p.open[n] = struct{}{}
+	if p.isLeft() {
+		shut(n)
+	}
+}
+
+func shut(n netpoll.Connection) {
+	if c, ok := n.(netpoll.Conn); ok {
+		syscall.Shutdown(c.Fd(), syscall.SHUT_RDWR)
+	}
+}
+
 // told is news of the list.
 type told struct {
-	a    *Asker
+	from *place
 	list List
 	form relay.RosterForm
 }
 
 // Take names the units' addresses, then tells the module.
 func (t told) Take(l *stage.Loop) {
+	if t.from != t.from.a.at {
+		return // it crossed a move
+	}
 	r := relay.Roster{Form: t.form}
 	for _, line := range t.list.Lines {
 		if line.State != relay.Gone {
-			t.a.name(line.Unit, line.Name, line.Address)
+			t.from.a.name(line.Unit, line.Name, line.Address)
 		}
 		r.Units = append(r.Units, line.UnitEntry)
 	}
@@ -91,47 +171,57 @@
 	l.Listed(r)
 }
 
-func (a *Asker) failed(why stats.Reason, err error) {
-	a.loop.Stats.Add(stats.RosterFailed, 1)
-	a.loop.Log.WithFields(logrus.Fields{"peer": "roster", "reason": string(why)}).WithError(err).Warn("call failed")
-	a.loop.Post(told{a: a, form: relay.RosterFailed})
+func (p *place) failed(why stats.Reason, err error) {
+	if p.isLeft() {
+		return
+	}
+	l := p.a.loop
+	l.Stats.Add(stats.RosterFailed, 1)
+	l.Log.WithFields(logrus.Fields{"peer": "roster", "reason": string(why)}).WithError(err).Warn("call failed")
+	l.Post(told{from: p, form: relay.RosterFailed})
 }
 
 // got passes a list on; a watch that brought nothing is not worth an event unless it answers an order.
-func (a *Asker) got(list List, answers bool) {
-	a.version.Store(list.Generation)
+func (p *place) got(list List, answers bool) {
+	p.version.Store(list.Generation)
 	form := relay.RosterDelta
 	if list.Whole {
 		form = relay.RosterFull
 	}
 	if answers || list.Whole || len(list.Lines) > 0 || list.Bad > 0 {
-		a.loop.Post(told{a, list, form})
+		p.a.loop.Post(told{p, list, form})
 	}
 }
 
 // watching makes one call after the other while the watch is on. The first does not wait: its answer is
 // the one that the module's order gets.
-func (a *Asker) watching() {
-	for on := range a.watch {
-		c := &call{a: a}
+func (p *place) watching() {
+	for {
+		var on bool
+		select {
+		case on = <-p.watch:
+		case <-p.left:
+			return
+		}
+		c := &call{p: p}
 		for first := true; on; first = false {
 			wait := limits.WatchFor
 			if first {
 				wait = 0
 			}
 			path := target
-			if v := a.version.Load(); v >= 0 {
+			if v := p.version.Load(); v >= 0 {
 				path = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, v, wait.Milliseconds())
 			}
 			list, why, err := c.get(path, wait)
 			if err != nil {
 				c.end(why)
-				a.failed(why, err)
+				p.failed(why, err)
 				break
 			}
-			a.got(list, first)
+			p.got(list, first)
 			select {
-			case on = <-a.watch:
+			case on = <-p.watch:
 				first = on
 			default:
 			}
@@ -140,26 +230,31 @@
 	}
 }
 
-func (a *Asker) fetching() {
-	for range a.fetch {
-		c := &call{a: a}
+func (p *place) fetching() {
+	for {
+		select {
+		case <-p.fetch:
+		case <-p.left:
+			return
+		}
+		c := &call{p: p}
 		list, why, err := c.get(target, 0)
 		if err != nil {
 			c.end(why)
-			a.failed(why, err)
+			p.failed(why, err)
 			continue
 		}
-		if list.Generation < a.version.Load() {
-			list = List{Generation: a.version.Load()} // the watch has told more meanwhile; this brings nothing new
+		if list.Generation < p.version.Load() {
+			list = List{Generation: p.version.Load()} // the watch has told more meanwhile; this brings nothing new
 		}
-		a.got(list, true)
+		p.got(list, true)
 		c.end(stats.ByOrder)
 	}
 }
 
 // call is a connection to discovery, good for one call after the other.
 type call struct {
-	a     *Asker
+	p     *place
 	net   netpoll.Connection
 	begun time.Time
 	calls int
@@ -169,27 +264,32 @@
 	if c.net == nil {
 		return
 	}
+	if c.p.isLeft() {
+		why = stats.ByMove
+	}
+	c.p.holds(c.net, false)
 	c.net.Close()
 	c.net = nil
-	stats.LogEnd(c.a.loop.Log, "roster", c.a.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
+	stats.LogEnd(c.p.a.loop.Log, "roster", c.p.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
 // get makes one call, on the connection that stands or on a new one. It is made once, whatever comes of it.
 func (c *call) get(path string, wait time.Duration) (List, stats.Reason, error) {
-	c.a.loop.Stats.Add(stats.RosterCalls, 1)
+	c.p.a.loop.Stats.Add(stats.RosterCalls, 1)
 	if c.net != nil && !c.net.IsActive() {
 		c.end(stats.ByPeer)
 	}
 	if c.net == nil {
-		n, err := netpoll.DialConnection("tcp", c.a.address, limits.DialFor)
+		n, err := netpoll.DialConnection("tcp", c.p.address, limits.DialFor)
 		if err != nil {
 			return List{}, stats.ByRefusal, err
 		}
 		c.net, c.begun, c.calls = n, time.Now(), 0
 		n.SetWriteTimeout(limits.DialFor)
+		c.p.holds(n, true)
 	}
 	c.calls++
-	if _, err := c.net.Write([]byte(httpwire.Get(c.a.address, path))); err != nil {
+	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, path))); err != nil {
 		return List{}, stats.ByPeer, err
 	}
 	limit := limits.PlainFor
@@ -206,9 +306,9 @@
 	if resp.Status != 200 {
 		return List{}, stats.ByStatus, fmt.Errorf("status %d", resp.Status)
 	}
-	list, err := c.a.reader.Parse(resp.Body)
+	list, err := c.p.a.reader.Parse(resp.Body)
 	if err != nil {
-		c.a.loop.Stats.Add(stats.BadInput, 1)
+		c.p.a.loop.Stats.Add(stats.BadInput, 1)
 		return List{}, stats.ByBadInput, err
 	}
 	return list, "", nil
@@ -236,7 +336,7 @@
 		_, err := resp.Feed(b)
 		r.Release()
 		if err != nil {
-			c.a.loop.Stats.Add(stats.BadInput, 1)
+			c.p.a.loop.Stats.Add(stats.BadInput, 1)
 			return resp, stats.ByBadInput, err
 		}
 	}
--- a/internal/stats/reasons.go
+++ b/internal/stats/reasons.go
@@ -21,7 +21,7 @@
 	ByRefusal      Reason = "refused"       // it never came up
 	ByGivenUp      Reason = "given_up"      // its leg was cancelled, timed out or is no longer wanted
 	ByIdle         Reason = "idle"          // idle for long
-	ByMove         Reason = "moved"         // the unit is listed at another address
+	ByMove         Reason = "moved"         // the unit is listed, or discovery configured, at another address
 	ByOrder        Reason = "ordered"       // the module ordered it, or the call is done
 	ByLateAnswer   Reason = "answer_late"   // no answer, or no sign of life, in time
 	ByStatus       Reason = "error_status"  // discovery answered with another status than 200
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -49,6 +49,8 @@
 	BoundBuffers
 	BoundQueue
 	LogDropped
+	Reloads
+	ReloadsRefused
 	counters
 )
 
@@ -63,6 +65,7 @@
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
 	RosterCalls: "roster_calls", RosterFailed: "roster_failed", BadInput: "bad_input",
 	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
+	Reloads: "reloads", ReloadsRefused: "reloads_refused",
 }
 
 // Counters holds one value for each ID.
