Idle clients make room: the connection idle for longest is closed for a new one

Checked: the logs hold 25,000 client connections ended as `bound`, none of the module's denials grew; 10 clients a second ask once and keep their connection, which fills the 96 descriptors for clients within 10 s. Ruled out: legs, units' connections (206 of 288 in use) and buffers.

At fault: internal/clients accept, which refused whoever came at the bound and never closed an idle connection. Now the loop keeps connections without an open query in order of their idleness; from three quarters of the room on each newcomer has the oldest closed, if that was idle for 2 s. Whether there is room is decided on the loop, where the startup is answered now.

Test: TestIdleClientsMakeRoom.

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -317,6 +317,53 @@
 	}
 }
 
+// TestIdleClientsMakeRoom has as many clients as there is room for ask once and keep their connection for good:
+// one with an open query is kept, an idle one is closed in time for others to be served.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	p := running(t, newFleet(t, newUnit(t, func(s string) deed {
+		if strings.Contains(s, "c=pay") {
+			<-release
+		}
+		return honour
+	})), func(c *config.Config) { c.Sockets = 128 })
+	busy := dialClient(t, p)
+	busy.until('Z')
+	busy.send(read("pay", 60000))
+	var first *client
+	for range 47 {
+		c := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
+		c.until('Z')
+		if v, code := c.answer(); v == "" {
+			t.Fatal(code)
+		}
+		if first == nil {
+			first = c
+		}
+	}
+	for until := time.Now().Add(patience); ; {
+		c := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
+		if kind, _, err := readMessage(c.r, false); err == nil && kind == 'R' {
+			c.until('Z')
+			if v, code := c.answer(); v == "" {
+				t.Error(code)
+			}
+			break
+		}
+		c.Close()
+		if time.Now().After(until) {
+			t.Fatal("nobody new is served")
+		}
+	}
+	if !first.closed() {
+		t.Error("the connection idle for longest is not the one closed")
+	}
+	close(release)
+	if v, code := busy.answer(); v == "" {
+		t.Error("an open query was closed over:", code)
+	}
+}
+
 func TestFullBuffersDeny(t *testing.T) {
 	p := running(t, newFleet(t, newUnit(t, always(honour))), nil)
 	c := dialClient(t, p)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,6 +3,7 @@
 package clients
 
 import (
+	"container/list"
 	"context"
 	"fmt"
 	"net"
@@ -21,6 +22,7 @@
 type Server struct {
 	loop *stage.Loop
 	most int64 // descriptors for clients
+	tidy int64 // connections from which on the idle ones make room
 	over int64 // and for those that are told it is full
 	open atomic.Int64
 	last atomic.Uint32
@@ -29,13 +31,15 @@
 
 	// Of the loop.
 	conns    map[*conn]struct{}
+	idle     list.List // of *conn with no open query, the one idle for longest first
 	stopping bool
 	stopped  func()
 }
 
 // New returns a server for at most so many connections, and so many over that which are told that it is full.
 func New(l *stage.Loop, most, over int) *Server {
-	return &Server{loop: l, most: int64(most), over: int64(over), conns: map[*conn]struct{}{}}
+	return &Server{loop: l, most: int64(most), tidy: int64(limits.TidyPart * float64(most)), over: int64(over),
+		conns: map[*conn]struct{}{}}
 }
 
 // Listen binds the address and serves it until Stop. Should the listener fail before that, failed is called.
@@ -68,22 +72,25 @@
 // accept makes the record of a new connection.
 func (s *Server) accept(n netpoll.Connection) context.Context {
 	now := s.loop.Clock.Now()
-	c := &conn{server: s, net: n, begun: now, split: pgwire.Splitter{Pool: s.loop.Pool, Startup: true, Shed: true}}
+	c := &conn{server: s, net: n, begun: now, idleAt: now,
+		split: pgwire.Splitter{Pool: s.loop.Pool, Startup: true, Shed: true}}
 	open := s.open.Add(1)
-	c.full = open > s.most
 	s.loop.Stats.Add(stats.ClientConns, 1)
 	s.loop.Stats.Add(stats.ClientConnsOpen, 1)
-	if c.full {
-		s.loop.Stats.Add(stats.BoundConns, 1)
-	}
 	n.SetWriteTimeout(limits.AnswerWait)
 	n.AddCloseCallback(c.closed)
 	if open > s.most+s.over {
+		s.loop.Stats.Add(stats.BoundConns, 1)
 		c.end(stats.ByBound)
 		return context.Background()
 	}
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		s.conns[c] = struct{}{}
+		c.rests(true)
+		if room := s.open.Load() <= s.tidy || s.makeRoom(); !room && s.open.Load() > s.most {
+			s.loop.Stats.Add(stats.BoundConns, 1)
+			c.full = true
+		}
 		if s.stopping {
 			c.rest() // it came in just before the listener went
 		}
@@ -96,6 +103,21 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
+// makeRoom closes the connection that has been idle for longest, if that was long enough. Clients keep
+// connections that they may never use again. On the loop.
+func (s *Server) makeRoom() bool {
+	front := s.idle.Front()
+	if front == nil {
+		return false
+	}
+	c := front.Value.(*conn)
+	if s.loop.Clock.Now()-c.idleAt < limits.IdleLeast.Seconds() {
+		return false
+	}
+	c.shut(stats.ByIdle)
+	return true
+}
+
 // Stop ends service: for a little while new connections still come and are served, then the listener goes,
 // and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
 func (s *Server) Stop(then func()) {
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"math"
@@ -23,7 +24,6 @@
 	server *Server
 	net    netpoll.Connection
 	begun  relay.Seconds
-	full   bool // over the bound
 	out    outbox
 
 	// Of the goroutine that reads.
@@ -34,6 +34,8 @@
 	current  *item
 	waiting  []*item
 	idleAt   relay.Seconds // when the last answer was written
+	idle     *list.Element // its place among the idle ones, if it has no open query
+	full     bool          // over the bound
 	shutting bool
 
 	started atomic.Bool
@@ -47,11 +49,12 @@
 	fault  error // what was wrong with what came
 }
 
-// item is what has its turn on a connection: a query, an empty one, or what could not be read.
+// item is what has its turn on a connection: the startup, a query, an empty one, or what could not be read.
 type item struct {
-	c   *conn
-	q   *stage.Query
-	bad error
+	c     *conn
+	hello bool
+	q     *stage.Query
+	bad   error
 }
 
 // drop gives up an item that never had its turn.
@@ -78,6 +81,7 @@
 		int(c.queries.Load()), fault)
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		delete(s.conns, c)
+		c.rests(false)
 		if c.current != nil && c.current.q != nil {
 			l.ClientLeft(c.current.q)
 		}
@@ -111,6 +115,7 @@
 	c.because(why)
 	c.deaf.Store(true)
 	c.shutting = true
+	c.rests(false)
 	c.mu.Lock()
 	if n, ok := c.net.(netpoll.Conn); ok && !c.gone {
 		syscall.Shutdown(n.Fd(), syscall.SHUT_WR)
@@ -120,6 +125,17 @@
 	l.At(l.Clock.Now()+limits.CloseWait.Seconds(), func() { c.net.Close() })
 }
 
+// rests notes whether the connection is idle. On the loop.
+func (c *conn) rests(is bool) {
+	if c.idle != nil {
+		c.server.idle.Remove(c.idle)
+		c.idle = nil
+	}
+	if is && !c.shutting {
+		c.idle = c.server.idle.PushBack(c)
+	}
+}
+
 // rest closes the connection if it is between queries. On the loop.
 func (c *conn) rest() {
 	if c.current == nil && len(c.waiting) == 0 {
@@ -257,10 +273,7 @@
 	case pgwire.OpenSession:
 		c.split.Startup = false
 		c.started.Store(true)
-		if c.full {
-			return errFull
-		}
-		c.send(c.server.loop.Pool.Filled(pgwire.Welcome(c.server.last.Add(1))), nil)
+		c.server.loop.Post(&item{c: c, hello: true})
 	}
 	return nil
 }
@@ -282,6 +295,15 @@
 func (c *conn) start(it *item) {
 	l := c.server.loop
 	c.current = it
+	c.rests(false)
+	if it.hello {
+		if c.full {
+			c.complain(errFull)
+		} else {
+			it.Answer(l.Pool.Filled(pgwire.Welcome(c.server.last.Add(1))))
+		}
+		return
+	}
 	if it.bad != nil {
 		c.complain(it.bad)
 		return
@@ -303,7 +325,9 @@
 		return
 	}
 	c.send(answer, func() {
-		c.ahead.Add(-1)
+		if !it.hello {
+			c.ahead.Add(-1)
+		}
 		c.server.loop.Post(stage.Call(func(l *stage.Loop) {
 			if c.current != it {
 				return
@@ -313,7 +337,10 @@
 				next := c.waiting[0]
 				c.waiting = c.waiting[1:]
 				c.start(next)
-			} else if c.server.stopping {
+				return
+			}
+			c.rests(true)
+			if c.server.stopping {
 				c.rest()
 			}
 		}))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,8 @@
 	// Clients.
 	Ahead       = 16                     // queries of a connection not yet answered: far more than a client has out
 	OverPart    = 0.5                    // of the spare descriptors, for clients over the bound that are told so; more are closed at once
+	TidyPart    = 0.75                   // of the clients' descriptors from which on a new connection has an idle one closed
+	IdleLeast   = 2 * time.Second        // that a connection stays idle before that: the protocol page allows it from then on
 	AnswerWait  = 5 * time.Second        // that a client may take to accept an answer: longer than it waits for one
 	StartupWait = 10 * time.Second       // that a client may take over its startup
 	StillComing = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
--- a/internal/stats/reasons.go
+++ b/internal/stats/reasons.go
@@ -20,7 +20,7 @@
 	ByStartupError Reason = "startup_error" // the unit answered the startup with an error
 	ByRefusal      Reason = "refused"       // it never came up
 	ByGivenUp      Reason = "given_up"      // its leg was cancelled, timed out or is no longer wanted
-	ByIdle         Reason = "idle"          // idle for long
+	ByIdle         Reason = "idle"          // idle for long; a client's: and others need the room
 	ByMove         Reason = "moved"         // the unit is listed, or discovery configured, at another address
 	ByOrder        Reason = "ordered"       // the module ordered it, or the call is done
 	ByLateAnswer   Reason = "answer_late"   // no answer, or no sign of life, in time
