An answer belongs to its leg: connections settle and are looked at before use

Ruled out: the parsers (no malformed value was passed on) and cancelled legs.

At fault: units.ready.Take gave the connection to a waiting leg at once, so a copy read in the same batch was booked by answered.Take as that leg's; answered.Take took whatever came while a leg was out. A message of an unknown type or with a length that does not fit was waited for until the query's patience (pgwire.Splitter), the tag of CommandComplete was not read, and an unreadable load report spoilt a good answer; NaN passed as a load.

Now a connection settles for 2 ms, legs wait for it rather than open another; the socket is polled before each query; what was read before the query's last byte went is not its answer; types and lengths are checked at the header, and an answer that has begun must be whole within 250 ms.

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -121,6 +121,10 @@
 		{"silence", silent, "pay", pgwire.CodeFailed, 1, 1, false},
 		{"garbage", garbage, "pay", pgwire.CodeFailed, 1, 1, true},
 		{"two rows", twoRows, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"half an answer", half, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"noise of no known type", noise, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"a tag that can't be read", badTag, "pay", pgwire.CodeFailed, 1, 1, true},
+		{"a load report that can't be read", badLoad, "pay", "", 1, 1, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -51,6 +51,10 @@
 	garbage  // no message of the protocol
 	twoRows  // an answer of the wrong form
 	lastWord // honour, then close the connection
+	half     // an answer that stops in the middle
+	noise    // a message of no known type, whose body does not come
+	badTag   // an answer whose last message can't be read
+	badLoad  // honour, with a load report that can't be read
 )
 
 // unit is a small stand-in for a server.
@@ -132,6 +136,14 @@
 		case lastWord:
 			c.Write(pgwire.Ready(row("value of " + text[:6])))
 			return
+		case half:
+			c.Write(row("a")[:40])
+		case noise:
+			c.Write([]byte{0xf7, 0, 0, 1, 0})
+		case badTag:
+			c.Write(pgwire.Ready(append(row("a")[:len(row("a"))-9], "\x01\xff\x00\x00\x00\x00\x00\x00\x00"...)))
+		case badLoad:
+			c.Write(append([]byte("S\x00\x00\x00\x0evitals=\xff\xff\xff"), pgwire.Ready(row("a"))...))
 		case failing:
 			c.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, "XX000", "broken", "")))
 		case turnAway:
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -40,11 +40,13 @@
 	CloseWait   = 1 * time.Second        // that a client gets to close its end when this end is shut
 
 	// Units.
-	IdlePart    = 0.8                   // of the settings' idle limit after which a connection is closed: before the unit does
-	SweepEvery  = 1 * time.Second       // between looks at idle connections: small beside any idle limit
-	ConnectWait = 1 * time.Second       // that a connection may take to come up where the settings name no limit
-	ReportSize  = 256                   // bytes of the longest load report that is looked at: a few names and figures
-	InlineWait  = 20 * time.Millisecond // that a small write may hold the loop up; its send buffer is empty, it takes none
+	IdlePart    = 0.8                    // of the settings' idle limit after which a connection is closed: before the unit does
+	SettleFor   = 2 * time.Millisecond   // after an answer in which more of it may come, before the next query: ten times what was seen
+	AnswerRest  = 250 * time.Millisecond // that the rest of an answer may take once it has begun: at most 64 KiB, sent in one go
+	SweepEvery  = 1 * time.Second        // between looks at idle connections: small beside any idle limit
+	ConnectWait = 1 * time.Second        // that a connection may take to come up where the settings name no limit
+	ReportSize  = 256                    // bytes of the longest load report that is looked at: a few names and figures
+	InlineWait  = 20 * time.Millisecond  // that a small write may hold the loop up; its send buffer is empty, it takes none
 
 	// Discovery.
 	WatchFor  = 20 * time.Second // that a watch waits for something new
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"lichenroad/internal/buffer"
 )
@@ -15,6 +16,7 @@
 const (
 	MaxValue   = 64 << 10             // of a value, by the protocol page
 	MaxMessage = 2*MaxValue + 4096    // of a message: a value in hex with the statement round it
+	MaxAnswer  = MaxValue + 1024      // of a message from a unit
 	MaxStartup = 4096                 // of a startup message
 	headLen    = 5                    // type and length
 	maxErrText = 200                  // of a peer's error text that is kept
@@ -38,11 +40,16 @@
 	Lost bool // the pool was full when it came: the body was passed over
 }
 
+// FromUnits are the types of the messages that units send.
+const FromUnits = "RKNSTDCEZ"
+
 // Splitter cuts a stream into messages, fed in any pieces.
 type Splitter struct {
 	Pool    *buffer.Pool
-	Startup bool // the next message has no type byte
-	Shed    bool // pass over the bodies of queries that come while the pool is full
+	Startup bool   // the next message has no type byte
+	Shed    bool   // pass over the bodies of queries that come while the pool is full
+	Types   string // those that may come; empty: any
+	Most    int    // bytes of a message; 0: MaxMessage
 
 	head  [headLen]byte
 	got   int
@@ -65,9 +72,14 @@
 				return nil
 			}
 			n, most := int(binary.BigEndian.Uint32(s.head[1:])), MaxMessage
+			if s.Most > 0 {
+				most = s.Most
+			}
 			s.msg = Message{Type: s.head[0]}
 			if s.Startup {
 				s.msg.Type, most = 0, MaxStartup
+			} else if s.Types != "" && strings.IndexByte(s.Types, s.head[0]) < 0 {
+				return fmt.Errorf("%w: type %q", ErrMalformed, s.head[0])
 			}
 			if n < 4 {
 				return fmt.Errorf("%w: length %d", ErrMalformed, n)
@@ -96,6 +108,9 @@
 	}
 }
 
+// Partial says that a message has begun and is not whole.
+func (s *Splitter) Partial() bool { return s.begun || s.got > 0 }
+
 // Free gives up a message that was begun.
 func (s *Splitter) Free() {
 	s.msg.Body.Free()
@@ -280,3 +295,17 @@
 	}
 	return b[6:], nil
 }
+
+// CheckComplete wants a CommandComplete with a tag that can be read.
+func CheckComplete(b []byte) error {
+	tag, rest, ok := cut(b)
+	if !ok || len(rest) != 0 || tag == "" || len(tag) > maxWord {
+		return fmt.Errorf("%w: CommandComplete", ErrMalformed)
+	}
+	for _, c := range []byte(tag) {
+		if c < ' ' || c > '~' {
+			return fmt.Errorf("%w: CommandComplete", ErrMalformed)
+		}
+	}
+	return nil
+}
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -227,4 +227,9 @@
 	if ParseReport("outstanding=7", fields) != nil || ParseReport("outstanding=7,recent_ms=x", fields) != nil {
 		t.Error("a report with a field missing was taken")
 	}
+	for _, absurd := range []string{"NaN", "Inf", "-1", "1e300", "\xff\x00"} {
+		if got := ParseReport("outstanding=7,recent_ms="+absurd, fields); got != nil {
+			t.Errorf("%q was taken as %v", absurd, got)
+		}
+	}
 }
--- a/internal/pgwire/report.go
+++ b/internal/pgwire/report.go
@@ -5,8 +5,10 @@
 	"strings"
 )
 
+const mostLoad = 1e9 // of any figure of load
+
 // ParseReport reads a load report, name=value pairs with commas between, into the order of fields. It is
-// nil where one of them is missing or can't be read.
+// nil where one of them is missing, can't be read or can't be a figure of load.
 func ParseReport(report string, fields []string) []float32 {
 	values := make([]float32, len(fields))
 	found := 0
@@ -17,7 +19,7 @@
 				continue
 			}
 			v, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
-			if err != nil {
+			if err != nil || !(v >= 0 && v <= mostLoad) {
 				return nil
 			}
 			values[i] = float32(v)
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/limits"
@@ -28,6 +29,7 @@
 	starting state = iota
 	idle
 	busy
+	settling // answered and ready, but more may be right behind
 	dead
 )
 
@@ -40,6 +42,7 @@
 	net     netpoll.Connection
 	state   state
 	leg     *stage.Leg
+	partly  *stage.Leg    // whose answer has begun
 	since   relay.Seconds // idle since
 	up      relay.Seconds
 	queries int
@@ -66,7 +69,8 @@
 		}))
 		return
 	}
-	c := &conn{pool: p, unit: u, address: address, net: n, up: begun, split: pgwire.Splitter{Pool: p.loop.Pool}}
+	c := &conn{pool: p, unit: u, address: address, net: n, up: begun,
+		split: pgwire.Splitter{Pool: p.loop.Pool, Types: pgwire.FromUnits, Most: pgwire.MaxAnswer}}
 	n.SetWriteTimeout(span(p.connect))
 	n.AddCloseCallback(func(netpoll.Connection) error {
 		// No read is under way here, and none follows.
@@ -112,6 +116,9 @@
 	case starting:
 		c.unit.coming--
 		p.missed(c.unit)
+	case settling:
+		c.unit.coming--
+		p.serve(c.unit)
 	case idle:
 		for i, d := range c.unit.idle {
 			if d == c {
@@ -181,27 +188,51 @@
 
 // read takes what has come, on the goroutine of the connection.
 func (c *conn) read(n netpoll.Connection) error {
-	at := c.pool.loop.Clock.Now()
 	r := n.Reader()
 	for r.Len() > 0 {
+		at := c.pool.loop.Clock.Now()
 		b, err := r.Next(min(r.Len(), buffer.Size))
 		if err == nil {
 			err = c.split.Feed(b, func(m pgwire.Message) error { return c.take(m, at) })
 		}
 		if err != nil {
 			c.pool.loop.Stats.Add(stats.BadInput, 1)
-			c.pool.loop.Post(stage.Call(func(*stage.Loop) {
-				c.fault = err
-				c.close(stats.ByBadInput)
-			}))
+			c.pool.loop.Post(spoilt{c, err})
 			r.Skip(r.Len())
 			break
 		}
 	}
+	if c.answer != nil || c.split.Partial() {
+		c.pool.loop.Post(begun{c})
+	}
 	return r.Release()
 }
 
-var errState = errors.New("message out of place")
+// begun tells that an answer has begun and is not whole.
+type begun struct{ c *conn }
+
+// Take gives the rest a little time: units send an answer in one go.
+func (e begun) Take(l *stage.Loop) {
+	c, leg := e.c, e.c.leg
+	if c.state == idle || c.state == settling {
+		spoilt{c, errUnasked}.Take(l) // it came behind the last answer
+	}
+	if leg == nil || leg == c.partly {
+		return
+	}
+	c.partly = leg
+	l.At(l.Clock.Now()+limits.AnswerRest.Seconds(), func() {
+		if c.leg == leg {
+			spoilt{c, errCut}.Take(l)
+		}
+	})
+}
+
+var (
+	errState   = errors.New("message out of place")
+	errUnasked = errors.New("more than was asked for")
+	errCut     = errors.New("an answer without its end")
+)
 
 // take reads one message of the unit.
 func (c *conn) take(m pgwire.Message, at relay.Seconds) error {
@@ -209,12 +240,11 @@
 	switch m.Type {
 	case 'R', 'K', 'N': // no password is asked for; notices are passed over
 		return nil
-	case 'S':
-		name, value, err := pgwire.ParseStatus(m.Body.Bytes())
-		if err == nil && name == reportName {
+	case 'S': // one that can't be read is passed over: the answer beside it may be good
+		if name, value, err := pgwire.ParseStatus(m.Body.Bytes()); err == nil && name == reportName {
 			c.report = pgwire.ParseReport(value, c.pool.loop.Site.Reports)
 		}
-		return err
+		return nil
 	case 'T':
 		if err := pgwire.CheckRowDescription(m.Body.Bytes()); err != nil {
 			return err
@@ -236,6 +266,9 @@
 		if c.answer == nil || c.rows != 1 {
 			return errState
 		}
+		if err := pgwire.CheckComplete(m.Body.Bytes()); err != nil {
+			return err
+		}
 	case 'E':
 		_, code, text, err := pgwire.ParseError(m.Body.Bytes())
 		if err == nil {
@@ -279,22 +312,21 @@
 
 // Take ends the leg that it answers.
 func (e answered) Take(l *stage.Loop) {
-	c, leg := e.c, e.c.leg
-	if c.state != busy || leg == nil {
+	c, leg, sent := e.c, e.c.leg, float64(e.c.sentAt.Load())/1e9
+	switch {
+	case c.state == starting:
+		c.fault = fmt.Errorf("%s %s", e.code, e.text)
+		c.close(stats.ByStartupError)
+	case leg == nil && e.code != "":
+		c.close(stats.ByPeer) // unasked: it is about to close
+	case leg == nil || sent == 0 || e.at < sent:
+		spoilt{c, errUnasked}.Take(l)
+	}
+	if c.state == dead {
 		e.answer.Free()
-		if c.state == starting {
-			c.fault = fmt.Errorf("%s %s", e.code, e.text)
-			c.close(stats.ByStartupError)
-		} else {
-			c.close(stats.ByPeer) // unasked: it is about to close
-		}
 		return
 	}
-	sent := c.sentAt.Load()
-	end := stage.Ending{How: e.how, Answer: e.answer, Report: e.report}
-	if sent != 0 {
-		end.Took = max(0, e.at-float64(sent)/1e9)
-	}
+	end := stage.Ending{How: e.how, Answer: e.answer, Report: e.report, Took: e.at - sent}
 	if leg.Query == nil && len(l.Site.Reports) > 0 {
 		end.Report = pgwire.ParseReport(e.row, l.Site.Reports)
 	} else if !l.Site.ReportInLegs {
@@ -305,9 +337,18 @@
 	}
 	c.leg = nil
 	l.End(leg, end)
-	if sent == 0 {
-		c.close(stats.ByBadInput) // answered before it was asked in full
-	}
+}
+
+// spoilt is what could not be read, or came unasked. The connection is of no further use.
+type spoilt struct {
+	c   *conn
+	why error
+}
+
+// Take ends the connection, and the leg on it as one that may have run if it was written whole.
+func (e spoilt) Take(*stage.Loop) {
+	e.c.fault = e.why
+	e.c.close(stats.ByBadInput)
 }
 
 // ready tells that a connection can take a query.
@@ -318,18 +359,49 @@
 	c := e.c
 	switch {
 	case c.state == starting:
-		c.unit.coming--
+		c.rest()
 	case c.state == busy && c.leg == nil:
-	case c.state == busy:
-		c.close(stats.ByBadInput) // no answer, no error
-		return
-	default:
-		return
+		c.state = settling
+		c.unit.coming++
+		l.At(l.Clock.Now()+limits.SettleFor.Seconds(), func() {
+			if c.state == settling {
+				c.rest()
+			}
+		})
+	case c.state == busy || c.state == idle || c.state == settling:
+		spoilt{c, errUnasked}.Take(l) // no answer, no error, or no query
 	}
-	c.state, c.since = idle, l.Clock.Now()
+}
+
+// rest makes the connection an idle one, and gives it to whoever waits for one.
+func (c *conn) rest() {
+	c.unit.coming--
+	c.state, c.since = idle, c.pool.loop.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
 	if c.address != c.unit.address {
 		c.close(stats.ByMove)
 	}
 	c.pool.serve(c.unit)
 }
+
+// unfit says why an idle connection can't take a query: it has ended, and the query might seem to have run, or
+// something has come on it that would be taken for the answer.
+func (c *conn) unfit() stats.Reason {
+	if !c.net.IsActive() {
+		return stats.ByPeer
+	}
+	if c.net.Reader().Len() > 0 {
+		return stats.ByBadInput
+	}
+	if n, ok := c.net.(netpoll.Conn); ok {
+		fds := [1]unix.PollFd{{Fd: int32(n.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
+		unix.Poll(fds[:], 0)
+		switch got := fds[0].Revents; {
+		case got&^unix.POLLIN != 0:
+			return stats.ByPeer
+		case got != 0:
+			return stats.ByBadInput
+		}
+	}
+	return ""
+}
--- a/internal/units/conn_test.go
+++ b/internal/units/conn_test.go
@@ -34,6 +34,8 @@
 	return len(b), nil
 }
 
+func (p *pipe) IsActive() bool                      { return true }
+func (p *pipe) Reader() netpoll.Reader              { return netpoll.NewLinkBuffer() }
 func (p *pipe) Close() error                        { p.closed++; return nil }
 func (p *pipe) SetWriteTimeout(time.Duration) error { return nil }
 
@@ -133,6 +135,87 @@
 	}
 }
 
+// TestMoreThanBelongsToAnAnswer has a second copy, or part of one, right behind an answer while another leg waits:
+// the answer counts, and the copy is not taken for the other leg's.
+func TestMoreThanBelongsToAnAnswer(t *testing.T) {
+	for _, more := range []func(b bench, c *conn) stage.Event{
+		func(b bench, c *conn) stage.Event {
+			return answered{c: c, at: b.Clock.Now(), how: relay.Honoured, answer: b.Loop.Pool.Chain()}
+		},
+		func(_ bench, c *conn) stage.Event { return begun{c} },
+		func(_ bench, c *conn) stage.Event { return ready{c} },
+		func(_ bench, c *conn) stage.Event { return spoilt{c, errState} },
+	} {
+		b := newBench(t, nil)
+		n := &pipe{takes: 1 << 20}
+		c := b.conn(n)
+		first, second := b.leg(), b.leg()
+		first.Query.Client, second.Query.ID = nobody{}, 1
+		b.pool.Send(first)
+		b.unit.coming++ // one is coming up for the second, and never does
+		b.pool.Send(second)
+		b.Post(answered{c: c, at: b.Clock.Now(), how: relay.Honoured, answer: b.Loop.Pool.Chain()})
+		b.Post(ready{c})
+		b.Post(more(b, c))
+		if ends := b.told(); len(ends) != 1 || ends[0].Query != 0 || ends[0].How != relay.Honoured || second.Ended {
+			t.Errorf("%+v", ends)
+		}
+		if n.closed == 0 || len(b.unit.idle) != 0 {
+			t.Error("the connection is kept")
+		}
+	}
+}
+
+// TestAnswerBeforeItsQuery has an answer that was read before the query's last byte went.
+func TestAnswerBeforeItsQuery(t *testing.T) {
+	b := newBench(t, nil)
+	c := b.conn(&pipe{takes: 1 << 20})
+	at := b.Clock.Now()
+	b.pool.Send(b.leg())
+	answered{c: c, at: at, how: relay.Honoured, answer: b.Loop.Pool.Chain()}.Take(b.Loop)
+	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.Broken || c.state != dead {
+		t.Errorf("%+v", ends)
+	}
+}
+
+// TestUnfitConnection has bytes, or the end, come on an idle connection that nobody has read yet.
+func TestUnfitConnection(t *testing.T) {
+	for _, end := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		n, err := netpoll.DialConnection("tcp", ln.Addr().String(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &conn{net: n}
+		if why := c.unfit(); why != "" {
+			t.Error("nothing has come:", why)
+		}
+		want := stats.ByBadInput
+		if peer.Write([]byte("x")); end {
+			want = stats.ByPeer
+			peer.Close()
+		}
+		for until := time.Now().Add(10 * time.Second); c.unfit() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatal("taken for fit")
+			}
+		}
+	}
+}
+
+// nobody is a client that is not looked at.
+type nobody struct{}
+
+func (nobody) Answer(a *buffer.Chain) { a.Free() }
+
 func TestLegWithoutAConnectionNeverLeft(t *testing.T) {
 	b := newBench(t, nil)
 	b.unit.coming = 1 // one is coming up
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -29,7 +29,7 @@
 	name    string
 	address string
 	idle    []*conn      // the one last used is last
-	coming  int          // connections coming up
+	coming  int          // connections coming up, or about to be idle again
 	waiting []*stage.Leg // legs without a connection, the oldest first
 }
 
@@ -133,12 +133,17 @@
 func (p *Pool) serve(u *unit) {
 	for len(u.waiting) > 0 && len(u.idle) > 0 {
 		leg := u.waiting[0]
-		u.waiting = u.waiting[1:]
 		if leg.Void() {
+			u.waiting = u.waiting[1:]
 			p.loop.End(leg, stage.Ending{How: relay.NotSent})
 			continue
 		}
 		c := u.idle[len(u.idle)-1]
+		if why := c.unfit(); why != "" {
+			c.close(why)
+			continue
+		}
+		u.waiting = u.waiting[1:]
 		u.idle = u.idle[:len(u.idle)-1]
 		c.begin(leg)
 	}
