Judge builds before their release: young failures, the last 3 s, a last stage that waits

Late builds turn bad 10 to 12 s after their start, when the release has passed. The share's bucket of one leg let half of the design's share through. Slowness set all paced legs of 4 s against the hour of the matched ones only, so a slow hour that began meanwhile was taken for the build's; per category it was biased; young units without paced legs upset the order in which the slowest quarter is left out.

At fault: policy.go youngUnit in sight/witness, spend, compare, gather, flagged, fused, wish.

Tests: TestYoungUnits, TestShareOfTheTrialIsNotCut, TestLastStageWaits, TestBuildThatTurnsBad, TestFlag.

--- a/policy/measure.go
+++ b/policy/measure.go
@@ -64,8 +64,8 @@
 
 func (r *ring) reset() { r.sums, r.last = nil, -1 }
 
-// evidence is what the unit showed in one category in buckets from to to, to this relay alone or with what
-// others told; slowness in the youngest few of these.
+// evidence is what the unit showed in one category, or in all where c is their number, in buckets from to to,
+// to this relay alone or with what others told; slowness in the youngest few of these.
 func (u *unit) evidence(pooled bool, c, from, to int) (out counts) {
 	for i := range u.seen {
 		r := &u.seen[i]
@@ -74,12 +74,14 @@
 		}
 		r.roll(u.p.now)
 		for n := from; n < to && r.last >= int64(n); n++ {
-			b := r.bucket(r.last - int64(n))[c*figures : (c+1)*figures]
-			if n >= from+lateBuckets {
-				b = b[:figPaced]
+			b := r.bucket(r.last - int64(n))
+			if c < len(u.p.rows) {
+				b = b[c*figures : (c+1)*figures]
 			}
-			for f, v := range b {
-				out[f] += float64(v)
+			for i, v := range b {
+				if f := i % figures; f < figPaced || n < from+lateBuckets {
+					out[f] += float64(v)
+				}
 			}
 		}
 	}
@@ -130,6 +132,29 @@
 	d.paces[u.Kind][depth].add(ratio, paceFleet)
 }
 
+// ended learns from the end of a leg.
+func (u *unit) ended(n noteOutcome) {
+	if n.how == relay.Cancelled || n.how == relay.NotSent {
+		return
+	}
+	u.answer, u.linked = u.p.now, n.how != relay.NoConnect
+	u.p.desk.links.add(u.p.now, 0, 1)
+	if !u.linked {
+		u.p.desk.links.add(u.p.now, 1, 1)
+	}
+	ratio := n.took / math.Max(n.work, 1e-3)
+	if n.how == relay.Honoured {
+		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
+	}
+	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
+	u.p.desk.strain.add(n.took/math.Max(n.due, 1e-3), strainStep)
+	if n.leg.build == u.Build {
+		s := u.sight(n)
+		u.witness(s, own)
+		u.p.trial.untold = append(u.p.trial.untold, s)
+	}
+}
+
 // warmth is the least part of its capacity that the unit can have by now.
 func (u *unit) warmth() float64 {
 	r := &u.p.set.Rules
@@ -160,10 +185,10 @@
 	}
 	if s.how == relay.Errored || s.how == relay.Broken {
 		seen.add(now, at+figFailed, 1)
-	} else if s.late {
+	} else if s.late && !s.young {
 		seen.add(now, at+figLate, 1)
 	}
-	if usual <= 0 || s.pace <= 0 {
+	if s.young || usual <= 0 || s.pace <= 0 {
 		return
 	}
 	slow := math.Log(s.pace / usual)
@@ -175,7 +200,8 @@
 		t.beforeAt = now
 	} else if t.before.n >= leastPace && now-t.beforeAt < hourLag {
 		seen.add(now, at+figMatched, 1)
-		seen.add(now, at+figDue, t.before.v)
+		seen.add(now, at+figOver, slow-t.before.v)
+		seen.add(now, at+figOverSquare, (slow-t.before.v)*(slow-t.before.v))
 	}
 }
 
@@ -225,11 +251,8 @@
 	return usual + (u.pace-usual)*math.Exp2(-(u.p.now-u.paceAt)/paceHalf)
 }
 
-// slower says whether legs took some times longer than the mean logarithm of their usual time says.
-func slower(c counts, usual, usualErr, times float64) bool {
-	m, err := c.slowness()
-	return m-usual > math.Log(times) && m-usual > flagErrors*math.Hypot(err, usualErr)
-}
+// slower says whether legs took some times longer, by the mean of a logarithm and its standard error.
+func slower(m, err, times float64) bool { return m > math.Log(times) && m > flagErrors*err }
 
 func worse(newer, before counts, f int, points, outcomes float64, pooled bool) bool {
 	n1, n0 := newer[figCount], before[figCount]
@@ -258,3 +281,13 @@
 	}
 	return warm, all
 }
+
+// eldest is the age of the newest build's oldest machine.
+func (t *trial) eldest() (age relay.Seconds) {
+	for _, u := range t.p.roster.units {
+		if u.newest() && u.State == relay.Ready {
+			age = math.Max(age, t.p.now-u.started)
+		}
+	}
+	return age
+}
--- a/policy/memo.go
+++ b/policy/memo.go
@@ -186,7 +186,7 @@
 // sight is how a leg ended, as the fusers are told.
 func (u *unit) sight(n noteOutcome) sighting {
 	s := sighting{unit: markOf(u.id), category: n.category, how: n.how, newest: u.newest(),
-		young: n.leg.age < youngUnit, late: n.took > n.due || n.how == relay.TimedOut,
+		young: n.leg.age < u.p.young(), late: n.took > n.due || n.how == relay.TimedOut,
 		depth: min(n.leg.depth, depths-1)}
 	if n.leg.depth < depths && n.how != relay.Errored && n.how != relay.Broken && !n.how.NeverRan() {
 		s.pace = n.took / math.Max(n.work, 1e-3)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 
 	"lichenroad/relay"
@@ -26,7 +27,7 @@
 	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over a tick
 
 	capShare     = 0.8  // of the cap that the build on trial may get (DESIGN)
-	youngUnit    = 5.0  // s; outcomes of younger units are no evidence (DESIGN)
+	youngUnit    = 5.0  // s; slowness of younger units is no evidence (DESIGN: nothing of them is)
 	leastCount   = 20.0 // outcomes a build for a flag, and pooled ones for a vote on (DESIGN)
 	flagErrors   = 3.0  // standard errors that a share must be worse by (DESIGN)
 	flagOutcomes = 1.0  // failures that a share must be worse by, and more (DESIGN)
@@ -45,15 +46,18 @@
 	judgeEvery      = 0.25 // s between two looks at the evidence: a few outcomes apart
 	evidenceWidth   = 0.5  // s a bucket of outcomes
 	evidenceBuckets = 24   // 12 s: two lives of a verdict, long enough for 20 outcomes of a rare category
+	evidenceLately  = 6    // of these buckets, looked at alone too: a build that turns bad has shone for long
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
+	ripeAge         = 15.0 // s of a build's first machines up to which it is not released: some turn bad at 12 s
+	ripePart        = 0.9  // of the time between two builds after which it is: the next would end the trial
 	lateBuckets     = 8    // 4 s of legs that show slowness: the hour changes faster than builds do
 	depths          = 8    // own legs at a unit that paces are told apart by: more are rare where it runs well
 	leastPace       = 10.0 // legs from which a usual pace is known
 	poolOutcomes    = 4.0  // the same as flagOutcomes for pooled counts, which are looked at far more often
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
-	slowTimes       = 1.35 // times the earlier machines' leg time that a flag needs: queues stretch differences
+	slowTimes       = 1.6  // times the earlier machines' leg time that a flag needs: as much differs by load
 	fleetTimes      = 1.4  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held its cause: most troubles pass
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
@@ -169,27 +173,12 @@
 	}
 }
 
-// ended learns from the end of a leg.
-func (u *unit) ended(n noteOutcome) {
-	if n.how == relay.Cancelled || n.how == relay.NotSent {
-		return
-	}
-	u.answer, u.linked = u.p.now, n.how != relay.NoConnect
-	u.p.desk.links.add(u.p.now, 0, 1)
-	if !u.linked {
-		u.p.desk.links.add(u.p.now, 1, 1)
-	}
-	ratio := n.took / math.Max(n.work, 1e-3)
-	if n.how == relay.Honoured {
-		u.pace, u.paceAt = u.paceNow()+paceStep*(ratio-u.paceNow()), u.p.now
-	}
-	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
-	u.p.desk.strain.add(n.took/math.Max(n.due, 1e-3), strainStep)
-	if n.leg.build == u.Build {
-		s := u.sight(n)
-		u.witness(s, own)
-		u.p.trial.untold = append(u.p.trial.untold, s)
+// young is the age up to which a unit may be slow for being cold: what the site states, at most the design's.
+func (p *Policy) young() relay.Seconds {
+	if w := p.set.Rules.WarmUp; w > 0 && w < youngUnit {
+		return w
 	}
+	return youngUnit
 }
 
 // miss is what an outcome adds to a failure figure. A unit that is full is no suspect for that alone.
@@ -217,7 +206,7 @@
 		u.p.desk.learnPace(u, s.pace, s.depth)
 	}
 	known := s.category >= 0 && int(s.category) < len(u.p.rows)
-	if known && !s.how.NeverRan() && !s.young && s.newest == u.newest() {
+	if known && !s.how.NeverRan() && s.newest == u.newest() {
 		u.record(s, by, usual)
 	}
 }
@@ -549,6 +538,10 @@
 		}
 	}
 	if t.known && n.Build != t.news.Build {
+		if t.offered > 0 {
+			t.cycle = t.p.now - t.offered
+		}
+		t.offered = t.p.now
 		t.calm = t.fleet()
 		clear(t.last[own])
 		clear(t.last[told])
@@ -612,7 +605,7 @@
 func (t *trial) spend(q *query, b relay.Build) {
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
-		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), t.p.set.Rollout.Uncounted)
+		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), t.p.set.Rollout.Uncounted+1)
 	}
 	if _, _, onTrial := t.capOf(b); onTrial {
 		x := t.limit(b)
@@ -695,7 +688,7 @@
 	if t.legs.all(t.p.now, c) < leastCount {
 		return verdict{}
 	}
-	newer, before := t.compare(own, c)
+	newer, before := t.compare(own, c, evidenceBuckets)
 	if newer[figCount] < leastCount || before[figCount] < leastCount {
 		return verdict{}
 	}
@@ -703,9 +696,9 @@
 }
 
 // compare sets the newest build's outcomes in one category against the earlier ones'.
-func (t *trial) compare(by, c int) (newer, before counts) {
+func (t *trial) compare(by, c, to int) (newer, before counts) {
 	pooled := by == told
-	newer = t.gather(pooled, c, true, 0, evidenceBuckets)
+	newer = t.gather(pooled, c, true, 0, to)
 	before = t.gather(pooled, c, false, 0, evidenceBuckets)
 	if before[figCount] >= leastCount {
 		t.last[by][c] = before
@@ -749,18 +742,16 @@
 	if len(seen) == 1 && newest {
 		return counts{figCount: sound[figCount]}
 	}
-	if !newest || len(seen) == 0 {
-		return sound
-	}
+	seen = slices.DeleteFunc(seen, func(e counts) bool { return e[figMatched] == 0 })
 	sort.SliceStable(seen, func(i, j int) bool {
-		return seen[i][figSlow]*seen[j][figPaced] > seen[j][figSlow]*seen[i][figPaced]
+		return seen[i][figOver]*seen[j][figMatched] > seen[j][figOver]*seen[i][figMatched]
 	})
-	left := sound[figPaced]
+	left := sound[figMatched]
 	for _, e := range seen[:(len(seen)+3)/4] {
-		sound[figSlow] -= e[figSlow]
-		left -= e[figPaced]
+		sound[figOver] -= e[figOver]
+		left -= e[figMatched]
 	}
-	sound[figSlow] *= sound[figPaced] / math.Max(left, 1)
+	sound[figOver] *= sound[figMatched] / math.Max(left, 1)
 	return sound
 }
 
@@ -778,8 +769,8 @@
 		worse(newer, before, figLate, flagPoints, flagOutcomes, false) {
 		return true
 	}
-	n := newer[figMatched]
-	return n >= leastSlow && before[figPaced] >= 2*leastSlow && slower(newer, newer[figDue]/n, 0, slowTimes)
+	m, err := newer.mean(figMatched)
+	return newer[figMatched] >= leastSlow && before[figPaced] >= 2*leastSlow && slower(m, err, slowTimes)
 }
 
 // set gives the relays that fuse: the lowest-numbered few, of those that are not lost. Each of them is heard
@@ -901,17 +892,16 @@
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
-	var all [2]counts
-	for c := 0; c <= cats; c++ {
-		newer, before := all[0], all[1]
-		if c < cats {
-			newer, before = t.compare(told, c)
-			all[0].add(newer)
-			all[1].add(before)
-		}
-		if flagged(newer, before, true) && logRatio(true, newer[figCount], cats) >= threshold {
-			pooledFlag = true
-			f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, newer, before)
+	for _, to := range [...]int{evidenceLately, evidenceBuckets} {
+		for c := 0; c <= cats; c++ {
+			newer, before := t.compare(told, c, to)
+			if pooled = newer[figCount]; c < cats {
+				newer[figMatched] = 0 // slowness is judged over all categories: a full unit slows them unlike
+			}
+			if flagged(newer, before, true) && logRatio(true, newer[figCount], cats) >= threshold {
+				pooledFlag = true
+				f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, newer, before)
+			}
 		}
 	}
 	// A burst of failures ends as soon as routing knows the machines at fault; a bad build's go on.
@@ -923,10 +913,11 @@
 	}
 	back = back || f.p.now-f.cleanAt > flagLasts
 	fleet := t.fleet()
-	calm, err := t.calm.slowness()
+	m, err := fleet.mean(figPaced)
+	calm, calmErr := t.calm.mean(figPaced)
 	late = math.Min(fleet[figPaced], t.calm[figPaced]) >= leastSlow &&
-		slower(fleet, calm, err, fleetTimes)
-	return back, late, all[0][figCount]
+		slower(m-calm, math.Hypot(err, calmErr), fleetTimes)
+	return back, late, pooled
 }
 
 // wish is the vote that this fuser wants to stand.
@@ -953,12 +944,19 @@
 		return relay.VoteHold
 	case r.Control == relay.Clock || t.listedAt == 0 || late:
 		return relay.NoVote
-	case age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount:
+	case t.ripe() && (age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount):
 		return relay.VoteOn
 	}
 	return relay.NoVote
 }
 
+// ripe says that the build's first machines are so old that a build which turns bad with age has shown it. Only
+// the last stage waits for that: after a release there are no earlier machines to go back to.
+func (t *trial) ripe() bool {
+	due := t.cycle > 0 && t.p.now-t.offered > ripePart*t.cycle
+	return int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge
+}
+
 // turn is how long this relay lets others vote first. As many relays as are needed vote at once, a few more
 // for those that are lost; the rest only when that has not been enough, no faster than votes are taken.
 func (f *fuser) turn(v relay.Verdict) relay.Seconds {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -223,12 +223,12 @@
 		"the same, pooled":              {counts{figCount: 400, figFailed: 16}, true, true},
 		"pooled, few failures":          {counts{figCount: 60, figFailed: 4}, true, false},
 		"late":                          {counts{figCount: 50, figLate: 10}, false, true},
-		"twice as slow, few legs":       {counts{figCount: 100, figPaced: 40, figMatched: 40, figSlow: 28, figSquare: 30}, true, false},
-		"twice as slow, many":           {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60}, true, true},
-		"as slow as the hour": {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 56, figSquare: 60, figDue: 50},
-			true, false},
-		"a little slower, as good ones may": {counts{figCount: 100, figPaced: 80, figMatched: 80, figSlow: 16, figSquare: 30},
-			true, false},
+		"twice as slow, few legs":       {counts{figCount: 100, figMatched: 40, figOver: 28, figOverSquare: 30}, true, false},
+		"twice as slow, many":           {counts{figCount: 100, figMatched: 80, figOver: 56, figOverSquare: 60}, true, true},
+		"as slow as the hour": {counts{figCount: 100, figPaced: 80, figSlow: 56, figSquare: 60, figMatched: 80, figOver: 6,
+			figOverSquare: 30}, true, false},
+		"half as slow again, as a good one under more load": {counts{figCount: 100, figMatched: 80, figOver: 32,
+			figOverSquare: 30}, true, false},
 	} {
 		if got := flagged(c.newer, before, c.pooled); got != c.want {
 			t.Errorf("%s: %v", name, got)
@@ -362,20 +362,35 @@
 
 // trialRun puts a build of newUnits units on trial beside eight earlier ones; each leg ends as how says.
 func trialRun(t *testing.T, newUnits int, how ending) []relay.Vote {
+	return trialOf(t, entries(newUnits, 6, 20), relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4}, 14, how).votes
+}
+
+// trialOf does so with these units and news for a while; legs sent before that are forgotten.
+func trialOf(t *testing.T, newer []relay.UnitEntry, news relay.StageNews, span relay.Seconds, how ending) *world {
 	w := newWorld(t, plainSettings())
 	w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
 		o, took := how(l.unit, w.now)
 		l.end = w.now + took
 		return o
 	}
-	load := func() (out []relay.Event) { return []relay.Event{w.query(0, 0)} }
 	w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
 		relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
-	w.run(12, load)
-	w.step(relay.Roster{Form: relay.RosterDelta, Units: entries(newUnits, 6, 20)},
-		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4})
-	w.run(14, load)
-	return w.votes
+	w.run(12, w.load)
+	w.sent = nil
+	w.step(relay.Roster{Form: relay.RosterDelta, Units: newer}, news)
+	w.run(span, w.load)
+	return w
+}
+
+// load is a query each tick.
+func (w *world) load() []relay.Event { return []relay.Event{w.query(0, 0)} }
+
+// started is units that start at a time.
+func started(es []relay.UnitEntry, at relay.Seconds) []relay.UnitEntry {
+	for i := range es {
+		es[i].Started, es[i].StartedAt = true, at
+	}
+	return es
 }
 
 func back(votes []relay.Vote) bool {
@@ -428,3 +443,83 @@
 		}
 	}
 }
+
+// Failures of units under 5 s old were no evidence, and a build was released before its units were older.
+func TestYoungUnits(t *testing.T) {
+	newest := func(u relay.UnitEntry) bool { return u.Build == 6 }
+	for name, c := range map[string]struct {
+		how  ending
+		want bool
+	}{
+		"their failures count": {fails(5, 0.1, newest), true},
+		"their slowness does not": {func(u relay.UnitEntry, _ relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if newest(u) {
+				return relay.Honoured, 0.3
+			}
+			return relay.Honoured, 0.1
+		}, false},
+	} {
+		w := trialOf(t, started(entries(4, 6, 20), 12), relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1}, 3.9, c.how)
+		if got := back(w.votes); got != c.want {
+			t.Errorf("%s: voted back %v", name, got)
+		}
+	}
+}
+
+// A bucket of one leg cut the build's share of the legs to half of what the design gives it.
+func TestShareOfTheTrialIsNotCut(t *testing.T) {
+	w := trialOf(t, entries(8, 6, 20), relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1}, 4, fails(1, 0,
+		func(relay.UnitEntry) bool { return false }))
+	legs := 0
+	for _, o := range w.sent {
+		if w.units[o.Unit].Build == 6 {
+			legs++
+		}
+	}
+	if 2*legs < len(w.sent) {
+		t.Errorf("%d of %d legs went to half of the units", legs, len(w.sent))
+	}
+}
+
+// A build that turned bad some seconds after its start was released before, and there was nothing to go back to.
+func TestLastStageWaits(t *testing.T) {
+	good := fails(1, 0, func(relay.UnitEntry) bool { return false })
+	released := func(w *world) bool {
+		for _, v := range w.votes {
+			if v.Verdict == relay.VoteOn {
+				return true
+			}
+		}
+		return false
+	}
+	last := relay.StageNews{Valid: true, Build: 6, Stage: 3, Cap: 1}
+	if w := trialOf(t, started(entries(8, 6, 20), 11), last, ripeAge-2, good); released(w) {
+		t.Error("released before its first machines were old")
+	} else if w.run(2, w.load); !released(w) {
+		t.Error("not released when they were")
+	}
+	// The next build is due: it would end the trial.
+	w := trialOf(t, nil, relay.StageNews{Valid: true, Build: 6, Phase: relay.Withdrawn}, 8, good)
+	w.step(relay.Roster{Form: relay.RosterDelta, Units: started(entries(8, 7, 20), w.now)},
+		relay.StageNews{Valid: true, Build: 7, Stage: 3, Cap: 1})
+	if w.run(8, w.load); !released(w) {
+		t.Error("not released before the next build was due")
+	}
+}
+
+// The failures of a build that turned bad were lost among the legs that it had answered well before.
+func TestBuildThatTurnsBad(t *testing.T) {
+	n := 0
+	w := trialOf(t, entries(8, 6, 20), relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1}, 14.5,
+		func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if u.Build == 6 && at > 22 {
+				if n++; n%20 == 0 {
+					return relay.Errored, 0.1
+				}
+			}
+			return relay.Honoured, 0.1
+		})
+	if !back(w.votes) {
+		t.Error("a twentieth of its legs has failed for 4.5 s, and it stays")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -142,15 +142,17 @@
 	figSlow    // sum of the logarithms of their pace over the usual one
 	figSquare  // sum of the squares of these
 	figMatched // paced ones of the newest build while earlier machines showed how the hour is
-	figDue     // sum of what the earlier machines showed at the moment of each of these
+	figOver    // sum of the logarithms of their pace over what those showed at the moment
+	figOverSquare
 	figures
 )
 
-// slowness is the mean logarithm of the pace over the usual one, and its standard error.
-func (c *counts) slowness() (m, err float64) {
-	n := math.Max(c[figPaced], 1)
-	m = c[figSlow] / n
-	return m, math.Sqrt(math.Max(c[figSquare]/n-m*m, 0) / n)
+// mean is the mean of a logarithm whose number, sum and sum of squares stand from a figure on, and its
+// standard error.
+func (c *counts) mean(from int) (m, err float64) {
+	n := math.Max(c[from], 1)
+	m = c[from+1] / n
+	return m, math.Sqrt(math.Max(c[from+2]/n-m*m, 0) / n)
 }
 
 func (c *counts) add(o counts) {
@@ -241,7 +243,7 @@
 		mix: newRing(flowWidth, flowCount, len(p.set.Customers)+1)}
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
 		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
-		last: [2][]counts{make([]counts, len(p.rows)), make([]counts, len(p.rows))}}
+		last: [2][]counts{make([]counts, len(p.rows)+1), make([]counts, len(p.rows)+1)}}
 	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
 }
 
@@ -314,6 +316,8 @@
 	known    bool
 	news     relay.StageNews
 	since    relay.Seconds // when the present state began
+	offered  relay.Seconds // when the newest build was first heard of; 0: before this relay began
+	cycle    relay.Seconds // from the build before to that
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
