--- a/policy/policy.go
+++ b/policy/policy.go
@@ -517,6 +517,8 @@
 		if n.Valid && (!t.known || n.Build >= t.news.Build) {
 			t.hear(n)
 		}
+	case relay.Scope:
+		t.narrow(n)
 	case noteTick:
 		if t.p.now >= t.judgeAt && t.known {
 			t.judgeAt = t.p.now + judgeEvery
@@ -551,6 +553,7 @@
 	if n.Cap < x.cap {
 		clear(x.hard)
 		clear(x.soft)
+		clear(x.parts)
 	}
 	x.cap = n.Cap
 }
@@ -570,10 +573,18 @@
 }
 
 // took adds a query's part to the rule's budgets, which hold no more than its uncounted legs at any time.
+// Where a scope holds, only queries that may meet the build add to them, each to its group's too: a group's
+// legs must not be made up for by another's queries.
 func (t *trial) took(q *query) {
+	g, open := t.group(q.Customer)
 	for _, x := range t.limits {
 		i := x.slot(q.Category)
-		x.hard[i] = math.Min(x.hard[i]+x.cap, t.p.set.Rollout.Uncounted)
+		if open {
+			x.hard[i] = math.Min(x.hard[i]+x.cap, t.p.set.Rollout.Uncounted)
+		}
+		if open && g >= 0 {
+			x.parts[g] = math.Min(x.parts[g]+x.cap, t.p.set.Rollout.Uncounted)
+		}
 	}
 }
 
@@ -587,10 +598,16 @@
 	if !onTrial {
 		return true
 	}
+	x := t.limit(b)
+	if g, open := t.group(q.Customer); t.scoped {
+		if !open || b > t.scope.Build || x.parts[g] < 1-1e-9 {
+			return false
+		}
+		stage = min(stage, t.scope.Stage)
+	}
 	if cap <= 0 || int(stage) < ro.GuardedStages && q.row.repeat != relay.Reissuable {
 		return false
 	}
-	x := t.limit(b)
 	return x.hard[x.slot(q.Category)] >= 1-1e-9
 }
 
@@ -603,7 +620,11 @@
 // spend takes a leg off the budgets. The design's share is one of the legs sent: in an overload far more
 // queries are taken than sent on, and a share of these would push the build's few units over.
 func (t *trial) spend(q *query, b relay.Build) {
+	g, open := t.group(q.Customer)
 	for _, x := range t.limits {
+		if !open {
+			break // it could not have gone there
+		}
 		i := x.slot(q.Category)
 		x.soft[i] = math.Min(x.soft[i]+math.Min(capShare*x.cap, t.room), t.p.set.Rollout.Uncounted+1)
 	}
@@ -611,6 +632,9 @@
 		x := t.limit(b)
 		x.hard[x.slot(q.Category)]--
 		x.soft[x.slot(q.Category)]--
+		if g >= 0 {
+			x.parts[g]--
+		}
 	}
 }
 
@@ -950,8 +974,8 @@
 	return relay.NoVote
 }
 
-// ripe says that the build's first machines are so old that a build which turns bad with age has shown it. Only
-// the last stage waits for that: after a release there are no earlier machines to go back to.
+// ripe says that the build's first machines are so old that a build which turns bad with age has shown it.
+// Only the last stage waits for that: after a release there are no earlier machines to go back to.
 func (t *trial) ripe() bool {
 	due := t.cycle > 0 && t.p.now-t.offered > ripePart*t.cycle
 	return int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"testing"
@@ -70,6 +71,13 @@
 				n := news()
 				n.Reply = relay.Reply(rapid.IntRange(0, 3).Draw(t, "reply"))
 				events = append(events, n)
+			case 4:
+				s := relay.Scope{Build: build - relay.Build(rapid.IntRange(0, 1).Draw(t, "old")), Groups: []int{0, -1, 1, 5},
+					Open: make([]bool, rapid.IntRange(0, 3).Draw(t, "groups"))}
+				for g := range s.Open {
+					s.Open[g] = rapid.Bool().Draw(t, "open")
+				}
+				events = append(events, s)
 			case 2:
 				m := memo{build: build, stage: stage, verdicts: make([]verdict, 3),
 					seen: []sighting{{unit: markOf(3), how: relay.Errored}, {unit: 77, category: 9}}}
@@ -523,3 +531,65 @@
 		t.Error("a twentieth of its legs has failed for 4.5 s, and it stays")
 	}
 }
+
+// TestScopeKeepsGroupsApart sends queries of three customers while a scope opens one of two groups: only its queries
+// meet the build, within the cap of their own number, whatever the others send, and builds after it none.
+func TestScopeKeepsGroupsApart(t *testing.T) {
+	set := plainSettings()
+	set.Rollout.Caps = []float64{0.25, 1}
+	set.Customers = []relay.CustomerTerms{{Share: 0.2}, {Share: 0.4}, {Share: 0.4}}
+	for _, scoped := range []bool{true, false} {
+		w := newWorld(t, set)
+		entry := func(id relay.UnitID, b relay.Build) relay.UnitEntry {
+			return relay.UnitEntry{Unit: id, Build: b, State: relay.Ready}
+		}
+		w.step(relay.Roster{Form: relay.RosterFull, Units: []relay.UnitEntry{entry(1, 1), entry(2, 1), entry(3, 2), entry(4, 3)}},
+			relay.StageNews{Valid: true, Build: 2, Phase: relay.OnTrial, Cap: 0.25})
+		if scoped {
+			w.step(relay.Scope{Build: 2, Groups: []int{0, 1, -1}, Open: []bool{true, false}})
+		}
+		legs, asked := [3]float64{}, [3]float64{}
+		for i := range 4000 {
+			customer := relay.Customer(i % 3)
+			before := len(w.sent)
+			w.run(0.01, func() []relay.Event {
+				q := w.query(0, 0)
+				q.Customer = customer
+				return []relay.Event{q}
+			})
+			asked[customer]++
+			for _, s := range w.sent[before:] {
+				if s.Unit == 4 && scoped {
+					t.Fatal("a leg at a build after the scope's")
+				}
+				if s.Unit == 3 {
+					legs[customer]++
+				}
+			}
+		}
+		if scoped && (legs[1] > 0 || legs[2] > 0 || legs[0] < 50 || legs[0] > 0.25*asked[0]+1) {
+			t.Errorf("legs on trial by customer: %v of %v", legs, asked)
+		}
+		if !scoped && (legs[1] == 0 || legs[2] == 0) {
+			t.Errorf("without a scope: %v", legs)
+		}
+	}
+}
+
+func BenchmarkTrialMay(b *testing.B) {
+	for _, scoped := range []bool{false, true} {
+		b.Run(fmt.Sprintf("scope=%v", scoped), func(b *testing.B) {
+			p := New(plainSettings(), 1)
+			p.Step(0, []relay.Event{relay.StageNews{Valid: true, Build: 2, Cap: 0.5}})
+			if scoped {
+				p.Step(0, []relay.Event{relay.Scope{Build: 2, Groups: []int{0, 1}, Open: []bool{true, true}}})
+			}
+			q := &query{Query: relay.Query{Customer: 1}, row: &p.rows[0]}
+			b.ReportAllocs()
+			for range b.N {
+				p.trial.took(q)
+				p.trial.may(q, 2)
+			}
+		})
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,6 +115,7 @@
 	build relay.Build
 	cap   float64
 	hard  []float64 // legs that the rule leaves
+	parts []float64 // the same by group of customers, where a scope holds
 	soft  []float64 // legs that the design's share of the cap leaves
 }
 
@@ -207,6 +208,8 @@
 		case relay.StageNews:
 			p.post(&p.trial, e)
 			p.post(&p.fuser, e)
+		case relay.Scope:
+			p.post(&p.trial, e)
 		}
 		p.drain()
 	}
@@ -320,6 +323,8 @@
 	cycle    relay.Seconds // from the build before to that
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
 	limits   []*exposure
+	scope    relay.Scope
+	scoped   bool                      // a scope was told
 	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
 	mine     []verdict                 // by category
 	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
@@ -403,6 +408,32 @@
 	for i := range x.hard {
 		x.hard[i], x.soft[i] = ro.Uncounted, t.p.rng.Float64()
 	}
+	x.parts = make([]float64, len(t.scope.Open))
 	t.limits = append(t.limits, x)
 	return x
 }
+
+// narrow takes a scope. Budgets by group start empty where the groups are others than before.
+func (t *trial) narrow(s relay.Scope) {
+	t.scope, t.scoped = s, true
+	for _, x := range t.limits {
+		if len(x.parts) != len(s.Open) {
+			x.parts = make([]float64, len(s.Open))
+		}
+	}
+}
+
+// group is the group that a customer's queries count in, and whether it may meet builds on trial.
+func (t *trial) group(c relay.Customer) (g int, open bool) {
+	if !t.scoped {
+		return -1, true
+	}
+	if c < 0 || int(c) >= len(t.scope.Groups) {
+		return -1, false
+	}
+	g = t.scope.Groups[c]
+	if g < 0 || g >= len(t.scope.Open) {
+		return -1, false
+	}
+	return g, t.scope.Open[g]
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -265,6 +265,14 @@
 		Age   Seconds
 		Reply Reply
 	}
+	// Scope narrows the trial of a build: which customers may meet it, and by what groups their queries are counted.
+	// Builds after it are closed to all. Without any Scope every customer may meet a build on trial.
+	Scope struct {
+		Build  Build
+		Stage  Stage  // that holds here, no later than the platform's
+		Groups []int  // by customer; -1, or past the end: of no group, which is closed
+		Open   []bool // by group
+	}
 	Tally struct {
 		Build    Build
 		Category Category
--- /dev/null
+++ b/rollout/guard.go
@@ -0,0 +1,417 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+
+	"lichenroad/plan"
+	"lichenroad/relay"
+)
+
+// Guard narrows, by site, group of customers and its own clock, what one relay's module is told of a build and what
+// its votes may do. It knows the plan and what the platform tells of its own service; of services that this one
+// needs it knows what their desk tells on a watch. What it does not know counts as closed.
+//
+// A step counts here only once it was granted: the platform stands at it, no freeze stops it at this site by this
+// relay's clock (with the plan's skew at both ends), and all that it needs was heard lately. The cap is that of the
+// deepest granted step whose needs are not known to be lost, never more than the platform's, and within a freeze
+// never more than before it.
+type Guard struct {
+	plan     *plan.Plan
+	calendar *plan.Calendar
+	service  plan.ServiceNo
+	site     plan.SiteNo
+	groups   []int // by customer, -1: none
+	off      GuardDefences
+
+	now     plan.Unix
+	known   bool
+	news    relay.StageNews // as last told by the platform, and kept from going backwards
+	since   plan.Unix       // when its state began, by its age
+	granted plan.StepNo     // deepest step granted of that build; -1: none; the number of steps: its release
+	ceiling float64         // that the cap may not pass while a freeze holds
+	held    bool            // a freeze held at the last look
+	others  []heardOf       // by service
+	started plan.Unix
+
+	told   relay.StageNews // what the module last got
+	opened opening         // of the scope that it got
+	did    bool            // told anything under this plan
+	wanted relay.Vote      // by the module
+	cast   relay.Vote      // that went to the platform for it
+	voted  bool
+}
+
+// heardOf is what was last told of another service.
+type heardOf struct {
+	news relay.StageNews
+	at   plan.Unix
+}
+
+// GuardDefences that tests take out, to show what each is for. All stand by default.
+type GuardDefences struct {
+	All        bool // no guard at all
+	Freezes    bool // no look at freezes
+	Needs      bool // needs of steps are not looked at
+	Unheard    bool // a need that was never heard of counts as met
+	Groups     bool // every customer counts as open
+	Ceiling    bool // caps may rise in a freeze
+	Skew       bool // clocks are taken to agree
+	Votes      bool // votes go out as the module means them
+	StartProof bool // a relay that starts in a freeze takes what it is told
+	Backward   bool // news that go backwards are believed
+}
+
+// NewGuard returns the guard of a relay. Groups holds the group of each customer, by the module's numbers.
+func NewGuard(p *plan.Plan, service plan.ServiceNo, site plan.SiteNo, groups []plan.GroupNo) *Guard {
+	g := &Guard{plan: p, calendar: plan.NewCalendar(p, true), service: service, site: site, granted: -1,
+		ceiling: math.Inf(1), others: make([]heardOf, len(p.Services))}
+	for _, n := range groups {
+		g.groups = append(g.groups, int(n))
+	}
+	return g
+}
+
+// Without takes defences out. Only for tests and experiments.
+func (g *Guard) Without(d GuardDefences) {
+	g.off = d
+	if d.Skew {
+		g.calendar = plan.NewCalendar(g.plan, false)
+	}
+}
+
+// Replan goes over to another plan; the service and the site must be in it. What was granted stays granted only as
+// far as the next plan has the step, and nothing opens by the change alone while a freeze holds.
+func (g *Guard) Replan(p *plan.Plan, customers []string) error {
+	service, ok := p.Service(g.plan.Services[g.service].Name)
+	site, at := p.Site(g.plan.Sites[g.site])
+	if !ok || !at {
+		return fmt.Errorf("the plan has no service %s or no site %s", g.plan.Services[g.service].Name, g.plan.Sites[g.site])
+	}
+	others := make([]heardOf, len(p.Services))
+	for i := range p.Services {
+		if no, was := g.plan.Service(p.Services[i].Name); was {
+			others[i] = g.others[no]
+		}
+	}
+	if n := plan.StepNo(len(p.Services[service].Steps)); g.granted > n || int(g.granted) == len(g.plan.Services[g.service].Steps) {
+		g.granted = min(g.granted, n)
+	}
+	g.plan, g.service, g.site, g.others, g.calendar = p, service, site, others, plan.NewCalendar(p, !g.off.Skew)
+	g.groups, g.did = nil, false
+	for _, c := range customers {
+		g.groups = append(g.groups, int(p.GroupOf(c)))
+	}
+	return nil
+}
+
+func (g *Guard) terms() *plan.Service { return &g.plan.Services[g.service] }
+
+// at moves the guard's time, which never goes back.
+func (g *Guard) at(now plan.Unix) {
+	if g.started == 0 {
+		g.started = now
+	}
+	g.now = math.Max(g.now, now)
+}
+
+// Hear takes what the platform tells of this relay's own service.
+func (g *Guard) Hear(now plan.Unix, n relay.StageNews) {
+	g.at(now)
+	if !n.Valid {
+		return
+	}
+	first := !g.known
+	switch {
+	case first || n.Build > g.news.Build:
+		g.granted = -1
+	case n.Build < g.news.Build && !g.off.Backward:
+		return // a desk with an older journal; the later build is known here
+	case g.final() && (n.Phase == relay.OnTrial || n.Phase == relay.Released) && !g.off.Backward:
+		return // it has been on its way back: nothing that was told earlier, or by a desk that forgot, opens it again
+	}
+	g.known, g.news, g.since = true, n, g.now-n.Age
+	if stage := plan.StepNo(n.Stage); n.Phase == relay.OnTrial && g.granted > stage {
+		g.granted = stage // the platform stands at an earlier step than it did: the lower cap holds
+	}
+	if first {
+		g.prove()
+	}
+	g.grant()
+}
+
+// final says that the newest build was seen going back or withdrawn.
+func (g *Guard) final() bool {
+	return g.known && (g.news.Phase == relay.GoingBack || g.news.Phase == relay.Withdrawn)
+}
+
+// HearOf takes what was told of another service.
+func (g *Guard) HearOf(now plan.Unix, s plan.ServiceNo, n relay.StageNews) {
+	g.at(now)
+	if !n.Valid || int(s) >= len(g.others) || n.Build < g.others[s].news.Build {
+		return
+	}
+	g.others[s] = heardOf{n, g.now}
+}
+
+// Alive says that the watch on another service stands: what was last told of it still holds.
+func (g *Guard) Alive(now plan.Unix, s plan.ServiceNo) {
+	g.at(now)
+	if int(s) < len(g.others) && g.others[s].news.Valid {
+		g.others[s].at = g.now
+	}
+}
+
+// prove grants a relay that has just started in a freeze what the platform tells, where the age of that state shows
+// that it stood before the freeze: every relay that ran then was at it. What began within the freeze, or too near to
+// its start for clocks to tell, is not taken on trust.
+func (g *Guard) prove() {
+	f, in := g.frozen(plan.StopsAll)
+	if !in {
+		return
+	}
+	if g.off.StartProof || g.since < f.Since { // needs are looked at all the same, in supported
+		g.granted = g.stage()
+	}
+}
+
+// stage is the step that the platform stands at, its release counting as one more.
+func (g *Guard) stage() plan.StepNo {
+	n := plan.StepNo(len(g.terms().Steps))
+	switch g.news.Phase {
+	case relay.Released:
+		return n
+	case relay.OnTrial:
+		return min(plan.StepNo(g.news.Stage), n-1)
+	}
+	return -1
+}
+
+func (g *Guard) frozen(what plan.Stops) (plan.Frozen, bool) {
+	if g.off.Freezes {
+		return plan.Frozen{}, false
+	}
+	return g.calendar.Frozen(g.now, g.service, g.site, what)
+}
+
+// stops is what stands for a step to be granted here: begin for the first, on for each further one.
+func stops(step plan.StepNo) plan.Stops {
+	if step == 0 {
+		return plan.StopsBegin
+	}
+	return plan.StopsOn
+}
+
+// grant opens the steps up to the platform's, one after another, as far as nothing stands in the way. News of a
+// release whose age shows that it came before the freeze is taken within it: no earlier unit is left then.
+func (g *Guard) grant() {
+	for g.known && g.granted < g.stage() {
+		next := g.granted + 1
+		if f, in := g.frozen(stops(next)); in && !(g.news.Phase == relay.Released && g.since < f.Since) {
+			return
+		}
+		if !g.may(next).Ok() {
+			return
+		}
+		g.granted = next
+	}
+}
+
+// may says whether all that a step needs was heard of lately.
+func (g *Guard) may(step plan.StepNo) Wait {
+	if g.off.Needs || int(step) >= len(g.terms().Steps) {
+		return Wait{}
+	}
+	for _, n := range g.terms().Steps[step].Needs {
+		o := &g.others[n.Service]
+		switch {
+		case !o.news.Valid && g.off.Unheard:
+		case !o.news.Valid:
+			return Wait{NeedUnheard, g.plan.NeedText(n) + ": nothing was heard of it", 0}
+		case g.now-o.at > g.plan.NewsLife && !g.off.Unheard:
+			return Wait{NeedUnheard, fmt.Sprintf("%s: last heard of %.0f s ago", g.plan.NeedText(n), g.now-o.at), 0}
+		case !reached(n, o.news.Phase, plan.StepNo(o.news.Stage)):
+			return Wait{NeedsOther, g.plan.NeedText(n), 0}
+		}
+	}
+	return Wait{}
+}
+
+// supported is the deepest granted step whose needs, and those of the steps before it, are not known to be lost. A
+// watch that breaks takes nothing back: what was granted was true, and a trial that ends with every desk's silence
+// would cost the capacity of its units. What was never heard of counts as lost.
+func (g *Guard) supported() plan.StepNo {
+	top := min(g.granted, g.stage())
+	if g.off.Needs {
+		return top
+	}
+	for k := plan.StepNo(0); k <= top && int(k) < len(g.terms().Steps); k++ {
+		for _, n := range g.terms().Steps[k].Needs {
+			o := &g.others[n.Service]
+			if !o.news.Valid && !g.off.Unheard || o.news.Valid && !reached(n, o.news.Phase, plan.StepNo(o.news.Stage)) {
+				return k - 1
+			}
+		}
+	}
+	return top
+}
+
+// cap is the cap that holds here now, and the step that it is of.
+func (g *Guard) cap() (float64, plan.StepNo) {
+	k, steps := g.supported(), g.terms().Steps
+	switch {
+	case g.news.Phase == relay.Released && int(g.granted) >= len(steps):
+		return 1, plan.StepNo(len(steps)) // out: nothing is on trial any more, whatever its needs do
+	case k < 0 || g.news.Phase != relay.OnTrial && g.news.Phase != relay.Released:
+		return 0, -1
+	}
+	k = min(k, plan.StepNo(len(steps)-1))
+	c := steps[k].Cap
+	if g.news.Phase == relay.OnTrial {
+		c = math.Min(c, g.news.Cap)
+	}
+	return c, k
+}
+
+// Look gives what the module is to be told by now: nothing, or its scope and the news, narrowed. To be called
+// whenever something was heard, and at Next.
+func (g *Guard) Look(now plan.Unix, out []relay.Event) []relay.Event {
+	g.at(now)
+	if !g.known {
+		return out
+	}
+	g.grant()
+	limit, step := g.cap()
+	_, held := g.frozen(plan.StopsAll)
+	if held && g.held && !g.off.Ceiling && step < plan.StepNo(len(g.terms().Steps)) {
+		limit = math.Min(limit, g.ceiling)
+	}
+	g.held, g.ceiling = held, limit
+	n := g.news
+	n.Reply, n.Cap, n.Age = relay.Unasked, limit, math.Max(0, g.now-g.since)
+	if n.Phase == relay.Released && step < plan.StepNo(len(g.terms().Steps)) { // not granted here: still on trial
+		n.Phase, n.Stage = relay.OnTrial, relay.Stage(len(g.terms().Steps)-1)
+	}
+	if at := (opening{n.Build, step}); !g.did || at != g.opened {
+		g.opened = at
+		out = append(out, g.narrow(n.Build, step))
+	}
+	if t := g.told; !g.did || t.Build != n.Build || t.Stage != n.Stage || t.Phase != n.Phase || t.Cap != n.Cap {
+		g.told = n
+		out = append(out, n)
+	}
+	g.did = true
+	return out
+}
+
+// narrow is the scope of a build at a step.
+func (g *Guard) narrow(b relay.Build, step plan.StepNo) relay.Scope {
+	s := relay.Scope{Build: b, Stage: relay.Stage(max(step, 0)), Groups: g.groups, Open: make([]bool, len(g.plan.Groups))}
+	for i := range s.Open {
+		s.Open[i] = g.off.Groups || g.terms().Open(step, g.site, plan.GroupNo(i))
+	}
+	if g.off.Groups {
+		s.Groups, s.Open = make([]int, len(g.groups)), []bool{true}
+	}
+	return s
+}
+
+// opening is what a scope depends on: a plan, a build and a step.
+type opening struct {
+	build relay.Build
+	step  plan.StepNo
+}
+
+// Cap is the cap that holds for a group at this relay.
+func (g *Guard) Cap(group plan.GroupNo) float64 {
+	limit, step := g.cap()
+	switch {
+	case int(step) >= len(g.terms().Steps):
+		return 1
+	case g.held && !g.off.Ceiling:
+		limit = math.Min(limit, g.ceiling)
+	}
+	if step < 0 || group == plan.NoGroup || !g.terms().Open(step, g.site, group) {
+		return 0
+	}
+	return limit
+}
+
+// OnWaits says why a vote for going on from the platform's present step has to wait, as far as this relay can tell.
+func (g *Guard) OnWaits(now plan.Unix) Wait {
+	g.at(now)
+	if g.off.All || g.off.Votes || !g.known || g.news.Phase != relay.OnTrial {
+		return Wait{}
+	}
+	next := plan.StepNo(g.news.Stage) + 1
+	if !g.off.Freezes {
+		if w := frozen(g.plan, g.calendar, g.service, next, plan.StopsOn, g.now); !w.Ok() {
+			return w
+		}
+	}
+	if g.granted < g.stage() {
+		return Wait{NotGranted, fmt.Sprintf("step %s is not open here yet", g.terms().StepName(g.stage())), 0}
+	}
+	if k := g.supported(); k < g.stage() {
+		return Wait{NeedsOther, "a need of the present step was lost", 0}
+	}
+	return g.may(next)
+}
+
+// Vote is what becomes of a vote that the module orders: a vote for on turns into a hold while the plan says wait.
+// A vote for back goes out as it is, whatever the plan says.
+func (g *Guard) Vote(now plan.Unix, v relay.Vote) relay.Vote {
+	g.wanted, g.voted = v, true
+	g.cast = g.filter(now, v)
+	return g.cast
+}
+
+func (g *Guard) filter(now plan.Unix, v relay.Vote) relay.Vote {
+	if v.Verdict == relay.VoteOn && !g.OnWaits(now).Ok() {
+		v.Verdict = relay.VoteHold
+	}
+	return v
+}
+
+// Recast gives the vote that has to be cast because the plan's word on the module's last one has changed: an on that
+// may stand again, or one that must not stand any longer. The module's own renewals make up for one that is lost.
+func (g *Guard) Recast(now plan.Unix) (relay.Vote, bool) {
+	if !g.voted || g.wanted.Verdict != relay.VoteOn || !g.known || g.wanted.Build != g.news.Build ||
+		g.wanted.Stage != g.news.Stage || g.news.Phase != relay.OnTrial {
+		return relay.Vote{}, false
+	}
+	v := g.filter(now, g.wanted)
+	if v == g.cast {
+		return relay.Vote{}, false
+	}
+	g.cast = v
+	return v, true
+}
+
+// Next is when Look has to be called again although nothing was heard.
+func (g *Guard) Next(now plan.Unix) plan.Unix {
+	g.at(now)
+	next := g.calendar.Next(g.now)
+	for s := range g.others { // news that turn too old
+		if o := &g.others[s]; o.news.Valid && g.now-o.at <= g.plan.NewsLife {
+			next = math.Min(next, o.at+g.plan.NewsLife+1e-3)
+		}
+	}
+	return math.Max(next, g.now)
+}
+
+// Needed lists the services that this one needs, in the plan's order: those whose news it must hear.
+func Needed(p *plan.Plan, s plan.ServiceNo) (out []plan.ServiceNo) {
+	seen := make([]bool, len(p.Services))
+	for _, st := range p.Services[s].Steps {
+		for _, n := range st.Needs {
+			seen[n.Service] = true
+		}
+	}
+	for i, yes := range seen {
+		if yes {
+			out = append(out, plan.ServiceNo(i))
+		}
+	}
+	return out
+}
