--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/clients"
 	"lichenroad/internal/config"
+	"lichenroad/internal/guard"
 	"lichenroad/internal/limits"
 	"lichenroad/internal/peers"
 	"lichenroad/internal/platform"
@@ -22,12 +24,21 @@
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/internal/units"
+	"lichenroad/plan"
 	"lichenroad/relay"
 )
 
+// guarded names the plan of releases that a relay keeps to; none where now is nil.
+type guarded struct {
+	plan, service string
+	now           *plan.Plan
+}
+
 // program is a relay that runs.
 type program struct {
 	config config.Config // of the loop: what holds now
+	plan   guarded
+	guard  *guard.Host // nil: no plan
 	loop   *stage.Loop
 	front  *clients.Server
 	asker  *roster.Asker
@@ -38,7 +49,7 @@
 }
 
 // serve runs a relay until it is told to end; load reads the configuration again.
-func serve(c config.Config, load func() (config.Config, error), log *logrus.Logger, counters *stats.Counters) error {
+func serve(c config.Config, load func() (config.Config, error), g guarded, log *logrus.Logger, counters *stats.Counters) error {
 	got, hups := make(chan os.Signal, 4), make(chan os.Signal, 1)
 	signal.Notify(got, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
 	signal.Notify(hups, syscall.SIGHUP) // one that finds another waiting is covered by that one
@@ -48,7 +59,7 @@
 	if err := netpoll.Configure(lib); err != nil {
 		return err
 	}
-	p, err := start(c, log, counters)
+	p, err := start(c, g, log, counters)
 	if err != nil {
 		return err
 	}
@@ -67,7 +78,7 @@
 }
 
 // start puts the parts together and listens; what comes waits for the loop to run.
-func start(c config.Config, log *logrus.Logger, counters *stats.Counters) (*program, error) {
+func start(c config.Config, g guarded, log *logrus.Logger, counters *stats.Counters) (*program, error) {
 	pool := buffer.NewPool(int64(limits.BufferPart * float64(c.MemoryMB<<20)))
 	loop := stage.NewLoop(c.Site, c.Seed, pool, counters, log)
 	spare := max(limits.SpareLeast, min(limits.SpareSockets, int(limits.SparePart*float64(c.Sockets))))
@@ -78,6 +89,14 @@
 	asker := roster.New(loop, c.Discovery, reader, legs.Name)
 	desk := platform.New(loop, c.Platform)
 	loop.Units, loop.Roster, loop.Platform, loop.Peers = legs, asker, desk, noPeers{counters}
+	var host *guard.Host
+	if g.now != nil {
+		var err error
+		if host, err = guard.New(loop, g.now, g.service, desk, nil); err != nil {
+			return nil, err
+		}
+		loop.Guard = host
+	}
 	if c.PeerListen != "" {
 		tier, err := peers.Open(loop, c.PeerListen, c.Peers, c.PeersAll)
 		if err != nil {
@@ -93,11 +112,14 @@
 	} else {
 		log.WithField("peer", "roster").Warn("no list to start with")
 	}
-	loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(c.News) }))
+	loop.Post(stage.Call(func(l *stage.Loop) { l.Told(c.News) }))
 	asker.Start()
 	desk.Start()
+	if host != nil {
+		host.Start()
+	}
 	front := clients.New(loop, sockets-forUnits, int(limits.OverPart*float64(spare)))
-	p := &program{config: c, loop: loop, front: front, asker: asker, desk: desk, stop: make(chan struct{})}
+	p := &program{config: c, plan: g, guard: host, loop: loop, front: front, asker: asker, desk: desk, stop: make(chan struct{})}
 	p.end = sync.OnceFunc(func() { close(p.stop) })
 	failed := func(err error) {
 		p.fault.Store(&err)
@@ -131,6 +153,7 @@
 		p.loop.Log.WithError(err).Error("configuration refused, the old one stays")
 		return
 	}
+	p.replan()
 	p.loop.Post(stage.Call(func(l *stage.Loop) {
 		p.asker.Move(next.Discovery)
 		if next.Platform != "" {
@@ -143,6 +166,25 @@
 	}))
 }
 
+// replan reads the plan again. One with a fault leaves the old one as it is, with one line.
+func (p *program) replan() {
+	if p.guard == nil {
+		return
+	}
+	next, err := plan.Load(p.plan.plan)
+	p.loop.Post(stage.Call(func(l *stage.Loop) {
+		if err == nil {
+			err = p.guard.Replan(next)
+		}
+		if err != nil {
+			l.Stats.Add(stats.ReloadsRefused, 1)
+			l.Log.WithField("error", strings.ReplaceAll(err.Error(), "\n", "; ")).Error("plan refused, the old one stays")
+			return
+		}
+		l.Log.WithField("plan", p.plan.plan).Info("plan reloaded")
+	}))
+}
+
 // signals ends the program gently at the first SIGTERM or interrupt and at once at the second, and prints
 // the counters on SIGUSR1.
 func (p *program) signals(got <-chan os.Signal) {
--- a/internal/linewire/linewire.go
+++ b/internal/linewire/linewire.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -112,3 +113,51 @@
 	return relay.StageNews{Valid: true, Build: relay.Build(b), Stage: relay.Stage(s), Phase: ph, Cap: c,
 		Age: a / 1000}, nil
 }
+
+// The other side: what a desk reads and writes.
+
+var phaseWords = [...]string{relay.OnTrial: "canary", relay.GoingBack: "reverting", relay.Released: "stable",
+	relay.Withdrawn: "reverted"}
+
+// Call is one call of a relay.
+type Call struct {
+	Watch bool
+	Vote  relay.Vote
+}
+
+// ParseCall reads a call. Its errors wrap ErrMalformed.
+func ParseCall(line string) (Call, error) {
+	w := strings.Split(line, " ")
+	if len(w) == 1 && w[0] == "WATCH" {
+		return Call{Watch: true}, nil
+	}
+	if len(w) != 4 || w[0] != "VOTE" {
+		return Call{}, fmt.Errorf("%w: %.40q", ErrMalformed, line)
+	}
+	b, err1 := strconv.ParseUint(w[1], 10, 16)
+	s, err2 := strconv.ParseUint(w[2], 10, 8)
+	v := slices.Index(verdicts[:], w[3])
+	if err1 != nil || err2 != nil || v < 0 {
+		return Call{}, fmt.Errorf("%w: %.40q", ErrMalformed, line)
+	}
+	return Call{Vote: relay.Vote{Build: relay.Build(b), Stage: relay.Stage(s), Verdict: relay.Verdict(v)}}, nil
+}
+
+func state(n relay.StageNews) string {
+	return fmt.Sprintf("%d %d %s %s %.0f\r\n", n.Build, n.Stage, phaseWords[n.Phase], strconv.FormatFloat(n.Cap, 'g', -1, 64),
+		n.Age*1000)
+}
+
+// The lines of a desk.
+const (
+	Okay = "OK\r\n"
+	Sign = "*\r\n" // of life
+)
+
+// Answer is the answer to a vote that counts, Tell what is told of a build unasked, Refuse the answer to a call
+// that was not carried out.
+func Answer(n relay.StageNews) string { return "OK " + state(n) }
+
+func Tell(n relay.StageNews) string { return "* news " + state(n) }
+
+func Refuse(code string) string { return "ERR " + code + "\r\n" }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,9 @@
 	wait    time.Duration
 	votes   chan relay.Vote
 	signs   chan sign
+
+	// Hear, where it is set, gets all that is told, on the loop: news, and signs of life as news that are not valid.
+	Hear func(*stage.Loop, relay.StageNews)
 }
 
 // New returns a desk; without an address there is no platform, and votes are not counted.
@@ -45,6 +48,9 @@
 	go d.watching()
 }
 
+// Listen only listens to what is told, until the program ends.
+func (d *Desk) Listen() { go d.watching() }
+
 func (d *Desk) where() string { return d.address.Load().(string) }
 
 // Move goes over to another address. Votes that are open at the old one still get their answers there; a fresh
@@ -83,7 +89,13 @@
 	case relay.MaybeCounted:
 		d.loop.Stats.Add(stats.VotesMaybe, 1)
 	}
-	d.loop.Post(stage.Call(func(l *stage.Loop) { l.Learn(n) }))
+	d.loop.Post(stage.Call(func(l *stage.Loop) {
+		if d.Hear != nil {
+			d.Hear(l, n)
+		} else {
+			l.Told(n)
+		}
+	}))
 }
 
 // line is a connection that is read line by line.
@@ -386,7 +398,7 @@
 	if err == nil && !reply.Told {
 		return linewire.ErrMalformed // nothing was asked
 	}
-	if err == nil && reply.News.Valid {
+	if err == nil && (reply.News.Valid || d.Hear != nil) {
 		d.tell(reply.News)
 	}
 	return err
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -49,6 +49,12 @@
 	}
 	Platform interface{ Vote(relay.Vote) }
 	Peers    interface{ Tell(relay.Tell) }
+
+	// Guard stands between platform and module where a plan of releases holds. Both are called on the loop.
+	Guard interface {
+		Told(relay.StageNews)
+		Vote(relay.Vote)
+	}
 )
 
 // Loop owns the module.
@@ -62,6 +68,7 @@
 	Roster   Roster
 	Platform Platform
 	Peers    Peers
+	Guard    Guard // nil: none
 
 	module  *policy.Policy
 	queries map[relay.QueryID]*Query
@@ -119,6 +126,15 @@
 // Learn adds an event of the module to the batch of the next step. Only on the loop.
 func (l *Loop) Learn(e relay.Event) { l.batch = append(l.batch, e) }
 
+// Told takes news from the platform. Only on the loop.
+func (l *Loop) Told(n relay.StageNews) {
+	if l.Guard != nil {
+		l.Guard.Told(n)
+	} else {
+		l.Learn(n)
+	}
+}
+
 // At runs a function on the loop at or after a time. Only on the loop.
 func (l *Loop) At(at relay.Seconds, f func()) {
 	l.seq++
@@ -228,7 +244,11 @@
 		l.Peers.Tell(o)
 	case relay.Vote:
 		l.Stats.Add(stats.Votes, 1)
-		l.Platform.Vote(o)
+		if l.Guard != nil {
+			l.Guard.Vote(o)
+		} else {
+			l.Platform.Vote(o)
+		}
 	case relay.Watch:
 		l.Roster.Watch(o.On)
 	case relay.Fetch:
--- /dev/null
+++ b/lab/node.go
@@ -0,0 +1,420 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+
+	"lichenroad/plan"
+	"lichenroad/policy"
+	"lichenroad/relay"
+	"lichenroad/rollout"
+)
+
+// settings are a fleet's, as its relays are told them.
+func (w *world) settings(no plan.ServiceNo, relays int) relay.Settings {
+	t := &w.plan.Services[no]
+	s := relay.Settings{Relays: relays,
+		Limits: relay.Limits{MaxLegs: 3, Cancel: true, Messages: true, RetryAfter: true, MaxRetryAfter: 1, ConnectTimeout: 0.5},
+		Rules: relay.Rules{DrainGrace: 0.25, ColdFrom: coldFrom, WarmUp: warmUp, FallMultiple: fallTimes, FallTime: fallAfter,
+			AnswerSlack: 0.01, AskEvery: 30},
+		Rollout: relay.Rollout{Control: relay.ShareVotes, Uncounted: 1, Window: 2, GuardedStages: 1,
+			VotesOn: need(t.Votes.On, relays), VotesBack: need(t.Votes.Back, relays), VotesHold: 1, VoteLife: t.Votes.Life,
+			CallTimeout: 1, VotesPerSec: t.Votes.PerSecond, LeastTime: 4}}
+	for _, c := range categories {
+		s.Categories = append(s.Categories, relay.CategoryTerms{Repeat: c.repeat, Group: relay.GroupZone, RepeatWindow: c.window,
+			DueTime: c.due, Patience: c.patience, Value: c.value})
+	}
+	for range w.customers() {
+		s.Customers = append(s.Customers, relay.CustomerTerms{Share: 1 / float64(len(w.customers()))})
+	}
+	for _, st := range t.Steps {
+		s.Rollout.Caps = append(s.Rollout.Caps, st.Cap)
+		s.Rollout.StageShares = append(s.Rollout.StageShares, st.Share)
+	}
+	return s
+}
+
+func need(share float64, of int) int { return max(1, int(math.Ceil(share*float64(of)-1e-9))) }
+
+// customers are all of the plan's, and one who is in no group.
+func (w *world) customers() (out []string) {
+	for _, g := range w.plan.Groups {
+		out = append(out, g.Customers...)
+	}
+	return append(out, "nobody-in-a-group")
+}
+
+// start begins a relay's process: a fresh module, told of the list as it stands and of what its own desk says.
+func (x *node) start() {
+	w := x.f.w
+	x.life++
+	x.alive, x.born = true, w.now
+	set := x.f.set
+	set.Self, set.Zone = x.no, relay.Zone(x.site)
+	x.mod = w.opt.module(set, x.rng.Int63())
+	x.queries, x.unitTold = map[relay.QueryID]*query{}, map[relay.UnitID]float64{}
+	x.guard, x.guardAt = nil, 0
+	if !w.opt.Guard.All {
+		var groups []plan.GroupNo
+		for _, c := range w.customers() {
+			groups = append(groups, w.plan.GroupOf(c))
+		}
+		x.guard = rollout.NewGuard(w.plan, x.f.no, x.site, groups)
+		x.guard.Without(w.opt.Guard)
+	}
+	w.check.started(x)
+	var list []relay.UnitEntry
+	for _, u := range x.f.units {
+		if u.listed && u.state != relay.Gone {
+			list = append(list, u.entry())
+		}
+	}
+	x.list(relay.Roster{Form: relay.RosterCached, Units: list})
+	if n := w.desk.core.News(x.f.no, w.unix()); n.Valid { // its configuration holds it at each start
+		x.hear(x.f.no, n)
+	}
+	for s, yes := range x.hears {
+		if yes {
+			w.desk.tellOne(x, plan.ServiceNo(s), w.desk.core.News(plan.ServiceNo(s), w.unix()))
+		}
+	}
+	x.signs()
+}
+
+// kill ends it; what it held is nobody's duty any more.
+func (x *node) kill() {
+	x.alive = false
+	x.life++
+	for _, q := range x.queries {
+		q.over = true
+	}
+}
+
+// clock is the relay's own idea of the time of day.
+func (x *node) clock() plan.Unix { return x.f.w.unix() + x.offset }
+
+// time is the module's.
+func (x *node) time() relay.Seconds { return x.f.w.now - x.born }
+
+// signs has the desks of other services show that they live, while anybody is awake to hear it.
+func (x *node) signs() {
+	life := x.life
+	x.f.w.in(signEvery, func() {
+		if !x.alive || x.life != life {
+			return
+		}
+		if x.f.w.awake && !x.f.w.desk.silent && x.guard != nil {
+			for s, yes := range x.hears {
+				if yes {
+					x.guard.Alive(x.clock(), plan.ServiceNo(s))
+				}
+			}
+			x.look()
+		}
+		if x.f.w.awake {
+			x.signs()
+		} else {
+			x.f.w.parked = append(x.f.w.parked, x)
+		}
+	})
+}
+
+// hear takes news of a service, its own or one that it needs.
+func (x *node) hear(s plan.ServiceNo, n relay.StageNews) {
+	x.f.w.check.told(x, s, n)
+	switch {
+	case x.guard == nil && s == x.f.no:
+		x.step(n)
+	case x.guard == nil:
+	case s == x.f.no:
+		x.guard.Hear(x.clock(), n)
+		x.look()
+	default:
+		x.guard.HearOf(x.clock(), s, n)
+		x.look()
+	}
+}
+
+// reply takes the answer to a vote.
+func (x *node) reply(n relay.StageNews) {
+	if x.guard == nil {
+		x.step(n)
+		return
+	}
+	if n.Valid {
+		x.f.w.check.told(x, x.f.no, n)
+		x.guard.Hear(x.clock(), n)
+		x.look()
+	}
+	x.step(relay.StageNews{Reply: n.Reply})
+}
+
+// look has the guard look: what it says goes to the module, a vote that must change goes to the desk.
+func (x *node) look() {
+	if x.guard == nil || !x.alive {
+		return
+	}
+	x.buffer = x.guard.Look(x.clock(), x.buffer[:0])
+	if len(x.buffer) > 0 {
+		x.step(append([]relay.Event(nil), x.buffer...)...)
+	}
+	if v, ok := x.guard.Recast(x.clock()); ok {
+		x.f.w.check.cast(x, v)
+		x.f.w.desk.vote(x, v, false)
+	}
+	at, life := x.guard.Next(x.clock())-x.clock()+x.f.w.now, x.life
+	if !x.f.w.awake {
+		at = math.Max(at, x.f.w.now+30)
+	}
+	if !math.IsInf(at, 0) && (x.guardAt <= x.f.w.now || at < x.guardAt) {
+		x.guardAt = at
+		x.f.w.at(at, func() {
+			if x.life == life && x.guardAt == at {
+				x.guardAt = 0
+				x.look()
+			}
+		})
+	}
+}
+
+// list tells the relay of units.
+func (x *node) list(r relay.Roster) {
+	for _, e := range r.Units {
+		if e.State != relay.Ready {
+			if _, ok := x.unitTold[e.Unit]; !ok {
+				x.unitTold[e.Unit] = x.f.w.now
+			}
+		} else {
+			delete(x.unitTold, e.Unit)
+		}
+	}
+	e := r
+	e.Units = append([]relay.UnitEntry(nil), r.Units...)
+	for i := range e.Units {
+		e.Units[i].StartedAt -= x.born
+	}
+	x.step(e)
+}
+
+// step has the module see events, and carries out its orders.
+func (x *node) step(events ...relay.Event) {
+	w := x.f.w
+	for _, o := range x.mod.Step(x.time(), events) {
+		switch o := o.(type) {
+		case relay.SendLeg:
+			x.send(o)
+		case relay.CancelLeg:
+			if q := x.queries[o.Query]; q != nil && int(o.Leg) < len(q.legs) {
+				l := q.legs[o.Leg]
+				w.in(0, func() { l.end(relay.Cancelled) })
+			}
+		case relay.Deny:
+			x.final(o.Query, denied)
+		case relay.WriteOff:
+			x.final(o.Query, writtenOff)
+		case relay.Wake:
+			life := x.life
+			w.at(x.born+o.At, func() { x.wake(life, o.ID) })
+		case relay.Tell:
+			x.tell(o)
+		case relay.Vote:
+			v := o
+			if x.guard != nil {
+				v = x.guard.Vote(x.clock(), o)
+			}
+			w.check.cast(x, v)
+			w.desk.vote(x, v, true)
+		case relay.Log:
+			if w.opt.Keep {
+				w.mark("relay %s: %s", x.name, o.Line)
+			}
+		}
+	}
+}
+
+func (x *node) wake(life int, id relay.WakeID) {
+	if !x.alive || x.life != life {
+		return
+	}
+	if !x.f.w.awake { // nobody asks anything: it sleeps until the next spell
+		x.f.w.at(x.f.w.spell.next(), func() { x.wake(life, id) })
+		return
+	}
+	x.step(relay.Woken{ID: id})
+}
+
+// tell sends a memo, which may be late or lost.
+func (x *node) tell(o relay.Tell) {
+	w := x.f.w
+	body := append([]byte(nil), o.Body...)
+	for _, to := range x.f.nodes {
+		if to == x || o.To != relay.Everyone && to.no != o.To || x.rng.Float64() < w.opt.Faults.MemoLoss {
+			continue
+		}
+		to, life := to, to.life
+		w.in(between(x.rng, 0.001, 0.039), func() {
+			if to.alive && to.life == life {
+				to.step(relay.Heard{From: x.no, Body: body})
+			}
+		})
+	}
+}
+
+// ask brings a client's query.
+func (x *node) ask() {
+	w := x.f.w
+	c, u := 0, x.rng.Float64()
+	for ; c < len(categories)-1 && u > categories[c].share; c++ {
+		u -= categories[c].share
+	}
+	k := &categories[c]
+	customers := w.customers()
+	x.lastID++
+	q := &query{x: x, at: w.now, due: w.now + k.due, work: between(x.rng, k.work[0], k.work[1]),
+		until: w.now + k.patience*between(x.rng, 0.6, 1)}
+	q.Query = relay.Query{ID: x.lastID, Until: q.until - x.born, Work: q.work * between(x.rng, 0.8, 1.25), HasWork: true,
+		Category: relay.Category(c), Customer: relay.Customer(x.rng.Intn(len(customers)))}
+	q.group = w.plan.GroupOf(customers[q.Customer])
+	x.queries[q.ID] = q
+	w.stats.queries++
+	w.stats.worth += k.value * q.work
+	w.check.taken(q)
+	life := x.life
+	w.at(q.until, func() {
+		if !q.over && x.life == life {
+			w.check.unanswered(q)
+			q.over = true
+			w.stats.left++
+			x.step(relay.ClientLeft{Query: q.ID})
+		}
+	})
+	x.step(q.Query)
+}
+
+// send sends a leg.
+func (x *node) send(o relay.SendLeg) {
+	w := x.f.w
+	q := x.queries[o.Query]
+	if q == nil {
+		return
+	}
+	l := &leg{q: q, no: relay.LegNo(len(q.legs)), at: w.now, way: nearTook}
+	q.legs = append(q.legs, l)
+	for _, u := range x.f.units {
+		if u.id == o.Unit {
+			l.u = u
+		}
+	}
+	if q.over || l.u == nil {
+		how := relay.NotSent
+		if l.u == nil && !q.over {
+			how = relay.NoConnect
+		}
+		w.in(0, func() { l.end(how) })
+		return
+	}
+	if l.u.site != x.site {
+		l.way = crossTook
+	}
+	w.stats.legs++
+	w.check.sent(l)
+	w.in(l.way, func() { l.u.come(l) })
+	until := q.until
+	if o.Wait > 0 {
+		until = math.Min(until, w.now+o.Wait)
+	}
+	w.at(until-1e-4, func() { l.end(relay.TimedOut) })
+}
+
+// end is the one end of a leg.
+func (l *leg) end(how relay.Outcome) {
+	if l.over {
+		return
+	}
+	l.over = true
+	x, w := l.q.x, l.q.x.f.w
+	if l.u != nil && !w.opt.quiet {
+		if f := l.u.f.builds[l.u.build]; !f.good() && !how.NeverRan() && how != relay.Cancelled && (how != relay.Honoured || w.now > l.q.due) {
+			w.stats.badWorth += categories[l.q.Category].value * l.q.work
+		}
+	}
+	if !x.alive || x.queries[l.q.ID] != l.q {
+		return
+	}
+	if how == relay.Honoured && !l.q.over {
+		x.answered(l.q, honoured)
+	}
+	x.step(relay.LegEnded{Query: l.q.ID, Leg: l.no, Unit: l.unit(), How: how, Took: w.now - l.at, Over: l.q.over})
+	x.forget(l.q)
+}
+
+func (l *leg) unit() relay.UnitID {
+	if l.u == nil {
+		return 0
+	}
+	return l.u.id
+}
+
+type final int
+
+const (
+	honoured final = iota
+	denied
+	writtenOff
+)
+
+func (x *node) final(id relay.QueryID, how final) {
+	q := x.queries[id]
+	if q == nil {
+		return
+	}
+	x.answered(q, how)
+	x.forget(q)
+}
+
+func (x *node) answered(q *query, how final) {
+	w := x.f.w
+	w.check.answered(q, how)
+	if q.over {
+		return
+	}
+	q.over = true
+	k := &categories[q.Category]
+	switch {
+	case how == honoured:
+		w.stats.honoured++
+		if w.now <= q.due {
+			w.stats.served += k.value * q.work
+		}
+	case how == denied:
+		w.stats.denied++
+	default:
+		w.stats.writtenOff++
+	}
+}
+
+// forget drops the record of a query that is over and has no leg out.
+func (x *node) forget(q *query) {
+	if !q.over {
+		return
+	}
+	for _, l := range q.legs {
+		if !l.over {
+			return
+		}
+	}
+	x.f.w.in(1, func() { // orders about it may still come in the step that is under way
+		if x.queries[q.ID] == q {
+			delete(x.queries, q.ID)
+		}
+	})
+}
+
+func (o *Options) module(set relay.Settings, seed int64) module {
+	if o.Module != nil {
+		return o.Module(set, seed)
+	}
+	return policy.New(set, seed)
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
