Laboratory of releases in virtual time; builds settle before the next; units that are gone are forgotten

Cause: in the laboratory's week a build began in the second in which the one before was released, nobody heard of the release and nobody ever voted; and modules kept every unit ever listed. A release now settles for 30 s; a unit gone for 60 s is forgotten; empty buckets of evidence are skipped (the same sums).

--- a/lab/node.go
+++ b/lab/node.go
@@ -236,7 +236,7 @@
 	if !x.alive || x.life != life {
 		return
 	}
-	if !x.f.w.awake { // nobody asks anything: it sleeps until the next spell
+	if !x.f.w.awake && x.f.w.now > x.f.w.sleepAt { // nobody asks anything: it sleeps until the next spell
 		x.f.w.at(x.f.w.spell.next(), func() { x.wake(life, id) })
 		return
 	}
--- a/lab/week.go
+++ b/lab/week.go
@@ -127,8 +127,8 @@
 const (
 	leadIn      = 6.0    // s of traffic before a time that matters
 	spellLeast  = 14.0   // s of a spell
-	spellMost   = 240.0  // s after which a spell rests although a release is under way
-	restFor     = 900.0  // s of that rest
+	spellMost   = 150.0  // s after which a spell rests although a release is under way
+	restFor     = 1800.0 // s of that rest
 	sampleEvery = 7200.0 // s between samples where nothing happens
 )
 
@@ -211,7 +211,7 @@
 			s.watch()
 			return
 		}
-		w.awake = false
+		w.awake, w.sleepAt = false, w.now+5
 		w.stats.awakeFor += w.now - s.begun
 		w.mark("traffic ends")
 		s.plan()
@@ -221,7 +221,10 @@
 
 // traffic has clients ask while there is any.
 func (f *fleet) traffic() {
-	rate := queriesEach * float64(f.size) * f.w.opt.Load
+	rate := queriesEach * float64(f.size) * max(f.w.opt.Load, 0)
+	if f.w.opt.Load == 0 {
+		rate = queriesEach * float64(f.size)
+	}
 	var next func()
 	total := 0.0
 	for _, x := range f.nodes {
@@ -263,23 +266,10 @@
 	if o.Relays < len(o.Plan.Services) || o.Units < 2*len(o.Plan.Services) || o.Days <= 0 {
 		return Result{}, fmt.Errorf("at least a relay and two planners a service, and some time")
 	}
-	if o.Load == 0 {
-		o.Load = 1
-	}
 	if o.Start == 0 {
 		o.Start = float64(time.Date(2026, 11, 30, 0, 0, 0, 0, time.UTC).Unix()) // a Monday
 	}
-	w := &world{opt: o, plan: withRelays(o.Plan, o.Relays), epoch: o.Start, log: sha256.New()}
-	w.rng = w.random("world", 0)
-	w.check = newChecker(w)
-	w.spell = spell{w: w}
-	w.desk = newDeskLink(w)
-	w.build(o)
-	w.scenario(o)
-	w.spell.plan()
-	w.at(w.spell.from, w.spell.wake)
-	w.desk.due()
-	end := o.Days * 86400
+	w, end := setup(o), o.Days*86400
 	for w.now < end {
 		if err := ctx.Err(); err != nil {
 			break
@@ -292,6 +282,21 @@
 	return w.result(), ctx.Err()
 }
 
+// setup makes a world that has not begun.
+func setup(o Options) *world {
+	w := &world{opt: o, plan: withRelays(o.Plan, o.Relays), epoch: o.Start, log: sha256.New()}
+	w.rng = w.random("world", 0)
+	w.check = newChecker(w)
+	w.spell = spell{w: w}
+	w.desk = newDeskLink(w)
+	w.build(o)
+	w.scenario(o)
+	w.spell.plan()
+	w.at(w.spell.from, w.spell.wake)
+	w.desk.due()
+	return w
+}
+
 // withRelays gives a copy of a plan in which each service has its part of the relays.
 func withRelays(p *plan.Plan, relays int) *plan.Plan {
 	q := *p
--- a/lab/world.go
+++ b/lab/world.go
@@ -33,10 +33,11 @@
 	log    hash.Hash // of the timeline
 	lines  []string  // of the timeline, where they are kept
 
-	awake  bool
-	parked []*node // whose wake waits for the next spell
-	spell  spell
-	stats  counts
+	awake   bool    // there is traffic
+	sleepAt float64 // when relays fall asleep after it: their last queries are over by then
+	parked  []*node // whose wake waits for the next spell
+	spell   spell
+	stats   counts
 }
 
 type counts struct {
@@ -129,6 +130,9 @@
 	d := &deskLink{w: w, told: make([]relay.StageNews, len(w.plan.Services)), rng: w.random("desk", 0),
 		since: make([]plan.Unix, len(w.plan.Services)), code: make([]rollout.Code, len(w.plan.Services)),
 		held: map[rollout.Code]float64{}}
+	for i := range d.since {
+		d.since[i] = w.epoch
+	}
 	d.begin(nil)
 	return d
 }
@@ -179,6 +183,7 @@
 		if w.Code != d.code[i] {
 			d.held[d.code[i]] += d.w.unix() - d.since[i]
 			d.code[i], d.since[i] = w.Code, d.w.unix()
+			d.w.mark("%s waits: %s", d.w.plan.Services[i].Name, w)
 		}
 		n := d.core.News(plan.ServiceNo(i), d.w.unix())
 		same := d.told[i]
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -63,8 +63,9 @@
 // Service is one fleet whose builds are released by steps.
 type Service struct {
 	Name    string
-	Watch   string // address at which the desk tells of it to whoever depends on it
-	BackFor Seconds
+	Watch   string  // address at which the desk tells of it to whoever depends on it
+	BackFor Seconds // that the way back takes
+	Settle  Seconds // after a release before the next build begins
 	Votes   Votes
 	Steps   []Step
 	Relays  []Relay
--- a/plan/read.go
+++ b/plan/read.go
@@ -78,7 +78,7 @@
 	"site":     {needs: []string{"name"}},
 	"group":    {needs: []string{"name"}, kids: []string{"customer"}},
 	"customer": {needs: []string{"name"}},
-	"service":  {needs: []string{"name"}, may: []string{"watch", "back-for"}, kids: []string{"votes", "step", "relay"}},
+	"service":  {needs: []string{"name"}, may: []string{"watch", "back-for", "settle"}, kids: []string{"votes", "step", "relay"}},
 	"votes":    {may: []string{"control", "on", "back", "hold", "life", "per-second", "step-time"}},
 	"step":     {needs: []string{"name", "share", "cap", "least"}, kids: []string{"open", "needs"}},
 	"open":     {may: []string{"site", "group"}},
@@ -341,7 +341,7 @@
 }
 
 func (r *reader) service(p *Plan, s *Service, n *node) {
-	s.Watch, s.BackFor = n.attrs["watch"], r.span(n, "back-for", 10)
+	s.Watch, s.BackFor, s.Settle = n.attrs["watch"], r.span(n, "back-for", 10), r.span(n, "settle", 30)
 	if s.Watch != "" {
 		r.address(n, "watch")
 	}
--- a/policy/measure.go
+++ b/policy/measure.go
@@ -78,8 +78,15 @@
 			if c < len(u.p.rows) {
 				b = b[c*figures : (c+1)*figures]
 			}
-			for i, v := range b {
-				if f := i % figures; f < figPaced || n < from+lateBuckets {
+			part := figures
+			if n >= from+lateBuckets {
+				part = figPaced
+			}
+			for ; len(b) > 0; b = b[figures:] {
+				if b[figCount] == 0 {
+					continue // most units are met by hardly anybody in most buckets: no figure stands without it
+				}
+				for f, v := range b[:part] {
 					out[f] += float64(v)
 				}
 			}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -102,8 +102,9 @@
 	overShare  = 1.15 // times its share of traffic at which a customer counts as beyond it
 	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
-	watchRetry = 1.0 // s before a failed watch is asked for again, with as much jitter on top
-	watchWait  = 4.0 // s without any answer after which a call to the roster is made again
+	watchRetry = 1.0  // s before a failed watch is asked for again, with as much jitter on top
+	forgetGone = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
+	watchWait  = 4.0  // s without any answer after which a call to the roster is made again
 )
 
 // New returns the module of one relay, ready for its first Step.
@@ -155,6 +156,9 @@
 			u.seen[own].reset()
 			u.seen[told].reset()
 		}
+		if n.State == relay.Gone && u.State != relay.Gone {
+			u.goneAt = u.p.now
+		}
 		u.UnitEntry = n
 		u.started = math.Inf(-1)
 		if n.Started {
--- a/policy/state.go
+++ b/policy/state.go
@@ -268,6 +268,7 @@
 	relay.UnitEntry
 	started  relay.Seconds
 	met      bool
+	goneAt   relay.Seconds // when it was told as gone
 	open     int           // own legs out
 	answer   relay.Seconds // last answer, or when the unit stopped being idle
 	linked   bool          // its last leg had a connection
@@ -388,6 +389,25 @@
 			r.p.post(u, gone)
 		}
 	}
+	r.forget()
+}
+
+// forget drops units that have been gone for long and hold nothing: with releases every day, machines come and go
+// for as long as a relay lives.
+func (r *roster) forget() {
+	kept := r.units[:0]
+	for _, u := range r.units {
+		if u.met && u.State == relay.Gone && u.open == 0 && r.p.now-u.goneAt > forgetGone {
+			delete(r.byID, u.id)
+			if m := markOf(u.id); r.byMark[m] == u {
+				delete(r.byMark, m)
+			}
+			continue
+		}
+		kept = append(kept, u)
+	}
+	clear(r.units[len(kept):])
+	r.units = kept
 }
 
 // limit returns the exposure kept for a build, started when the build is first met.
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -305,6 +305,10 @@
 	if w := c.closed(no, step, now); !w.Ok() {
 		return w
 	}
+	if till := s.newest.Since + t.Settle; step == 0 && s.known && s.newest.Phase == relay.Released && now < till {
+		// Relays and whoever runs the fleet must hear of the release and go over to it first.
+		return Wait{Settling, fmt.Sprintf("build %d was released, the next begins at %s", s.newest.Build, clockText(till)), till}
+	}
 	if c.off.Needs {
 		return Wait{}
 	}
--- a/rollout/events.go
+++ b/rollout/events.go
@@ -54,20 +54,19 @@
 
 // The reasons.
 const (
-	Free        Code = ""             // nothing stands in the way
-	NoBuild     Code = "no_build"     // nothing is on trial or waiting
-	IsFrozen    Code = "freeze"       // a freeze of the plan
-	IsClosed    Code = "closed"       // a freeze that an operator set
-	IsHalted    Code = "halted"       // an operator halted the service
-	NeedsOther  Code = "needs"        // a service that it depends on is not as far
-	NeedUnheard Code = "needs_news"   // nothing, or nothing lately, was heard of it
-	TooYoung    Code = "least_time"   // the step has not lasted long enough
-	NeedVotes   Code = "votes"        // too few relays stand for it
-	HeldByVotes Code = "held"         // relays hold the clock
-	GoesBack    Code = "going_back"   // it is on its way back
-	EarlierOn   Code = "earlier"      // an earlier build is still on trial
-	NotGranted  Code = "not_granted"  // this relay has not opened the present step itself yet
-	StartedIn   Code = "started_late" // this relay started in the freeze and can't tell what was open before it
+	Free        Code = ""            // nothing stands in the way
+	NoBuild     Code = "no_build"    // nothing is on trial or waiting
+	IsFrozen    Code = "freeze"      // a freeze of the plan
+	IsClosed    Code = "closed"      // a freeze that an operator set
+	IsHalted    Code = "halted"      // an operator halted the service
+	NeedsOther  Code = "needs"       // a service that it depends on is not as far
+	NeedUnheard Code = "needs_news"  // nothing, or nothing lately, was heard of it
+	TooYoung    Code = "least_time"  // the step has not lasted long enough
+	NeedVotes   Code = "votes"       // too few relays stand for it
+	HeldByVotes Code = "held"        // relays hold the clock
+	GoesBack    Code = "going_back"  // it is on its way back
+	Settling    Code = "settling"    // the build before was released just now
+	NotGranted  Code = "not_granted" // this relay has not opened the present step itself yet
 )
 
 // Wait is why something does not go on.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -444,3 +444,18 @@
 		t.Error(err)
 	}
 }
+
+// TestReleaseSettles has the next build wait when one is released: without the time between, relays and whoever runs
+// the fleet never hear of the release (found in the laboratory: a build for which nobody ever voted).
+func TestReleaseSettles(t *testing.T) {
+	d := newDesk(t)
+	d.offer(0, 7, day)
+	d.on(0, day+11)
+	d.on(0, day+22)
+	d.offer(0, 8, day+25)
+	want(t, d.on(0, day+33), "a:released")
+	if w := d.c.Why(0, day+34); w.Code != Settling || w.Until != day+63 {
+		t.Errorf("%+v", w)
+	}
+	want(t, d.due(day+63), "a:began")
+}
