--- a/cmd/lichenroad/main_test.go
+++ b/cmd/lichenroad/main_test.go
@@ -27,7 +27,7 @@
 		out  string
 		errs string
 	}{
-		{"", 0, "usage", ""}, {"help", 0, "usage", ""}, {"fly", 2, "", "fly"}, {"version", 0, "lichenroad ", ""},
+		{"", 0, "Usage", ""}, {"help", 0, "Usage", ""}, {"fly", 2, "", "fly"}, {"version", 0, "lichenroad ", ""},
 		{"check --config " + good, 0, "ok: n0", ""}, {"check --config " + bad, 1, "", "listen"},
 		{"check --config " + bad, 1, "", "discovery"}, {"serve --config " + bad, 1, "", "listen"},
 		{"check --config /none", 1, "", "none"}, {"check", 1, "", "BALANCER_CONFIG"}, {"check more", 2, "", "more"},
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -249,7 +249,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p, err := start(c, log, &stats.Counters{})
+	p, err := start(c, guarded{}, log, &stats.Counters{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -364,17 +364,17 @@
 	}
 }
 
-// desk is a stand-in for the platform: it answers each line by a function, and hands over its connections.
-type desk struct {
+// counter is a stand-in for the platform: it answers each line by a function, and hands over its connections.
+type counter struct {
 	ln    net.Listener
 	lines chan string
 	conns chan net.Conn
 	mu    sync.Mutex // held while a line is answered
 }
 
-func newDesk(t *testing.T, answer func(line string) string) *desk {
+func newDesk(t *testing.T, answer func(line string) string) *counter {
 	ln := listening(t)
-	d := &desk{ln: ln, lines: make(chan string, 100), conns: make(chan net.Conn, 100)}
+	d := &counter{ln: ln, lines: make(chan string, 100), conns: make(chan net.Conn, 100)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -397,7 +397,7 @@
 	return d
 }
 
-func (d *desk) line(t *testing.T, begins string) string {
+func (d *counter) line(t *testing.T, begins string) string {
 	t.Helper()
 	for {
 		select {
@@ -411,6 +411,6 @@
 	}
 }
 
-func withDesk(d *desk) func(*config.Config) {
+func withDesk(d *counter) func(*config.Config) {
 	return func(c *config.Config) { c.Platform = d.ln.Addr().String() }
 }
--- a/lab/check.go
+++ b/lab/check.go
@@ -42,6 +42,13 @@
 	rel    map[string]map[relay.Build]bool
 	moves  []Move
 	by     map[string]int
+	use    map[useKey]float64
+}
+
+// useKey is a service and ten minutes.
+type useKey struct {
+	service plan.ServiceNo
+	part    int
 }
 
 // stood is where a service's newest build stands.
@@ -76,7 +83,7 @@
 type stamp struct{ at, cap float64 }
 
 func newChecker(w *world) *checker {
-	c := &checker{w: w, relays: map[*node]*watched{}, state: make([]stood, len(w.plan.Services)), rel: map[string]map[relay.Build]bool{}, by: map[string]int{}}
+	c := &checker{w: w, relays: map[*node]*watched{}, state: make([]stood, len(w.plan.Services)), rel: map[string]map[relay.Build]bool{}, by: map[string]int{}, use: map[useKey]float64{}}
 	for i := range w.plan.Services {
 		c.rel[w.plan.Services[i].Name] = map[relay.Build]bool{1: true}
 	}
@@ -487,6 +494,8 @@
 	for i, a := range []*account{a, &r.total} {
 		used := float64(len(a.legs)) / a.allowance()
 		c.most = math.Max(c.most, used)
+		k := useKey{x.f.no, int(c.w.now / 600)}
+		c.use[k] = math.Max(c.use[k], used)
 		if used > 1+1e-9 {
 			c.fail(x.name, [...]string{"group over its cap", "relay over its cap"}[i], used, "build %d, step %d, group %d: %d legs, %.2f allowed", u.build, own.step, g,
 				len(a.legs), a.allowance())
--- a/lab/week.go
+++ b/lab/week.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"lichenroad/plan"
@@ -35,6 +36,58 @@
 		Pauses: 0.05, Skew: 1}
 }
 
+// Worst gives the faults of one kind alone, driven to their worst, or of several with a + between.
+func Worst(kind string) (Faults, bool) {
+	if one, more, several := strings.Cut(kind, "+"); several {
+		a, ok1 := Worst(one)
+		b, ok2 := Worst(more)
+		return Faults{max(a.MemoLoss, b.MemoLoss), max(a.RosterLag, b.RosterLag), max(a.Silence, b.Silence), max(a.Late, b.Late),
+			max(a.Desk, b.Desk), max(a.Forget, b.Forget), max(a.Relays, b.Relays), max(a.Deployer, b.Deployer), max(a.Early, b.Early),
+			max(a.Pauses, b.Pauses), max(a.Skew, b.Skew)}, ok1 && ok2
+	}
+	f, ok := map[string]Faults{
+		"none": {}, "ordinary": Ordinary(),
+		"memos": {MemoLoss: 1}, "roster": {RosterLag: 1}, "silence": {Silence: 1}, "late": {Late: 1}, "desk": {Desk: 1},
+		"journal": {Desk: 1, Forget: 1}, "relays": {Relays: 0.5}, "deployer": {Deployer: 1}, "early": {Early: 1},
+		"pauses": {Pauses: 3}, "clocks": {Skew: 1},
+	}[kind]
+	return f, ok
+}
+
+// Kinds lists the names that Worst knows.
+func Kinds() []string {
+	return []string{"none", "ordinary", "memos", "roster", "silence", "late", "desk", "journal", "relays", "deployer", "early",
+		"pauses", "clocks"}
+}
+
+// Without takes out one defence by its name, and says whether there is one of that name.
+func (o *Options) Without(name string) bool {
+	d, ok := map[string]*bool{"guard": &o.Guard.All, "guard-freezes": &o.Guard.Freezes, "guard-needs": &o.Guard.Needs,
+		"guard-unheard": &o.Guard.Unheard, "guard-groups": &o.Guard.Groups, "guard-ceiling": &o.Guard.Ceiling,
+		"guard-skew": &o.Guard.Skew, "guard-votes": &o.Guard.Votes, "guard-start": &o.Guard.StartProof,
+		"guard-backward": &o.Guard.Backward, "desk-freezes": &o.Desk.Freezes, "desk-needs": &o.Desk.Needs,
+		"desk-least": &o.Desk.LeastTime, "desk-narrow": &o.Desk.NarrowLost}[name]
+	if ok {
+		*d = true
+	}
+	return ok
+}
+
+// ByClock makes the run a baseline in which time alone moves steps, and nobody's vote counts.
+func (o *Options) ByClock() {
+	p := *o.Plan
+	p.Services = append([]plan.Service(nil), p.Services...)
+	for i := range p.Services {
+		s := &p.Services[i]
+		longest := 0.0
+		for _, st := range s.Steps {
+			longest = math.Max(longest, st.Least)
+		}
+		s.Votes.Control, s.Votes.StepTime = plan.ByClock, longest
+	}
+	o.Plan, o.NoVotes = &p, true
+}
+
 // Options are what a run is made of.
 type Options struct {
 	Plan    *plan.Plan
@@ -104,11 +157,10 @@
 	Names []string    `json:"-"`
 }
 
-// Use is how much of its allowance a group used at its most, for the report, an hour.
+// Use is the highest part of an allowance that was used within ten minutes, for the report.
 type Use struct {
 	Hour    float64
 	Service string
-	Cap     float64
 	Most    float64
 }
 
@@ -478,6 +530,13 @@
 		out.Held[string(code)] = math.Round(d)
 	}
 	out.releases(w)
+	for k, most := range c.use {
+		out.Use = append(out.Use, Use{float64(k.part) / 6, w.plan.Services[k.service].Name, most})
+	}
+	sort.Slice(out.Use, func(i, j int) bool {
+		a, b := out.Use[i], out.Use[j]
+		return a.Hour < b.Hour || a.Hour == b.Hour && a.Service < b.Service
+	})
 	for i := range w.plan.Freezes {
 		out.Names = append(out.Names, w.plan.Freezes[i].Name)
 		var spans []float64
