--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -12,6 +12,7 @@
 	"lichenroad/internal/config"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stats"
+	"lichenroad/lab/standin"
 )
 
 func TestHonoured(t *testing.T) {
@@ -298,7 +299,7 @@
 	var kept []*client
 	for i := 0; ; i++ {
 		c := dialClient(t, p)
-		kind, body, err := readMessage(c.r, false)
+		kind, body, err := standin.ReadMessage(c.r, false)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -347,7 +348,7 @@
 	}
 	for until := time.Now().Add(patience); ; {
 		c := dialClient(t, p, pgwire.QueryMessage(read("look", 1500))...)
-		if kind, _, err := readMessage(c.r, false); err == nil && kind == 'R' {
+		if kind, _, err := standin.ReadMessage(c.r, false); err == nil && kind == 'R' {
 			c.until('Z')
 			if v, code := c.answer(); v == "" {
 				t.Error(code)
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -20,25 +20,12 @@
 	"lichenroad/internal/config"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stats"
+	"lichenroad/lab/standin"
 )
 
 // patience is how long a test waits for what should come at once.
 const patience = 10 * time.Second
 
-// readMessage reads one message from a connection; without a type byte where startup is set.
-func readMessage(r io.Reader, startup bool) (byte, []byte, error) {
-	head := make([]byte, 5)
-	if startup {
-		head = head[:4]
-	}
-	if _, err := io.ReadFull(r, head); err != nil {
-		return 0, nil, err
-	}
-	body := make([]byte, binary.BigEndian.Uint32(head[len(head)-4:])-4)
-	_, err := io.ReadFull(r, body)
-	return head[0], body, err
-}
-
 // deed is what a stand-in unit does with a query.
 type deed int
 
@@ -116,12 +103,12 @@
 func (u *unit) serve(c net.Conn) {
 	defer func() { c.Close(); u.ended <- struct{}{} }()
 	r := bufio.NewReader(c)
-	if _, _, err := readMessage(r, true); err != nil {
+	if _, _, err := standin.ReadMessage(r, true); err != nil {
 		return
 	}
 	c.Write(pgwire.Welcome(1))
 	for {
-		kind, body, err := readMessage(r, false)
+		kind, body, err := standin.ReadMessage(r, false)
 		if err != nil || kind != 'Q' {
 			return
 		}
@@ -283,7 +270,7 @@
 func (c *client) until(kind byte) []byte {
 	c.t.Helper()
 	for {
-		k, body, err := readMessage(c.r, false)
+		k, body, err := standin.ReadMessage(c.r, false)
 		if err != nil {
 			c.t.Fatalf("no %c: %v", kind, err)
 		}
@@ -306,7 +293,7 @@
 func (c *client) answer() (value, code string) {
 	c.t.Helper()
 	for {
-		kind, body, err := readMessage(c.r, false)
+		kind, body, err := standin.ReadMessage(c.r, false)
 		switch {
 		case err != nil:
 			return "", "closed"
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -474,3 +474,25 @@
 		}
 	}
 }
+
+// TestPlanAtReload puts plans in place of the one that holds: a bad one, one without a service, and a good one.
+func TestPlanAtReload(t *testing.T) {
+	r := start(t, t.TempDir(), 1000, nil)
+	r.must(Request{Verb: "offer", Service: "a", Build: 7})
+	step := func() float64 { return r.must(Request{Verb: "status"}).Status[0].Cap }
+	r.desk.Replan(nil, errors.New("p.xml:3: <step>: cap: no number"))
+	less, more := testPlan(t), testPlan(t)
+	less.Services = less.Services[:1]
+	r.desk.Replan(less, nil)
+	short := testPlan(t)
+	short.Services[0].Steps = nil
+	r.desk.Replan(short, nil)
+	if got := step(); got != 0.1 {
+		t.Error("a bad plan changed the cap to ", got)
+	}
+	more.Services[0].Steps[0].Cap = 0.05
+	r.desk.Replan(more, nil)
+	if got := step(); got != 0.05 {
+		t.Error("the good plan does not hold: ", got)
+	}
+}
--- a/lab/demo/report.go
+++ b/lab/demo/report.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bytes"
 	"fmt"
 	"html"
 	"image/color"
@@ -10,7 +9,6 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
 
 	"lichenroad/lab"
 )
@@ -21,7 +19,7 @@
 	defer s.mu.Unlock()
 	end := int(s.now()) + 1
 	var charts []string
-	for g, customer := range customers {
+	for _, customer := range customers {
 		p := plot.New()
 		p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "customer "+customer, "s since the start", "a second, all relays"
 		lines := []struct {
@@ -54,17 +52,11 @@
 			p.Add(l)
 			p.Legend.Add(x.name, l)
 		}
-		w, err := p.WriterTo(24*vg.Centimeter, 6*vg.Centimeter, "svg")
+		chart, err := lab.SVG(p)
 		if err != nil {
 			return "", err
 		}
-		var b bytes.Buffer
-		if _, err := w.WriteTo(&b); err != nil {
-			return "", err
-		}
-		text := b.String()
-		charts = append(charts, text[max(strings.Index(text, "<svg"), 0):])
-		_ = g
+		charts = append(charts, string(chart))
 	}
 	var b strings.Builder
 	b.WriteString("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>lichenroad: a demonstration</title></head><body style=\"font-family:sans-serif;max-width:60em;margin:2em auto\">\n<h1>Two builds through a plan</h1>\n")
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -210,8 +210,7 @@
 	f.heard = n
 	t := &f.w.plan.Services[f.no]
 	bySite := make([]int, len(f.w.plan.Sites))
-	for i, u := range f.live() {
-		_ = i
+	for _, u := range f.live() {
 		if u.build == n.Build {
 			bySite[u.site]++
 		}
@@ -231,6 +230,9 @@
 			if n.Phase == relay.Released {
 				want = int(math.Ceil(each))
 			}
+			if s > 0 && n.Phase == relay.OnTrial && f.oneSide(n.Build) {
+				want = 0
+			}
 			for k := bySite[s]; k < want; k++ {
 				f.launch(n.Build, plan.SiteNo(s), between(f.rng, 0, 1)+startFor)
 			}
@@ -254,6 +256,11 @@
 	}
 }
 
+// oneSide says whether a build's trial gets planners at the first site alone, as the same draw says each time.
+func (f *fleet) oneSide(b relay.Build) bool {
+	return f.w.random("one-side"+f.name, int(b)).Float64() < f.w.opt.Faults.OneSide
+}
+
 // before is the latest good enough build before another: the one that was stable then.
 func (f *fleet) before(b relay.Build) relay.Build {
 	best := relay.Build(1)
--- a/lab/report.go
+++ b/lab/report.go
@@ -56,7 +56,8 @@
 	return p, nil
 }
 
-func svg(p *plot.Plot) (template.HTML, error) {
+// SVG draws a chart to stand in a page.
+func SVG(p *plot.Plot) (template.HTML, error) {
 	w, err := p.WriterTo(chartWide, chartHigh, "svg")
 	if err != nil {
 		return "", err
@@ -130,7 +131,7 @@
 		}
 	}
 	c.Legend.Top = true
-	return svg(c)
+	return SVG(c)
 }
 
 // exposure draws the highest part of any allowance that was used, by service and ten minutes.
@@ -157,7 +158,7 @@
 			return "", err
 		}
 	}
-	return svg(c)
+	return SVG(c)
 }
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
--- a/lab/standin/planner.go
+++ b/lab/standin/planner.go
@@ -19,8 +19,8 @@
 
 const mostMessage = 1 << 20 // bytes of a message that is read
 
-// readMessage reads one message, without a type byte where it is a startup.
-func readMessage(r io.Reader, startup bool) (byte, []byte, error) {
+// ReadMessage reads one message, without a type byte where it is a startup.
+func ReadMessage(r io.Reader, startup bool) (byte, []byte, error) {
 	head := make([]byte, 5)
 	if startup {
 		head = head[:4]
@@ -71,14 +71,14 @@
 func (p *Planner) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	if _, _, err := readMessage(r, true); err != nil {
+	if _, _, err := ReadMessage(r, true); err != nil {
 		return
 	}
 	if _, err := c.Write(pgwire.Welcome(1)); err != nil {
 		return
 	}
 	for {
-		kind, body, err := readMessage(r, false)
+		kind, body, err := ReadMessage(r, false)
 		if err != nil || kind != 'Q' {
 			return
 		}
@@ -170,7 +170,7 @@
 // answer reads up to ReadyForQuery.
 func (c *Client) answer() (out Outcome, err error) {
 	for {
-		kind, body, err := readMessage(c.r, false)
+		kind, body, err := ReadMessage(c.r, false)
 		if err != nil {
 			return out, err
 		}
--- a/lab/week.go
+++ b/lab/week.go
@@ -26,6 +26,7 @@
 	Relays    float64 // chance, for a relay and a release, that it is killed and starts again
 	Deployer  float64 // chance a release that the deployer stands still for up to 20 s
 	Early     float64 // chance a release that a planner of a build not announced is there
+	OneSide   float64 // chance a release that its trial has planners at the first site alone
 	Pauses    float64 // planners that stand still for up to 0.5 s, a second and ten planners
 	Skew      float64 // s that the relays' clocks differ by, both ways
 }
@@ -42,13 +43,13 @@
 		a, ok1 := Worst(one)
 		b, ok2 := Worst(more)
 		return Faults{max(a.MemoLoss, b.MemoLoss), max(a.RosterLag, b.RosterLag), max(a.Silence, b.Silence), max(a.Late, b.Late),
-			max(a.Desk, b.Desk), max(a.Forget, b.Forget), max(a.Relays, b.Relays), max(a.Deployer, b.Deployer), max(a.Early, b.Early),
+			max(a.Desk, b.Desk), max(a.Forget, b.Forget), max(a.Relays, b.Relays), max(a.Deployer, b.Deployer), max(a.Early, b.Early), max(a.OneSide, b.OneSide),
 			max(a.Pauses, b.Pauses), max(a.Skew, b.Skew)}, ok1 && ok2
 	}
 	f, ok := map[string]Faults{
 		"none": {}, "ordinary": Ordinary(),
 		"memos": {MemoLoss: 1}, "roster": {RosterLag: 1}, "silence": {Silence: 1}, "late": {Late: 1}, "desk": {Desk: 1},
-		"journal": {Desk: 1, Forget: 1}, "relays": {Relays: 0.5}, "deployer": {Deployer: 1}, "early": {Early: 1},
+		"journal": {Desk: 1, Forget: 1}, "relays": {Relays: 0.5}, "deployer": {Deployer: 1}, "early": {Early: 1}, "one-side": {OneSide: 1},
 		"pauses": {Pauses: 3}, "clocks": {Skew: 1},
 	}[kind]
 	return f, ok
@@ -56,7 +57,7 @@
 
 // Kinds lists the names that Worst knows.
 func Kinds() []string {
-	return []string{"none", "ordinary", "memos", "roster", "silence", "late", "desk", "journal", "relays", "deployer", "early",
+	return []string{"none", "ordinary", "memos", "roster", "silence", "late", "desk", "journal", "relays", "deployer", "early", "one-side",
 		"pauses", "clocks"}
 }
 
--- a/rollout/guard_test.go
+++ b/rollout/guard_test.go
@@ -288,3 +288,27 @@
 		out = n.Look(day+float64(i)*1e-6, out[:0])
 	}
 }
+
+// TestFreezeWithinASilence has a freeze begin and end while nothing is heard: the relay keeps to it by its own clock.
+func TestFreezeWithinASilence(t *testing.T) {
+	n := newNode(t, GuardDefences{})
+	n.hear(freezeFrom-30, trial(3, 0, 0.1, 0))
+	n.HearOf(freezeFrom-4, 0, trial(1, 1, 0.3, 0))
+	on := relay.Vote{Build: 3, Verdict: relay.VoteOn}
+	if n.Vote(freezeFrom-4, on) != on {
+		t.Fatal("nothing stands in the way yet")
+	}
+	for at := freezeFrom - 2; at < freezeTo+2; at += 7 {
+		n.look(at)
+		if n.news.Cap != 0.1 || n.OnWaits(at).Code != IsFrozen || n.Vote(at, on).Verdict != relay.VoteHold {
+			t.Fatalf("%.0f s into it: %+v, %v", at-freezeFrom, n.news, n.OnWaits(at))
+		}
+	}
+	if w := n.OnWaits(freezeTo + 3); w.Code != NeedUnheard {
+		t.Error("after it the need must be heard of first: ", w)
+	}
+	n.Alive(freezeTo+4, 0)
+	if v, ok := n.Recast(freezeTo + 4); !ok || v != on {
+		t.Error(v, ok)
+	}
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -459,3 +459,35 @@
 	}
 	want(t, d.due(day+63), "a:began")
 }
+
+// TestDiamondLosesOneSide has d need b and c, which both need a. c goes back under d, then b while c is on its way:
+// d's cap falls once and stays down, and d itself may go back in the middle of it.
+func TestDiamondLosesOneSide(t *testing.T) {
+	d := newDesk(t)
+	for s := range plan.ServiceNo(4) {
+		d.offer(s, 5, day)
+	}
+	for s := range plan.ServiceNo(4) {
+		d.on(s, day+11)
+	}
+	if n := d.c.News(3, day+11); n.Stage != 1 || n.Cap != 0.3 {
+		t.Fatalf("%+v", n)
+	}
+	d.vote(2, 0, relay.VoteBack, day+12)
+	if n := d.c.News(3, day+12); n.Cap != 0 {
+		t.Errorf("%+v", n)
+	}
+	if d.c.News(1, day+12).Cap != 0.3 {
+		t.Error("b needs nothing of c")
+	}
+	d.vote(1, 0, relay.VoteBack, day+13)
+	out, _ := d.vote(3, 0, relay.VoteBack, day+14) // while both are going back
+	want(t, out, "d:sent_back")
+	d.vote(0, 0, relay.VoteBack, day+15) // and what all of them stand on
+	want(t, d.due(day+40), "a:taken_off b:taken_off c:taken_off d:taken_off")
+	for s := range plan.ServiceNo(4) {
+		if n := d.c.News(s, day+41); n.Phase != relay.Withdrawn || n.Cap != 0 {
+			t.Errorf("%+v", n)
+		}
+	}
+}
