--- a/lab/week.go
+++ b/lab/week.go
@@ -169,19 +169,19 @@
 // freezes and faults, so there is traffic there, and a sample of it now and then. In between nobody asks anything, the
 // relays sleep, and the clock leaps.
 type spell struct {
-	w      *world
-	from   float64 // of the present or the next spell
-	until  float64
-	marks  []float64 // times that are wanted
-	begun  float64
-	rested float64
+	w     *world
+	from  float64 // of the present or the next spell
+	until float64
+	marks []float64 // times that are wanted
+	begun float64
+	moved float64 // when the desk last made a move
 }
 
 const (
 	leadIn      = 6.0    // s of traffic before a time that matters
 	spellLeast  = 14.0   // s of a spell
-	spellMost   = 150.0  // s after which a spell rests although a release is under way
-	restFor     = 1800.0 // s of that rest
+	spellMost   = 100.0  // s without a move after which a spell rests although a release is under way
+	restFor     = 3600.0 // s of that rest
 	sampleEvery = 7200.0 // s between samples where nothing happens
 )
 
@@ -195,7 +195,7 @@
 		switch w.Code {
 		case rollout.NeedVotes, rollout.GoesBack, rollout.Free, rollout.HeldByVotes:
 			return true
-		case rollout.TooYoung:
+		case rollout.TooYoung, rollout.Settling:
 			return true
 		case rollout.IsFrozen, rollout.IsClosed:
 			if w.Until > 0 && w.Until-s.w.unix() < 30 {
@@ -222,8 +222,21 @@
 	s.until = s.from + spellLeast
 }
 
+// soon brings the next spell forward: something has moved while nobody was awake.
+func (s *spell) soon() {
+	s.moved = s.w.now
+	if !s.w.awake && s.from > s.w.now+1 {
+		s.from = s.w.now + 0.5
+		s.until = s.from + spellLeast
+		s.w.at(s.from, s.wake)
+	}
+}
+
 func (s *spell) wake() {
 	w := s.w
+	if w.awake || w.now < s.from-1e-6 {
+		return // it was brought forward, or is over already
+	}
 	w.awake, s.begun = true, w.now
 	w.mark("traffic begins")
 	parked := w.parked
@@ -260,7 +273,7 @@
 		for _, m := range s.marks {
 			soon = soon || m > w.now-3 && m < w.now+leadIn+2
 		}
-		if w.now < s.until || soon || s.busy() && w.now-s.begun < spellMost {
+		if w.now < s.until || soon || s.busy() && w.now-math.Max(s.begun, s.moved) < spellMost {
 			s.watch()
 			return
 		}
--- a/lab/world.go
+++ b/lab/world.go
@@ -165,6 +165,7 @@
 	}
 	d.w.mark("desk %s %s build %d step %d", e.Service, e.Kind, e.Build, e.Step)
 	d.w.stats.steps++
+	d.w.spell.soon()
 	d.w.check.moved(e)
 	for _, f := range d.w.fleets {
 		if f.name == e.Service {
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -367,7 +367,12 @@
 }
 
 func (g *Guard) filter(now plan.Unix, v relay.Vote) relay.Vote {
-	if v.Verdict == relay.VoteOn && !g.OnWaits(now).Ok() {
+	if v.Verdict != relay.VoteOn || g.off.All || g.off.Votes {
+		return v
+	}
+	// A module that is told less than the platform's news (a release that is not granted here yet) goes on voting for a
+	// step that is past.
+	if past := g.known && (g.news.Phase != relay.OnTrial || v.Build != g.news.Build); past || !g.OnWaits(now).Ok() {
 		v.Verdict = relay.VoteHold
 	}
 	return v
--- /dev/null
+++ b/trace/join.go
@@ -0,0 +1,245 @@
+package trace
+
+import "container/list"
+
+// Kinds of event that a join knows.
+type eventKind int
+
+const (
+	submit eventKind = iota
+	schedule
+	evict
+	fail
+	finish
+	kill
+	lose
+	update
+)
+
+// event is one row of a layout that tells of tasks by events.
+type event struct {
+	line     int64
+	at       Seconds
+	job      string
+	index    string
+	kind     eventKind
+	user     string
+	machine  string
+	class    int
+	priority int
+}
+
+// join makes tasks of events. It keeps a task from its submission to its end, and for a while after a failure or an
+// eviction, since it may come again. What stays without an end for longer than patience, or longest of all where the
+// table is full, is forgotten and reported: tasks that never end must not grow it.
+type join struct {
+	audit    *Audit
+	out      *order
+	open     map[taskKey]*life
+	byAge    *list.List // of *life, the one submitted first in front
+	waiting  *list.List // of *life that failed or were evicted, by when
+	patience Seconds    // that a task may stay open
+	again    Seconds    // in which one that failed may come again
+	most     int
+	now      Seconds // the latest time of any event
+	any      bool
+	ended    *recent // tasks that ended of late: a second end of theirs is a duplicate
+}
+
+type taskKey struct{ job, index string }
+
+// life is a task that has not ended.
+type life struct {
+	key     taskKey
+	task    Task
+	started Seconds
+	running bool
+	waits   bool // it failed or was evicted, and may come again
+	endedAt Seconds
+	place   *list.Element // in byAge
+	wait    *list.Element // in waiting
+	last    Seconds       // of its last event
+}
+
+func newJoin(a *Audit, out *order, patience, again Seconds, most int) *join {
+	return &join{audit: a, out: out, open: map[taskKey]*life{}, byAge: list.New(), waiting: list.New(), patience: patience,
+		again: again, most: most, ended: newRecent(most)}
+}
+
+// take takes an event.
+func (j *join) take(e event) error {
+	key := taskKey{e.job, e.index}
+	l := j.open[key]
+	late := j.any && e.at < j.now
+	if !late {
+		j.now, j.any = e.at, true
+	}
+	switch {
+	case e.kind == update:
+		// An update changes what a task asks for, not when it comes or ends. It counts with its task, if there is one.
+		if l == nil {
+			return j.orphan(e, key)
+		}
+		l.task.rows++
+	case e.kind == submit:
+		if l != nil && !l.waits {
+			j.audit.report(Duplicate, e.line, 1)
+			return nil
+		}
+		if l == nil {
+			if len(j.open) >= j.most {
+				j.forget(j.byAge.Front().Value.(*life))
+			}
+			l = &life{key: key, task: Task{Line: e.line, At: e.at, User: e.user, Job: e.job, Class: e.class, Priority: e.priority, HasClass: true}}
+			j.open[key] = l
+			l.place = j.byAge.PushBack(l)
+			j.ended.drop(key)
+		}
+		l.rest(j)
+		l.running = false
+		l.task.rows++
+	case l == nil:
+		return j.orphan(e, key)
+	case e.kind == schedule:
+		if l.running || l.waits {
+			j.audit.report(Duplicate, e.line, 1)
+			return nil
+		}
+		if e.at < l.task.At {
+			j.audit.report(EndFirst, e.line, 1)
+			return nil
+		}
+		l.running, l.started = true, e.at
+		l.task.Machine = e.machine
+		l.task.Runs++
+		l.task.rows++
+	default:
+		if l.waits {
+			j.audit.report(Duplicate, e.line, 1)
+			return nil
+		}
+		from := l.task.At
+		if l.running {
+			from = l.started
+		}
+		if e.at < from {
+			j.audit.report(EndFirst, e.line, 1)
+			return nil
+		}
+		l.task.rows++
+		l.task.Took = 0
+		if l.running {
+			l.task.Took = e.at - l.started
+		}
+		l.task.End = map[eventKind]End{evict: Evicted, fail: Failed, finish: Finished, kill: Killed, lose: Lost}[e.kind]
+		l.running = false
+		if e.kind == fail || e.kind == evict {
+			l.waits, l.endedAt = true, e.at
+			l.task.Fails++
+			l.wait = j.waiting.PushBack(l)
+		} else if err := j.done(l); err != nil {
+			return err
+		}
+	}
+	if l != nil {
+		l.last = max(l.last, e.at)
+		l.task.moved = l.task.moved || late
+	}
+	return j.pass()
+}
+
+// orphan reports an event of a task that is not open.
+func (j *join) orphan(e event, key taskKey) error {
+	if j.ended.has(key) {
+		j.audit.report(Duplicate, e.line, 1)
+	} else {
+		j.audit.report(NoBeginning, e.line, 1)
+	}
+	return j.pass()
+}
+
+// rest takes a life off the list of those that may come again.
+func (l *life) rest(j *join) {
+	if l.wait != nil {
+		j.waiting.Remove(l.wait)
+	}
+	l.wait, l.waits = nil, false
+}
+
+// done hands a task on.
+func (j *join) done(l *life) error {
+	if l.waits { // it did not come again: its last run is its end
+		l.task.Fails--
+	}
+	j.remove(l)
+	j.ended.add(l.key)
+	t := l.task
+	return j.out.add(&t)
+}
+
+func (j *join) remove(l *life) {
+	l.rest(j)
+	j.byAge.Remove(l.place)
+	delete(j.open, l.key)
+}
+
+// forget reports a task that never ended. One that failed and is still waited for has its end.
+func (j *join) forget(l *life) error {
+	if l.waits {
+		return j.done(l)
+	}
+	j.remove(l)
+	j.audit.report(NeverEnded, l.task.Line, l.task.rows)
+	return nil
+}
+
+// pass lets go of what has waited long enough, and hands on what nothing can come before any more.
+func (j *join) pass() error {
+	for e := j.waiting.Front(); e != nil && j.now-e.Value.(*life).endedAt > j.again; e = j.waiting.Front() {
+		if err := j.done(e.Value.(*life)); err != nil {
+			return err
+		}
+	}
+	for e := j.byAge.Front(); e != nil && j.now-e.Value.(*life).task.At > j.patience; e = j.byAge.Front() {
+		if err := j.forget(e.Value.(*life)); err != nil {
+			return err
+		}
+	}
+	if e := j.byAge.Front(); e != nil {
+		return j.out.to(min(e.Value.(*life).task.At, j.now))
+	}
+	return j.out.to(j.now)
+}
+
+// end is the end of the file.
+func (j *join) end() error {
+	for e := j.byAge.Front(); e != nil; e = j.byAge.Front() {
+		if err := j.forget(e.Value.(*life)); err != nil {
+			return err
+		}
+	}
+	return j.out.all()
+}
+
+// recent remembers the last so many keys.
+type recent struct {
+	at   map[taskKey]int
+	ring []taskKey
+	next int
+}
+
+func newRecent(n int) *recent {
+	return &recent{at: map[taskKey]int{}, ring: make([]taskKey, max(n, 1))}
+}
+
+func (r *recent) add(k taskKey) {
+	if old := r.ring[r.next]; r.at[old] == r.next+1 {
+		delete(r.at, old)
+	}
+	r.ring[r.next] = k
+	r.at[k] = r.next + 1
+	r.next = (r.next + 1) % len(r.ring)
+}
+
+func (r *recent) has(k taskKey) bool { return r.at[k] > 0 }
+func (r *recent) drop(k taskKey)     { delete(r.at, k) }
--- /dev/null
+++ b/trace/read.go
@@ -0,0 +1,141 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Options say how a trace is read.
+type Options struct {
+	Layout   string
+	Window   Seconds // within which rows of a layout of tasks are put back in order
+	Patience Seconds // that a task of a layout of events may stay without an end
+	Again    Seconds // in which one that failed may come again
+	Most     int     // tasks that are held at a time
+}
+
+// Usual are the options of a layout where nothing is said.
+func Usual(layout string) Options {
+	return Options{Layout: layout, Window: 60, Patience: 86400, Again: 300, Most: 50000}
+}
+
+// Read reads streams one behind another as one trace, and hands on its tasks by their arrival. It returns the audit also
+// where it ends with an error. Only a wrong layout, an error of emit, or a stream that can't be read is one: what is
+// wrong with rows is in the audit.
+func Read(o Options, emit func(*Task) error, from ...io.Reader) (*Audit, error) {
+	a := newAudit()
+	form, ok := layouts[o.Layout]
+	if !ok {
+		return a, fmt.Errorf("layout %q is none of %s", o.Layout, strings.Join(Layouts(), ", "))
+	}
+	if !(o.Window >= 0) || !(o.Patience > 0) || !(o.Again >= 0) || o.Most < 1 {
+		return a, errors.New("window, patience and bounds must be positive")
+	}
+	out := &order{audit: a, most: o.Most, emit: emit}
+	r := &reader{o: o, form: form, audit: a, out: out, join: newJoin(a, out, o.Patience, o.Again, o.Most)}
+	for _, in := range from {
+		rows, err := open(in)
+		if err != nil {
+			return a, fmt.Errorf("line 1: %w", err)
+		}
+		rows.line = r.before
+		err = r.read(rows)
+		r.before = rows.line
+		if err != nil {
+			return a, err
+		}
+	}
+	if form.event != nil {
+		return a, r.join.end()
+	}
+	return a, out.all()
+}
+
+// reader reads one trace.
+type reader struct {
+	o      Options
+	form   layout
+	audit  *Audit
+	out    *order
+	join   *join
+	before int64 // lines of the streams before
+	latest Seconds
+	any    bool
+}
+
+func (r *reader) read(t *rows) error {
+	header := r.form.header != nil
+	for {
+		fields, why, err := t.next()
+		if errors.Is(err, io.EOF) && why == Taken {
+			return nil
+		}
+		if header {
+			header = false
+			if why == Taken && isHeader(fields, r.form.header) {
+				continue
+			}
+			if why == Taken && len(fields) == r.form.columns {
+				if _, number := decimal(fields[len(fields)-1]); !number {
+					return fmt.Errorf("line %d: not the layout's header, which is %s", t.line, strings.Join(r.form.header, ","))
+				}
+			}
+		}
+		r.audit.Rows++
+		if err != nil { // what came before it counts; nothing behind it can be read
+			r.audit.report(Truncated, t.line, 1)
+			return nil
+		}
+		if why == Taken && len(fields) != r.form.columns {
+			why = ColumnCount
+		}
+		if why == Taken {
+			why, err = r.row(fields, t.line)
+		}
+		if err != nil {
+			return err
+		}
+		if why != Taken {
+			r.audit.report(why, t.line, 1)
+		}
+	}
+}
+
+func isHeader(fields [][]byte, names []string) bool {
+	if len(fields) != len(names) {
+		return false
+	}
+	for i, n := range names {
+		if !bytes.EqualFold(bytes.TrimSpace(fields[i]), []byte(n)) {
+			return false
+		}
+	}
+	return true
+}
+
+// row takes one row of the layout's columns.
+func (r *reader) row(fields [][]byte, line int64) (Reason, error) {
+	if r.form.event != nil {
+		var e event
+		if why := r.form.event(fields, &e); why != Taken {
+			return why, nil
+		}
+		e.line = line
+		return Taken, r.join.take(e)
+	}
+	t := &Task{Line: line, rows: 1}
+	if why := r.form.task(fields, t); why != Taken {
+		return why, nil
+	}
+	t.moved = r.any && t.At < r.latest
+	if !r.any || t.At > r.latest {
+		r.latest, r.any = t.At, true
+	}
+	if err := r.out.add(t); err != nil {
+		return Taken, err
+	}
+	return Taken, r.out.to(r.latest - r.o.Window)
+}
--- /dev/null
+++ b/trace/task.go
@@ -0,0 +1,115 @@
+package trace
+
+import "container/heap"
+
+// End is how a task ended.
+type End int
+
+const (
+	Finished End = iota
+	Failed
+	Killed // by its user or by what it depended on
+	Lost   // the trace lost sight of it
+	Evicted
+)
+
+var ends = [...]string{"finished", "failed", "killed", "lost", "evicted"}
+
+func (e End) String() string { return ends[e] }
+
+// Task is one task of a trace: it came, ran once or more, and ended.
+//
+// A task that fails or is evicted, comes again and finishes is one task with several runs, not two: a client's
+// retries belong to its first query, and counting it twice would ask for its value twice.
+type Task struct {
+	Line     int64   // of its first row
+	At       Seconds // when it first came
+	Took     Seconds // of its last run
+	End      End     // of its last run
+	Runs     int
+	Fails    int // runs that failed or were evicted, the last one not counted
+	User     string
+	Job      string
+	Kind     string // a word of the layout: a type, a class
+	Machine  string
+	Class    int
+	Priority int
+	HasClass bool // the layout has class and priority
+	rows     int64
+	seq      int64
+	moved    bool // a row of it came out of order
+}
+
+// order holds tasks back until no earlier one can come, and hands them on by their arrival. What would come too late
+// is reported. It holds a bounded number: at the bound the earliest goes on, as if the window were shorter.
+type order struct {
+	audit *Audit
+	heap  tasks
+	most  int
+	low   Seconds // nothing earlier is handed on any more
+	any   bool
+	seq   int64
+	emit  func(*Task) error
+}
+
+// add takes a task.
+func (o *order) add(t *Task) error {
+	if o.any && t.At < o.low {
+		o.audit.report(OutOfOrder, t.Line, t.rows)
+		return nil
+	}
+	o.seq++
+	t.seq = o.seq
+	heap.Push(&o.heap, t)
+	if len(o.heap) > o.most {
+		return o.hand()
+	}
+	return nil
+}
+
+// to hands on what came before a time.
+func (o *order) to(low Seconds) error {
+	for len(o.heap) > 0 && o.heap[0].At <= low {
+		if err := o.hand(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *order) hand() error {
+	t := heap.Pop(&o.heap).(*Task)
+	o.low, o.any = t.At, true
+	o.audit.Taken += t.rows
+	if t.moved {
+		o.audit.Reordered += t.rows
+	}
+	o.audit.handed(t.At)
+	return o.emit(t)
+}
+
+// all hands on what is left.
+func (o *order) all() error {
+	for len(o.heap) > 0 {
+		if err := o.hand(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type tasks []*Task
+
+func (q tasks) Len() int { return len(q) }
+func (q tasks) Less(i, j int) bool {
+	return q[i].At < q[j].At || q[i].At == q[j].At && q[i].seq < q[j].seq
+}
+func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *tasks) Push(x any)   { *q = append(*q, x.(*Task)) }
+func (q *tasks) Pop() any {
+	old := *q
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return t
+}
