--- a/trace/join.go
+++ b/trace/join.go
@@ -88,7 +88,9 @@
 		}
 		if l == nil {
 			if len(j.open) >= j.most {
-				j.forget(j.byAge.Front().Value.(*life))
+				if err := j.forget(j.byAge.Front().Value.(*life)); err != nil {
+					return err
+				}
 			}
 			l = &life{key: key, task: Task{Line: e.line, At: e.at, User: e.user, Job: e.job, Class: e.class, Priority: e.priority, HasClass: true}}
 			j.open[key] = l
--- a/trace/read.go
+++ b/trace/read.go
@@ -91,6 +91,9 @@
 		}
 		if why == Taken && len(fields) != r.form.columns {
 			why = ColumnCount
+			if t.cut {
+				why = Truncated
+			}
 		}
 		if why == Taken {
 			why, err = r.row(fields, t.line)
--- a/trace/rows.go
+++ b/trace/rows.go
@@ -25,6 +25,7 @@
 	fields [][]byte
 	spare  []byte // of fields with quotes
 	begun  bool
+	cut    bool // the present line has no end: the file stops in it
 }
 
 // open looks whether the stream is compressed with gzip.
@@ -66,6 +67,7 @@
 			text = bytes.TrimPrefix(text, bom)
 		}
 		whole := err == nil
+		t.cut = !whole
 		text = bytes.TrimSuffix(bytes.TrimSuffix(text, []byte("\n")), []byte("\r"))
 		if len(text) == 0 {
 			if !whole {
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,286 @@
+package trace
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// read reads a text and checks what always holds: the rows add up, and tasks come by their arrival.
+func read(t testing.TB, o Options, texts ...string) ([]Task, *Audit) {
+	t.Helper()
+	var got []Task
+	var from []io.Reader
+	for _, s := range texts {
+		from = append(from, strings.NewReader(s))
+	}
+	a, err := Read(o, func(x *Task) error { got = append(got, *x); return nil }, from...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sound(t, a, got)
+	return got, a
+}
+
+func sound(t testing.TB, a *Audit, got []Task) {
+	t.Helper()
+	if a.Taken+a.Left() != a.Rows || a.Reordered > a.Taken || a.Tasks != int64(len(got)) {
+		t.Fatalf("%d taken and %d reported of %d rows, %d reordered, %d tasks: %+v", a.Taken, a.Left(), a.Rows, a.Reordered, len(got), a.Reported)
+	}
+	for i := 1; i < len(got); i++ {
+		if got[i].At < got[i-1].At {
+			t.Fatalf("task %d came before the one handed on before it", i)
+		}
+	}
+	for r := range a.Reported {
+		if a.First[r] < 1 {
+			t.Fatalf("no line for %s", r)
+		}
+	}
+}
+
+// row builders, in the public layouts' columns.
+func google(at int64, job, index, kind int) string {
+	return fmt.Sprintf("%d,,%d,%d,77,%d,user%d,2,9,0.01,0.02,0.001,0\n", at, job, index, kind, job%3)
+}
+
+func alibaba(from, to int, status string) string {
+	return fmt.Sprintf("ins_%d,task_a,job_%d,4,%s,%d,%d,m_7,1,1,10,20,0.1,0.2\n", from, from%5, status, from, to)
+}
+
+func azure(end, took float64) string { return fmt.Sprintf("app1,f%d,%g,%g\n", int(end)%4, end, took) }
+
+const azureHead = "app,func,end_timestamp,duration\n"
+
+func reasons(a *Audit) string {
+	var out []string
+	for _, l := range a.Lines() {
+		word, _, _ := strings.Cut(l, ":")
+		out = append(out, fmt.Sprintf("%s %d@%d", word, a.Reported[Reason(word)], a.First[Reason(word)]))
+	}
+	return strings.Join(out, ", ")
+}
+
+const sec = 1000000
+
+func TestGoogleJoin(t *testing.T) {
+	o := Usual("google-2011")
+	for _, c := range []struct {
+		name, text string
+		tasks      string // at, took, end, runs, fails of each
+		left       string
+	}{
+		{"one that finishes", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 1) + google(5*sec, 1, 0, 4), "1 3 finished 1 0;", ""},
+		{"fails, comes again and finishes", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 1) + google(3*sec, 1, 0, 3) + google(4*sec, 1, 0, 0) +
+			google(5*sec, 1, 0, 1) + google(9*sec, 1, 0, 4), "1 4 finished 2 1;", ""},
+		{"evicted and scheduled again", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 1) + google(3*sec, 1, 0, 2) + google(3*sec, 1, 0, 0) +
+			google(4*sec, 1, 0, 1) + google(6*sec, 1, 0, 5), "1 2 killed 2 1;", ""},
+		{"fails and does not come again", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 1) + google(3*sec, 1, 0, 3) + google(500*sec, 2, 0, 0) +
+			google(501*sec, 2, 0, 1) + google(502*sec, 2, 0, 4), "1 1 failed 1 0;500 1 finished 1 0;", ""},
+		{"killed before it ran", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 5), "1 0 killed 0 0;", ""},
+		{"a duration of nothing", google(sec, 1, 0, 0) + google(sec, 1, 0, 1) + google(sec, 1, 0, 4), "1 0 finished 1 0;", ""},
+		{"never ends", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 1) + google(3*sec, 2, 0, 0) + google(3*sec, 2, 0, 1) + google(4*sec, 2, 0, 4),
+			"3 1 finished 1 0;", "never_ended 2@1"},
+		{"a long one holds back what came after it", google(sec, 1, 0, 0) + google(sec, 1, 0, 1) + google(2*sec, 2, 0, 0) + google(2*sec, 2, 0, 1) +
+			google(3*sec, 2, 0, 4) + google(40000*sec, 1, 0, 4), "1 39999 finished 1 0;2 1 finished 1 0;", ""},
+		{"before the start and after the end", google(0, 1, 0, 0) + google(1<<63-1, 1, 0, 4) + google(sec, 2, 0, 0) + google(2*sec, 2, 0, 5),
+			"1 0 killed 0 0;", "outside 2@1"},
+		{"an end without a beginning", google(sec, 1, 0, 4) + google(sec, 2, 0, 0) + google(2*sec, 2, 0, 5), "1 0 killed 0 0;", "no_submit 1@1"},
+		{"a second end, a second submission", google(sec, 1, 0, 0) + google(sec, 1, 0, 0) + google(2*sec, 1, 0, 5) + google(2*sec, 1, 0, 5),
+			"1 0 killed 0 0;", "duplicate 2@2"},
+		{"ends before it starts", google(5*sec, 1, 0, 0) + google(6*sec, 1, 0, 1) + google(4*sec, 1, 0, 4) + google(7*sec, 1, 0, 4),
+			"5 1 finished 1 0;", "end_before_start 1@3"},
+		{"updates", google(sec, 1, 0, 0) + google(2*sec, 1, 0, 7) + google(3*sec, 1, 0, 5) + google(4*sec, 1, 0, 8), "1 0 killed 0 0;", "duplicate 1@4"},
+		{"missing fields", ",,1,0,,0,u,1,1,,,,\n1000000,,,0,,0,u,1,1,,,,\n1000000,,1,,,0,u,1,1,,,,\n1000000,,1,0,,0,,1,1,,,,\n1000000,,1,0,,0,u,,1,,,,\n1000000,,1,0,,1,u,,1,,,,\n" + google(sec, 1, 0, 0) + google(sec, 1, 0, 5),
+			"1 0 killed 0 0;", "missing_class 1@5, missing_job 1@2, missing_machine 1@6, missing_task_index 1@3, missing_time 1@1, missing_user 1@4"},
+		{"no numbers", "soon,,1,0,,0,u,1,1,,,,\n1000000,,1,0,,9,u,1,1,,,,\n1000000,,1,0,,x,u,1,1,,,,\n", "", "not_a_number 2@1, unknown_status 1@2"},
+	} {
+		got, a := read(t, o, c.text)
+		tasks := ""
+		for _, x := range got {
+			tasks += fmt.Sprintf("%g %g %s %d %d;", x.At, x.Took, x.End, x.Runs, x.Fails)
+		}
+		if tasks != c.tasks || reasons(a) != c.left {
+			t.Errorf("%s: %q %q", c.name, tasks, reasons(a))
+		}
+	}
+}
+
+// TestJoinForgets has a million tasks that never end: the table stays small, and each is reported.
+func TestJoinForgets(t *testing.T) {
+	o := Usual("google-2011")
+	o.Most = 1000
+	var b strings.Builder
+	const n = 50000
+	for i := range n {
+		b.WriteString(google(int64(i+1)*1000, i, 0, 0))
+	}
+	got, a := read(t, o, b.String())
+	if len(got) != 0 || a.Reported[NeverEnded] != n {
+		t.Errorf("%d tasks, %s", len(got), reasons(a))
+	}
+	o.Most, o.Patience = 1<<20, 10
+	if got, a = read(t, o, b.String()); len(got) != 0 || a.Reported[NeverEnded] != n {
+		t.Errorf("by patience: %d tasks, %s", len(got), reasons(a))
+	}
+}
+
+func TestRowsOfOneTask(t *testing.T) {
+	for _, c := range []struct {
+		name, layout, text string
+		tasks              int
+		left               string
+	}{
+		{"alibaba", "alibaba-2018", alibaba(10, 15, "Terminated") + alibaba(11, 11, "Failed") + alibaba(12, 900000, "Terminated"), 3, ""},
+		{"alibaba that is wrong", "alibaba-2018", alibaba(10, 9, "Terminated") + alibaba(10, 20, "Dancing") + alibaba(10, 20, "Running") + alibaba(0, 5, "Failed") +
+			"ins,t,j,4,Terminated,5,,m,1,1,,,,\nins,t,j,4,Terminated,,6,m,1,1,,,,\nins,t,j,4,Terminated,x,6,m,1,1,,,,\nins,t,j\n" + alibaba(10, 15, "Failed"), 1,
+			"end_before_start 1@1, missing_end 1@5, missing_start 1@6, never_ended 1@3, not_a_number 1@7, outside 1@4, unknown_status 1@2, wrong_column_count 1@8"},
+		{"azure", "azure-2021", azureHead + azure(10, 2) + azure(11, 0) + azure(90000, 86400), 3, ""},
+		{"azure that is wrong", "azure-2021", azureHead + azure(10, -1) + azure(1, 5) + "a,f,1e400,1\na,f,NaN,1\na,,1,1\n" + azure(10, 2), 1,
+			"not_a_number 2@4, missing_func 1@6, negative_duration 1@2, outside 1@3"},
+		{"windows lines, a mark and quotes", "azure-2021", "\ufeff" + strings.ReplaceAll(azureHead, "\n", "\r\n") + "\"app,1\",\"f\"\"x\",\"10\",2\r\n\r\n", 1, ""},
+		{"stray quotes", "azure-2021", azureHead + "a\"b,f,10,2\n\"ab,f,10,2\n\"a\"b,f,10,2\n" + azure(10, 2), 1, "stray_quote 3@2"},
+		{"no text", "azure-2021", azureHead + "a\xff,f,10,2\n" + azure(10, 2), 1, "bad_utf8 1@2"},
+		{"a long line", "azure-2021", azureHead + strings.Repeat("x", 3*readAhead) + "\n" + azure(10, 2) + strings.Repeat("y", MostLine+10) + ",f,1,1\n", 1, "line_too_long 2@2"},
+		{"ends within a row", "azure-2021", azureHead + azure(10, 2) + "a,f,1", 1, "truncated 1@3"},
+		{"ends with a whole row", "azure-2021", azureHead + strings.TrimRight(azure(10, 2), "\n"), 1, ""},
+		{"nothing", "azure-2021", "", 0, ""},
+		{"a burst in one instant", "azure-2021", azureHead + strings.Repeat(azure(10, 2), 10000), 10000, ""},
+		{"an hour of nothing", "azure-2021", azureHead + azure(10, 2) + azure(3700, 2), 2, ""},
+	} {
+		got, a := read(t, Usual(c.layout), c.text)
+		if len(got) != c.tasks || reasons(a) != c.left {
+			t.Errorf("%s: %d tasks, %q", c.name, len(got), reasons(a))
+		}
+	}
+	got, _ := read(t, Usual("azure-2021"), azureHead+"\"app,1\",\"f\"\"x\",10,2\n")
+	if got[0].User != "app,1" || got[0].Job != `f"x` || got[0].At != 8 {
+		t.Errorf("%+v", got[0])
+	}
+	if _, err := Read(Usual("azure-2021"), func(*Task) error { return nil }, strings.NewReader("app,func,end,took\n")); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Error("another header was taken: ", err)
+	}
+	if _, err := Read(Options{Layout: "ibm"}, nil); err == nil {
+		t.Error("an unknown layout was taken")
+	}
+}
+
+// TestOutOfOrder moves one row back by every distance round the window.
+func TestOutOfOrder(t *testing.T) {
+	o := Usual("alibaba-2018")
+	o.Window = 10
+	for back := 1; back <= 20; back++ {
+		text := ""
+		for at := 100; at < 140; at++ {
+			text += alibaba(at, at+1, "Terminated")
+		}
+		text += alibaba(139-back, 200, "Terminated") + alibaba(140, 141, "Terminated")
+		got, a := read(t, o, text)
+		if within := back <= 10; within && (len(got) != 42 || a.Reordered != 1) || !within && (len(got) != 41 || a.Reported[OutOfOrder] != 1 || a.First[OutOfOrder] != 41) {
+			t.Errorf("%d s back: %d tasks, %d reordered, %s", back, len(got), a.Reordered, reasons(a))
+		}
+	}
+	o.Window = 0
+	if got, a := read(t, o, alibaba(5, 6, "Failed")+alibaba(5, 7, "Failed")+alibaba(4, 7, "Failed")); len(got) != 2 || a.Reported[OutOfOrder] != 1 {
+		t.Error("equal times, and no window: ", len(got), reasons(a))
+	}
+}
+
+func TestFilesThatOverlap(t *testing.T) {
+	one, two := "", ""
+	for at := 100; at < 150; at++ {
+		one += alibaba(at, at+1, "Terminated")
+		two += alibaba(at+30, at+31, "Terminated")
+	}
+	got, a := read(t, Usual("alibaba-2018"), one, two)
+	if len(got) != 100 || a.Reordered != 19 || a.Rows != 100 {
+		t.Errorf("%d tasks, %d reordered", len(got), a.Reordered)
+	}
+}
+
+func TestGzip(t *testing.T) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	for at := 1; at < 20000; at++ {
+		io.WriteString(z, alibaba(at, at+rand.New(rand.NewSource(int64(at))).Intn(50), "Terminated"))
+	}
+	z.Close()
+	whole, a := read(t, Usual("alibaba-2018"), b.String())
+	if len(whole) != 19999 {
+		t.Fatal(len(whole))
+	}
+	for _, cut := range []int{b.Len() - 1, b.Len() - 9, b.Len() / 2, 20} {
+		var got []Task
+		a, err := Read(Usual("alibaba-2018"), func(x *Task) error { got = append(got, *x); return nil }, bytes.NewReader(b.Bytes()[:cut]))
+		if err != nil {
+			t.Fatal(cut, err)
+		}
+		sound(t, a, got)
+		if a.Reported[Truncated] != 1 || len(got) > len(whole) {
+			t.Errorf("cut at %d: %s", cut, reasons(a))
+		}
+	}
+	again, b2 := read(t, Usual("alibaba-2018"), b.String())
+	if !reflect.DeepEqual(again, whole) || !reflect.DeepEqual(a, b2) {
+		t.Error("read twice, it is not the same")
+	}
+	if _, err := Read(Usual("azure-2021"), nil, strings.NewReader("\x1f\x8bno")); err == nil {
+		t.Error("no gzip was taken")
+	}
+	stop := errors.New("enough")
+	if _, err := Read(Usual("alibaba-2018"), func(*Task) error { return stop }, bytes.NewReader(b.Bytes())); !errors.Is(err, stop) {
+		t.Error(err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("google-2011", google(sec, 1, 0, 0)+google(2*sec, 1, 0, 1)+google(3*sec, 1, 0, 3)+google(2*sec, 1, 0, 0))
+	f.Add("alibaba-2018", alibaba(10, 15, "Terminated")+alibaba(5, 15, "Failed")+"a,\"b\n")
+	f.Add("azure-2021", azureHead+azure(10, 2)+"\xff\n\"\"\"\",f,1,1\r\n\n")
+	f.Fuzz(func(t *testing.T, layout, text string) {
+		o := Usual(layout)
+		o.Most = 4
+		var got []Task
+		a, err := Read(o, func(x *Task) error { got = append(got, *x); return nil }, strings.NewReader(text))
+		if err == nil {
+			sound(t, a, got)
+		}
+	})
+}
+
+func BenchmarkRead(b *testing.B) {
+	for _, layout := range Layouts() {
+		b.Run(layout, func(b *testing.B) {
+			var text strings.Builder
+			r := rand.New(rand.NewSource(1))
+			if layout == "azure-2021" {
+				text.WriteString(azureHead)
+			}
+			for i := 1; text.Len() < 16<<20; i++ {
+				switch layout {
+				case "azure-2021":
+					text.WriteString(fmt.Sprintf("%064x,%064x,%.6f,%.3f\n", i%500, i%3000, 1e6+float64(i)/50, r.ExpFloat64()*5))
+				case "alibaba-2018":
+					text.WriteString(fmt.Sprintf("ins_%d,task_LTg0MTUwNTA5Mjg4MDkwNjIzMA==,j_%d,10,Terminated,%d,%d,m_%d,1,1,60,140,0.02,0.05\n", i, i%9000, 1+i/300, 1+i/300+r.Intn(100), i%4000))
+				default:
+					at := int64(i) * 1000
+					text.WriteString(google(at, i, 0, 0) + google(at+100, i, 0, 1) + google(at+900, i, 0, 4))
+				}
+			}
+			s := text.String()
+			b.SetBytes(int64(len(s)))
+			b.ResetTimer()
+			for range b.N {
+				if _, err := Read(Usual(layout), func(*Task) error { return nil }, strings.NewReader(s)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
