--- a/cmd/lichenroad/main.go
+++ b/cmd/lichenroad/main.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"lichenroad/internal/config"
+	"lichenroad/internal/form"
 	"lichenroad/internal/stats"
 	"lichenroad/plan"
 )
@@ -74,7 +75,7 @@
 	if !errors.As(err, &f) {
 		f = fault{exitCall, err}
 	}
-	var faults *plan.Faults
+	var faults *form.Faults
 	if errors.As(err, &faults) && f.code == exitFault {
 		for _, line := range faults.Lines() {
 			fmt.Fprintln(errs, "lichenroad:", line)
--- /dev/null
+++ b/internal/form/form.go
@@ -0,0 +1,298 @@
+// Package form reads small XML files of settings: elements and attributes against a table of forms, with every fault
+// named by line, all at once. What the elements mean is their owners' matter.
+package form
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of a file: a plan for hundreds of relays takes a tenth of them.
+const (
+	MostBytes    = 1 << 20
+	MostElements = 20000
+	mostDepth    = 8
+	mostFaults   = 100 // that are listed; the rest is counted
+)
+
+// Fault is one thing that is wrong, and where.
+type Fault struct {
+	Line    int
+	Element string
+	Text    string
+}
+
+func (f Fault) String() string {
+	if f.Element == "" {
+		return fmt.Sprintf("%d: %s", f.Line, f.Text)
+	}
+	return fmt.Sprintf("%d: <%s>: %s", f.Line, f.Element, f.Text)
+}
+
+// Faults are all that is wrong with a file, by line.
+type Faults struct {
+	File string
+	List []Fault
+}
+
+// Error is every fault on a line of its own.
+func (f *Faults) Error() string { return strings.Join(f.Lines(), "\n") }
+
+// Lines gives a line for each fault.
+func (f *Faults) Lines() (out []string) {
+	for i, x := range f.List {
+		if i == mostFaults {
+			return append(out, fmt.Sprintf("%s: and %d more faults", f.File, len(f.List)-i))
+		}
+		out = append(out, f.File+":"+x.String())
+	}
+	return out
+}
+
+// Node is an element as it stands in the file.
+type Node struct {
+	Name  string
+	Line  int
+	Attrs map[string]string
+	Kids  []*Node
+}
+
+// Form says what an element may hold.
+type Form struct {
+	Needs []string // attributes
+	May   []string
+	Kids  []string
+}
+
+// Reader reads one file and gathers its faults.
+type Reader struct {
+	Root  string
+	Forms map[string]Form
+	List  []Fault
+}
+
+// Load reads a file, no more of it than may be.
+func Load(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, MostBytes+1))
+}
+
+// Err is all that was found in a file, by line; nil where it was nothing.
+func (r *Reader) Err(file string) error {
+	if len(r.List) == 0 {
+		return nil
+	}
+	sort.SliceStable(r.List, func(i, j int) bool { return r.List[i].Line < r.List[j].Line })
+	return &Faults{file, r.List}
+}
+
+// Read reads the elements of a file.
+func (r *Reader) Read(raw []byte) *Node {
+	if len(raw) > MostBytes {
+		r.List = append(r.List, Fault{1, "", fmt.Sprintf("over %d bytes", MostBytes)})
+		return nil
+	}
+	return r.tree(raw)
+}
+
+// Fault notes what is wrong with an element.
+func (r *Reader) Fault(n *Node, format string, a ...any) {
+	r.List = append(r.List, Fault{n.Line, n.Name, fmt.Sprintf(format, a...)})
+}
+
+// tree reads the elements. What can't be read at all ends the reading; what is unknown is named and left out.
+func (r *Reader) tree(raw []byte) *Node {
+	d := xml.NewDecoder(bytes.NewReader(raw))
+	var root *Node
+	var path []*Node
+	elements := 0
+	end := func(text string) *Node {
+		line, _ := d.InputPos()
+		r.List = append(r.List, Fault{line, "", text})
+		return nil
+	}
+	for {
+		tok, err := d.Token()
+		line, _ := d.InputPos()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			var bad *xml.SyntaxError
+			if errors.As(err, &bad) {
+				return end("no XML: " + bad.Msg)
+			}
+			return end("no XML: " + err.Error())
+		}
+		switch t := tok.(type) {
+		case xml.Directive: // a DOCTYPE could bring entities that expand
+			return end("no DOCTYPE or other declarations are taken")
+		case xml.StartElement:
+			if elements++; elements > MostElements || len(path) >= mostDepth {
+				return end(fmt.Sprintf("over %d elements, or %d deep", MostElements, mostDepth))
+			}
+			n := &Node{Name: t.Name.Local, Line: line, Attrs: map[string]string{}}
+			for _, a := range t.Attr {
+				switch {
+				case a.Name.Space == "xmlns" || a.Name.Local == "xmlns" ||
+					a.Name.Space == "http://www.w3.org/2001/XMLSchema-instance":
+				case n.Attrs[a.Name.Local] != "":
+					r.Fault(n, "attribute %s stands twice", a.Name.Local)
+				default:
+					n.Attrs[a.Name.Local] = a.Value
+				}
+			}
+			switch {
+			case len(path) > 0:
+				up := path[len(path)-1]
+				up.Kids = append(up.Kids, n)
+			case root != nil:
+				return end("more than one root")
+			default:
+				root = n
+			}
+			path = append(path, n)
+		case xml.EndElement:
+			path = path[:len(path)-1]
+		case xml.CharData:
+			if s := strings.TrimSpace(string(t)); s != "" && len(path) > 0 {
+				r.List = append(r.List, Fault{line, path[len(path)-1].Name, fmt.Sprintf("text %.20q is not expected", s)})
+			}
+		}
+	}
+	if root == nil {
+		return end("empty")
+	}
+	if root.Name != r.Root {
+		r.Fault(root, "the root must be <%s>", r.Root)
+		return nil
+	}
+	r.shape(root)
+	return root
+}
+
+// shape holds an element against its form, and those in it.
+func (r *Reader) shape(n *Node) {
+	f := r.Forms[n.Name]
+	for _, a := range f.Needs {
+		if _, ok := n.Attrs[a]; !ok {
+			r.Fault(n, "attribute %s is missing", a)
+		}
+	}
+	var names []string
+	for a := range n.Attrs {
+		names = append(names, a)
+	}
+	sort.Strings(names)
+	for _, a := range names {
+		if !slices.Contains(f.Needs, a) && !slices.Contains(f.May, a) {
+			r.Fault(n, "attribute %s is not known", a)
+		}
+	}
+	kept := n.Kids[:0]
+	for _, k := range n.Kids {
+		if !slices.Contains(f.Kids, k.Name) {
+			r.Fault(k, "not known in <%s>", n.Name)
+			continue
+		}
+		r.shape(k)
+		kept = append(kept, k)
+	}
+	n.Kids = kept
+}
+
+// All lists the elements of a name in this one.
+func (n *Node) All(name string) (out []*Node) {
+	for _, k := range n.Kids {
+		if k.Name == name {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Number reads an attribute as a number between bounds; absent, it is what usual says.
+func (r *Reader) Number(n *Node, name string, usual, least, most float64) float64 {
+	s, ok := n.Attrs[name]
+	if !ok {
+		return usual
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= least && v <= most) || strings.ContainsAny(s, "xXpPnN_") {
+		r.Fault(n, "%s: %.20q is no number from %g to %g", name, s, least, most)
+		return usual
+	}
+	return v
+}
+
+// Span reads an attribute as a span such as 90s, 5m or 1h30m.
+func (r *Reader) Span(n *Node, name string, usual float64) float64 {
+	s, ok := n.Attrs[name]
+	if !ok {
+		return usual
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 || d > 31*24*time.Hour || strings.ContainsAny(s, "+-nµu") {
+		r.Fault(n, "%s: %.20q is no span of up to 31 days, such as 90s, 5m or 1h30m", name, s)
+		return usual
+	}
+	return d.Seconds()
+}
+
+// Name reads the name of an element, which must be one and not be taken.
+func (r *Reader) Name(n *Node, taken map[string]bool) string {
+	s := n.Attrs["name"]
+	ok := s != "" && len(s) <= 64
+	for _, c := range s {
+		ok = ok && (c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("._-", c))
+	}
+	if _, there := n.Attrs["name"]; there && !ok {
+		r.Fault(n, "Name: %.20q is no name (letters, digits, '.', '_' and '-', 64 at most)", s)
+	} else if taken[s] {
+		r.Fault(n, "Name: %q stands twice", s)
+	}
+	taken[s] = true
+	return s
+}
+
+// Word reads an attribute that is one of some words.
+func Word[T ~int](r *Reader, n *Node, name string, usual T, words map[string]T) T {
+	s, ok := n.Attrs[name]
+	if !ok {
+		return usual
+	}
+	v, known := words[s]
+	if !known {
+		var list []string
+		for w := range words {
+			list = append(list, w)
+		}
+		sort.Strings(list)
+		r.Fault(n, "%s: %.20q is none of %s", name, s, strings.Join(list, ", "))
+	}
+	return v
+}
+
+// Address reads an address with a port.
+func (r *Reader) Address(n *Node, name string) bool {
+	s := n.Attrs[name]
+	i := strings.LastIndexByte(s, ':')
+	if port, err := strconv.ParseUint(s[i+1:], 10, 16); i <= 0 || err != nil || port > 65535 {
+		r.Fault(n, "%s: %.40q is no address with a port", name, s)
+		return false
+	}
+	return true
+}
--- a/plan/check.go
+++ b/plan/check.go
@@ -5,33 +5,35 @@
 	"math"
 	"strings"
 	"time"
+
+	"lichenroad/internal/form"
 )
 
 // freeze reads a freeze. Its one-off times must be there once in their zone: nobody can tell which of two is meant.
-func (r *reader) freeze(p *Plan, n *node, names map[string]bool) Freeze {
-	f := Freeze{Name: r.name(n, names),
-		Stops: word(r, n, "stops", StopsAll, map[string]Stops{"begin": StopsBegin, "on": StopsOn, "all": StopsAll})}
-	for _, k := range n.all("for") {
-		if len(k.attrs) != 1 {
-			r.fault(k, "names a service or a site, one of the two")
+func (r *reader) freeze(p *Plan, n *form.Node, names map[string]bool) Freeze {
+	f := Freeze{Name: r.Name(n, names),
+		Stops: form.Word(&r.Reader, n, "stops", StopsAll, map[string]Stops{"begin": StopsBegin, "on": StopsOn, "all": StopsAll})}
+	for _, k := range n.All("for") {
+		if len(k.Attrs) != 1 {
+			r.Fault(k, "names a service or a site, one of the two")
 		}
-		if name, ok := k.attrs["service"]; ok {
+		if name, ok := k.Attrs["service"]; ok {
 			s, known := p.Service(name)
 			if !known {
-				r.fault(k, "service: there is no %.20q", name)
+				r.Fault(k, "service: there is no %.20q", name)
 			}
 			f.Services = append(f.Services, s)
 		}
-		if name, ok := k.attrs["site"]; ok {
+		if name, ok := k.Attrs["site"]; ok {
 			s, known := p.Site(name)
 			if !known {
-				r.fault(k, "site: there is no %.20q", name)
+				r.Fault(k, "site: there is no %.20q", name)
 			}
 			f.Sites = append(f.Sites, s)
 		}
 	}
-	for _, k := range n.kids {
-		switch k.name {
+	for _, k := range n.Kids {
+		switch k.Name {
 		case "weekly":
 			f.Spans = append(f.Spans, r.weekly(k))
 		case "once":
@@ -39,19 +41,19 @@
 		}
 	}
 	if len(f.Spans) == 0 {
-		r.fault(n, "no <weekly> or <once>")
+		r.Fault(n, "no <weekly> or <once>")
 	}
 	return f
 }
 
-func (r *reader) zone(n *node) *time.Location {
-	name, ok := n.attrs["zone"]
+func (r *reader) zone(n *form.Node) *time.Location {
+	name, ok := n.Attrs["zone"]
 	if !ok {
 		return time.UTC
 	}
 	zone, err := time.LoadLocation(name)
 	if err != nil || name == "" || name == "Local" {
-		r.fault(n, "zone: %.40q is no time zone", name)
+		r.Fault(n, "zone: %.40q is no time zone", name)
 		return time.UTC
 	}
 	return zone
@@ -59,15 +61,15 @@
 
 var weekdays = map[string]time.Weekday{"sun": 0, "mon": 1, "tue": 2, "wed": 3, "thu": 4, "fri": 5, "sat": 6}
 
-func (r *reader) weekly(n *node) Span {
+func (r *reader) weekly(n *form.Node) Span {
 	s := Span{Zone: r.zone(n)}
-	for _, d := range strings.Fields(n.attrs["days"]) {
+	for _, d := range strings.Fields(n.Attrs["days"]) {
 		day, ok := weekdays[d]
 		switch {
 		case !ok:
-			r.fault(n, "days: %.20q is none of mon tue wed thu fri sat sun", d)
+			r.Fault(n, "days: %.20q is none of mon tue wed thu fri sat sun", d)
 		case s.Days[day]:
-			r.fault(n, "days: %s stands twice", d)
+			r.Fault(n, "days: %s stands twice", d)
 		default:
 			s.Days[day] = true
 		}
@@ -77,51 +79,51 @@
 			s.weekdays = append(s.weekdays, time.Weekday(d))
 		}
 	}
-	if _, ok := n.attrs["days"]; ok && len(s.weekdays) == 0 {
-		r.fault(n, "days: none")
+	if _, ok := n.Attrs["days"]; ok && len(s.weekdays) == 0 {
+		r.Fault(n, "days: none")
 	}
 	s.Start, s.End = r.clock(n, "from"), r.clock(n, "to")
 	return s
 }
 
-func (r *reader) clock(n *node, name string) time.Duration {
-	s, ok := n.attrs[name]
+func (r *reader) clock(n *form.Node, name string) time.Duration {
+	s, ok := n.Attrs[name]
 	t, err := time.Parse("15:04", s)
 	if ok && (err != nil || len(s) != 5) {
-		r.fault(n, "%s: %.20q is no time of day such as 22:30", name, s)
+		r.Fault(n, "%s: %.20q is no time of day such as 22:30", name, s)
 	}
 	return time.Duration(t.Hour())*time.Hour + time.Duration(t.Minute())*time.Minute
 }
 
-func (r *reader) once(n *node) Span {
+func (r *reader) once(n *form.Node) Span {
 	s := Span{Zone: r.zone(n)}
 	s.From, s.To = r.moment(n, "from", s.Zone), r.moment(n, "to", s.Zone)
 	if !s.From.IsZero() && !s.To.IsZero() && !s.To.After(s.From) {
-		r.fault(n, "to: the freeze ends no later than it begins")
+		r.Fault(n, "to: the freeze ends no later than it begins")
 	}
 	if s.To.Sub(s.From) > 400*24*time.Hour {
-		r.fault(n, "to: the freeze lasts for over 400 days, as good as without end")
+		r.Fault(n, "to: the freeze lasts for over 400 days, as good as without end")
 	}
 	return s
 }
 
 // moment reads a date and time in a zone, and wants it to be there exactly once.
-func (r *reader) moment(n *node, name string, zone *time.Location) time.Time {
-	s, ok := n.attrs[name]
+func (r *reader) moment(n *form.Node, name string, zone *time.Location) time.Time {
+	s, ok := n.Attrs[name]
 	if !ok {
 		return time.Time{}
 	}
 	t, err := time.Parse("2006-01-02T15:04", s)
 	if err != nil {
-		r.fault(n, "%s: %.20q is no time such as 2026-12-24T18:00", name, s)
+		r.Fault(n, "%s: %.20q is no time such as 2026-12-24T18:00", name, s)
 		return time.Time{}
 	}
 	at := time.Date(t.Year(), t.Month(), t.Day(), t.Hour(), t.Minute(), 0, 0, zone)
 	switch _, kind := odd(at, t.Year(), t.Month(), t.Day(), t.Hour(), t.Minute(), 0); kind {
 	case skipped:
-		r.fault(n, "%s: %s is skipped in %s", name, s, zone)
+		r.Fault(n, "%s: %s is skipped in %s", name, s, zone)
 	case twice:
-		r.fault(n, "%s: %s is there twice in %s", name, s, zone)
+		r.Fault(n, "%s: %s is there twice in %s", name, s, zone)
 	}
 	return at
 }
@@ -157,7 +159,7 @@
 				s := &p.Services[q.service]
 				names = append(names, s.Name+" "+s.StepName(q.step))
 			}
-			r.fault(r.services[at.service], "a cycle: %s", strings.Join(names, " needs "))
+			r.Fault(r.services[at.service], "a cycle: %s", strings.Join(names, " needs "))
 			return true
 		case 2:
 			return false
@@ -219,7 +221,7 @@
 				at, last = math.Max(f.Till, at+1), f
 			}
 			if at >= start+10*86400 {
-				r.fault(r.freezes[from[last.Freeze]], "never ends: with the other freezes it leaves %s no time (clock-skew counts at both ends)",
+				r.Fault(r.freezes[from[last.Freeze]], "never ends: with the other freezes it leaves %s no time (clock-skew counts at both ends)",
 					p.Services[s].Name)
 				return
 			}
--- a/trace/join.go
+++ b/trace/join.go
@@ -16,13 +16,16 @@
 	update
 )
 
+var endOf = [...]End{evict: Evicted, fail: Failed, finish: Finished, kill: Killed, lose: Lost}
+
 // event is one row of a layout that tells of tasks by events.
 type event struct {
 	line     int64
 	at       Seconds
-	job      string
-	index    string
+	job      int64
+	index    int64
 	kind     eventKind
+	name     string // the job's
 	user     string
 	machine  string
 	class    int
@@ -43,10 +46,11 @@
 	most     int
 	now      Seconds // the latest time of any event
 	any      bool
+	free     []*life // that can be used again
 	ended    *recent // tasks that ended of late: a second end of theirs is a duplicate
 }
 
-type taskKey struct{ job, index string }
+type taskKey struct{ job, index int64 }
 
 // life is a task that has not ended.
 type life struct {
@@ -58,7 +62,6 @@
 	endedAt Seconds
 	place   *list.Element // in byAge
 	wait    *list.Element // in waiting
-	last    Seconds       // of its last event
 }
 
 func newJoin(a *Audit, out *order, patience, again Seconds, most int) *join {
@@ -74,6 +77,9 @@
 	if !late {
 		j.now, j.any = e.at, true
 	}
+	if l != nil {
+		l.task.moved = l.task.moved || late
+	}
 	switch {
 	case e.kind == update:
 		// An update changes what a task asks for, not when it comes or ends. It counts with its task, if there is one.
@@ -92,7 +98,9 @@
 					return err
 				}
 			}
-			l = &life{key: key, task: Task{Line: e.line, At: e.at, User: e.user, Job: e.job, Class: e.class, Priority: e.priority, HasClass: true}}
+			l = j.fresh()
+			l.key = key
+			l.task = Task{Line: e.line, At: e.at, User: e.user, Job: e.name, Class: e.class, Priority: e.priority, HasClass: true}
 			j.open[key] = l
 			l.place = j.byAge.PushBack(l)
 			j.ended.drop(key)
@@ -133,7 +141,7 @@
 		if l.running {
 			l.task.Took = e.at - l.started
 		}
-		l.task.End = map[eventKind]End{evict: Evicted, fail: Failed, finish: Finished, kill: Killed, lose: Lost}[e.kind]
+		l.task.End = endOf[e.kind]
 		l.running = false
 		if e.kind == fail || e.kind == evict {
 			l.waits, l.endedAt = true, e.at
@@ -143,10 +151,6 @@
 			return err
 		}
 	}
-	if l != nil {
-		l.last = max(l.last, e.at)
-		l.task.moved = l.task.moved || late
-	}
 	return j.pass()
 }
 
@@ -175,8 +179,21 @@
 	}
 	j.remove(l)
 	j.ended.add(l.key)
-	t := l.task
-	return j.out.add(&t)
+	t := j.out.fresh()
+	*t = l.task
+	j.free = append(j.free, l)
+	return j.out.add(t)
+}
+
+// fresh gives a life, one that was used before where there is any.
+func (j *join) fresh() *life {
+	if n := len(j.free); n > 0 {
+		l := j.free[n-1]
+		j.free = j.free[:n-1]
+		*l = life{}
+		return l
+	}
+	return &life{}
 }
 
 func (j *join) remove(l *life) {
--- a/trace/layouts.go
+++ b/trace/layouts.go
@@ -12,8 +12,8 @@
 	columns int
 	header  []string // the first line, where the layout has one
 	// Of the two, one is set: a row is a task, or an event of one.
-	task  func(f [][]byte, t *Task) Reason
-	event func(f [][]byte, e *event) Reason
+	task  func(f [][]byte, t *Task, w words) Reason
+	event func(f [][]byte, e *event, w words) Reason
 }
 
 var azureHeader = []string{"app", "func", "end_timestamp", "duration"}
@@ -33,12 +33,29 @@
 	return out
 }
 
+// words keeps strings that come again and again, within a bound.
+type words map[string]string
+
+const mostWords = 1 << 15
+
+func (w words) of(b []byte) string {
+	if s, ok := w[string(b)]; ok {
+		return s
+	}
+	if len(w) >= mostWords {
+		clear(w)
+	}
+	s := string(b)
+	w[s] = s
+	return s
+}
+
 // text gives bytes as a string for a call that does not keep it.
 func text(b []byte) string { return unsafe.String(unsafe.SliceData(b), len(b)) }
 
 func whole(b []byte) (int64, bool) {
 	n, err := strconv.ParseInt(text(b), 10, 64)
-	return n, err == nil
+	return n, err == nil && b[0] != '+'
 }
 
 // decimal reads a number of seconds; numbers that no trace holds are none.
@@ -52,15 +69,17 @@
 // google2011 reads task_events of the 2011 cluster data: time in microseconds, missing info, job, task index, machine,
 // event type, user, scheduling class, priority, and four columns of requests that are not used. Time 0 is what was there
 // before the trace began, the highest number what came after its end.
-func google2011(f [][]byte, e *event) Reason {
-	for i, name := range map[int]string{0: "time", 2: "job", 3: "task_index", 5: "event_type"} {
-		if len(f[i]) == 0 {
-			return firstMissing(f, i, name)
+func google2011(f [][]byte, e *event, w words) Reason {
+	for _, c := range googleNeeds {
+		if len(f[c.at]) == 0 {
+			return missing(c.name)
 		}
 	}
 	at, ok := whole(f[0])
 	kind, ok2 := whole(f[5])
-	if _, ok3 := whole(f[2]); !ok || !ok2 || !ok3 {
+	job, ok3 := whole(f[2])
+	index, ok4 := whole(f[3])
+	if !ok || !ok2 || !ok3 || !ok4 {
 		return NotANumber
 	}
 	if at <= 0 || at == math.MaxInt64 {
@@ -74,7 +93,7 @@
 	default:
 		return UnknownWord
 	}
-	e.at, e.job, e.index = float64(at)/perMicro, string(f[2]), string(f[3])
+	e.at, e.job, e.index = float64(at)/perMicro, job, index
 	e.class, e.priority = -1, -1
 	if e.kind == submit {
 		for i, name := range [...]string{"user", "class", "priority"} {
@@ -87,35 +106,27 @@
 		if !ok || !ok2 {
 			return NotANumber
 		}
-		e.user, e.class, e.priority = string(f[6]), int(class), int(priority)
+		e.name, e.user, e.class, e.priority = w.of(f[2]), w.of(f[6]), int(class), int(priority)
 	}
 	if e.kind == schedule {
 		if len(f[4]) == 0 {
 			return missing("machine")
 		}
-		e.machine = string(f[4])
+		e.machine = w.of(f[4])
 	}
 	return Taken
 }
 
-// firstMissing names the first of the needed columns that is empty, whatever the order in which they were looked at.
-func firstMissing(f [][]byte, at int, name string) Reason {
-	for _, c := range []struct {
-		at   int
-		name string
-	}{{0, "time"}, {2, "job"}, {3, "task_index"}, {5, "event_type"}} {
-		if c.at < at && len(f[c.at]) == 0 {
-			return missing(c.name)
-		}
-	}
-	return missing(name)
-}
+var googleNeeds = [...]struct {
+	at   int
+	name string
+}{{0, "time"}, {2, "job"}, {3, "task_index"}, {5, "event_type"}}
 
 var alibabaEnds = map[string]End{"Terminated": Finished, "Failed": Failed, "Cancelled": Killed, "Interrupted": Evicted}
 
 // alibaba2018 reads batch_instance of the 2018 cluster data: instance, task, job, type, status, start and end in seconds,
 // machine, sequence, total, and four columns of usage that are not used.
-func alibaba2018(f [][]byte, t *Task) Reason {
+func alibaba2018(f [][]byte, t *Task, w words) Reason {
 	for i, name := range [...]string{"instance", "task", "job", "type", "status", "start"} {
 		if len(f[i]) == 0 {
 			return missing(name)
@@ -142,13 +153,14 @@
 		return EndFirst
 	}
 	t.At, t.Took, t.End, t.Runs = from, to-from, end, 1
-	t.Job, t.Kind, t.User, t.Machine = string(f[2]), string(f[3]), string(f[2]), string(f[7])
+	t.Job, t.Kind, t.Machine = w.of(f[2]), w.of(f[3]), w.of(f[7])
+	t.User = t.Job
 	return Taken
 }
 
 // azure2021 reads function invocations: application, function, end and duration in seconds. They came at their end less
 // their duration; the layout tells of no failures.
-func azure2021(f [][]byte, t *Task) Reason {
+func azure2021(f [][]byte, t *Task, w words) Reason {
 	for i, name := range azureHeader {
 		if len(f[i]) == 0 {
 			return missing(name)
@@ -165,6 +177,6 @@
 		return Outside
 	}
 	t.At, t.Took, t.End, t.Runs = end-took, took, Finished, 1
-	t.User, t.Job = string(f[0]), string(f[1])
+	t.User, t.Job = w.of(f[0]), w.of(f[1])
 	return Taken
 }
--- a/trace/read.go
+++ b/trace/read.go
@@ -22,7 +22,8 @@
 	return Options{Layout: layout, Window: 60, Patience: 86400, Again: 300, Most: 50000}
 }
 
-// Read reads streams one behind another as one trace, and hands on its tasks by their arrival. It returns the audit also
+// Read reads streams one behind another as one trace, and hands on its tasks by their arrival; a task is good until
+// emit returns. It returns the audit also
 // where it ends with an error. Only a wrong layout, an error of emit, or a stream that can't be read is one: what is
 // wrong with rows is in the audit.
 func Read(o Options, emit func(*Task) error, from ...io.Reader) (*Audit, error) {
@@ -35,7 +36,7 @@
 		return a, errors.New("window, patience and bounds must be positive")
 	}
 	out := &order{audit: a, most: o.Most, emit: emit}
-	r := &reader{o: o, form: form, audit: a, out: out, join: newJoin(a, out, o.Patience, o.Again, o.Most)}
+	r := &reader{words: words{}, o: o, form: form, audit: a, out: out, join: newJoin(a, out, o.Patience, o.Again, o.Most)}
 	for _, in := range from {
 		rows, err := open(in)
 		if err != nil {
@@ -61,6 +62,7 @@
 	audit  *Audit
 	out    *order
 	join   *join
+	words  words
 	before int64 // lines of the streams before
 	latest Seconds
 	any    bool
@@ -123,14 +125,16 @@
 func (r *reader) row(fields [][]byte, line int64) (Reason, error) {
 	if r.form.event != nil {
 		var e event
-		if why := r.form.event(fields, &e); why != Taken {
+		if why := r.form.event(fields, &e, r.words); why != Taken {
 			return why, nil
 		}
 		e.line = line
 		return Taken, r.join.take(e)
 	}
-	t := &Task{Line: line, rows: 1}
-	if why := r.form.task(fields, t); why != Taken {
+	t := r.out.fresh()
+	t.Line, t.rows = line, 1
+	if why := r.form.task(fields, t, r.words); why != Taken {
+		r.out.free = append(r.out.free, t)
 		return why, nil
 	}
 	t.moved = r.any && t.At < r.latest
--- a/trace/task.go
+++ b/trace/task.go
@@ -50,12 +50,25 @@
 	any   bool
 	seq   int64
 	emit  func(*Task) error
+	free  []*Task // that were handed on, to be used again
+}
+
+// fresh gives a task to fill in.
+func (o *order) fresh() *Task {
+	if n := len(o.free); n > 0 {
+		t := o.free[n-1]
+		o.free = o.free[:n-1]
+		*t = Task{}
+		return t
+	}
+	return &Task{}
 }
 
 // add takes a task.
 func (o *order) add(t *Task) error {
 	if o.any && t.At < o.low {
 		o.audit.report(OutOfOrder, t.Line, t.rows)
+		o.free = append(o.free, t)
 		return nil
 	}
 	o.seq++
@@ -85,7 +98,9 @@
 		o.audit.Reordered += t.rows
 	}
 	o.audit.handed(t.At)
-	return o.emit(t)
+	err := o.emit(t)
+	o.free = append(o.free, t)
+	return err
 }
 
 // all hands on what is left.
