Public traces are checked, mapped and replayed in virtual time

A mapping in XML places tasks among categories and customers and reports what it can't; lab.Replay plays them with the real module, in bounded memory. Samples of three layouts give the same JSON twice, byte by byte.

--- a/cmd/lichenroad/main.go
+++ b/cmd/lichenroad/main.go
@@ -96,7 +96,7 @@
 			return c.Help()
 		}}
 	root.PersistentFlags().StringVar(&t.level, "log-level", "info", "debug, info, warn or error")
-	root.AddCommand(t.serve(), t.check(), t.planCommand(), t.deskCommand(), t.labCommand(),
+	root.AddCommand(t.serve(), t.check(), t.planCommand(), t.deskCommand(), t.traceCommand(), t.labCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Fprintln(t.out, "lichenroad", version()) }},
 		&cobra.Command{Use: "exit-codes", Short: "What the exit codes mean", Long: "What the exit codes mean:\n\n" + exitText, Args: cobra.NoArgs,
--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -107,3 +107,70 @@
 		t.Errorf("%d %s %s", code, out, errs)
 	}
 }
+
+// TestTraces checks and replays the samples: the same figures each time, byte by byte.
+func TestTraces(t *testing.T) {
+	dir := t.TempDir()
+	byUser := filepath.Join(dir, "by-user.xml")
+	text, err := os.ReadFile("../../deploy/mapping.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(byUser, []byte(strings.Replace(string(text), `by="machine"`, `by="user"`, 1)), 0o600)
+	for layout, says := range map[string]string{"google-2011": "399 rows: 390 taken (0 put back in order), 9 reported; 107 tasks",
+		"alibaba-2018": "320 rows: 316 taken (125 put back in order), 4 reported; 316 tasks", "azure-2021": "360 rows: 358 taken (170 put back in order), 2 reported; 358 tasks"} {
+		sample := "../../trace/testdata/" + layout + ".csv"
+		file := filepath.Join(dir, layout+".json")
+		code, out, errs := call("trace", "check", sample, "--layout", layout, "--json", file)
+		raw, err := os.ReadFile(file)
+		var got struct {
+			Rows, Taken int64
+			Reported    map[string]int64
+		}
+		if code != 0 || !strings.Contains(out, says) || err != nil || json.Unmarshal(raw, &got) != nil || got.Rows == 0 {
+			t.Errorf("%s: %d %s %s", layout, code, out, errs)
+		}
+		left := int64(0)
+		for _, n := range got.Reported {
+			left += n
+		}
+		if got.Taken+left != got.Rows {
+			t.Errorf("%s: %d and %d of %d rows", layout, got.Taken, left, got.Rows)
+		}
+		var runs []string
+		for range 2 {
+			os.Remove(file)
+			code, out, errs = call("trace", "replay", sample, "--layout", layout, "--mapping", byUser, "--json", file, "--seed", "5")
+			raw, err = os.ReadFile(file)
+			if code != 0 || err != nil {
+				t.Fatalf("%s: %d %s %s", layout, code, out, errs)
+			}
+			runs = append(runs, string(raw))
+		}
+		if runs[0] != runs[1] {
+			t.Errorf("%s: two replays differ", layout)
+		}
+	}
+	bad := filepath.Join(dir, "bad.csv")
+	os.WriteFile(bad, []byte("a,b\nc\n"), 0o600)
+	for _, c := range []struct {
+		args string
+		code int
+		errs string
+	}{
+		{"trace check " + bad + " --layout alibaba-2018", 1, "no row could be used"},
+		{"trace check " + bad + " --layout azure-2021", 1, "no row could be used"},
+		{"trace check /none --layout azure-2021", 1, "none"},
+		{"trace check " + bad + " --layout ibm", 2, "ibm"},
+		{"trace check --layout ibm", 2, "arg"},
+		{"trace check " + bad, 2, "layout"},
+		{"trace replay " + bad + " --layout azure-2021", 2, "mapping"},
+		{"trace replay " + bad + " --layout azure-2021 --mapping " + bad, 1, "bad.csv:3: empty"},
+		{"trace replay " + bad + " --layout azure-2021 --mapping " + byUser, 1, "nothing could be played"},
+		{"trace replay ../../trace/testdata/azure-2021.csv --layout azure-2021 --mapping " + byUser + " --relays 0", 1, "relays"},
+	} {
+		if code, out, errs := call(strings.Fields(c.args)...); code != c.code || !strings.Contains(errs, c.errs) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: %d %s %s", c.args, code, out, errs)
+		}
+	}
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -137,6 +137,10 @@
 			took *= bad.slower
 			fails = (bad.only < 0 || bad.only == int(l.q.Category)) && p.rng.Float64() < bad.fails
 		}
+		if l.q.fails > 0 {
+			l.q.fails--
+			fails = true
+		}
 		w.in(took, func() {
 			p.running--
 			how := relay.Honoured
@@ -381,6 +385,7 @@
 	over    bool
 	until   float64
 	group   plan.GroupNo
+	fails   int // legs of it that fail, as a trace has it
 }
 
 // leg is one try of it.
--- a/lab/node.go
+++ b/lab/node.go
@@ -260,25 +260,33 @@
 	}
 }
 
-// ask brings a client's query.
+// ask brings a client's query, drawn as the site's shares have it.
 func (x *node) ask() {
-	w := x.f.w
 	c, u := 0, x.rng.Float64()
 	for ; c < len(categories)-1 && u > categories[c].share; c++ {
 		u -= categories[c].share
 	}
 	k := &categories[c]
-	customers := w.customers()
+	x.take(c, x.rng.Intn(len(x.f.w.customers())), between(x.rng, k.work[0], k.work[1]), 0)
+}
+
+// take takes a query of a category and a customer in; some of its first legs fail where a trace has it so.
+func (x *node) take(c, customer int, work float64, fails int) {
+	w := x.f.w
+	k := &categories[c]
 	x.lastID++
-	q := &query{x: x, at: w.now, due: w.now + k.due, work: between(x.rng, k.work[0], k.work[1]),
+	q := &query{x: x, at: w.now, due: w.now + k.due, work: work, fails: fails,
 		until: w.now + k.patience*between(x.rng, 0.6, 1)}
 	q.Query = relay.Query{ID: x.lastID, Until: q.until - x.born, Work: q.work * between(x.rng, 0.8, 1.25), HasWork: true,
-		Category: relay.Category(c), Customer: relay.Customer(x.rng.Intn(len(customers)))}
-	q.group = w.plan.GroupOf(customers[q.Customer])
+		Category: relay.Category(c), Customer: relay.Customer(customer)}
+	q.group = w.plan.GroupOf(w.customers()[customer])
 	x.queries[q.ID] = q
 	w.stats.queries++
 	w.stats.worth += k.value * q.work
 	w.check.taken(q)
+	if w.tally != nil {
+		w.tally.asked(q)
+	}
 	life := x.life
 	w.at(q.until, func() {
 		if !q.over && x.life == life {
@@ -379,6 +387,9 @@
 		return
 	}
 	q.over = true
+	if w.tally != nil {
+		w.tally.answered(q, how)
+	}
 	k := &categories[q.Category]
 	switch {
 	case how == honoured:
--- /dev/null
+++ b/trace/mapping.go
@@ -0,0 +1,292 @@
+package trace
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lichenroad/internal/form"
+)
+
+// Reasons why a task has no place. They are reported beside those of the rows.
+const (
+	NoCategory Reason = "no_category"
+	NoCustomer Reason = "no_customer"
+)
+
+// Query is what a task becomes.
+type Query struct {
+	At       Seconds // of the replay
+	Category int     // place in the mapping's list
+	Customer int
+	Work     Seconds // on a core of speed 1
+	Relay    uint64  // a hash: the same for what should go through the same relay
+	Fails    int     // legs of it that fail before one may be honoured
+}
+
+// Failures says what the failures of a trace become.
+type Failures int
+
+const (
+	FailNothing Failures = iota
+	FailLegs             // a run that failed or was evicted is a leg that fails
+)
+
+// Mapping says which tasks become which queries. Nothing is guessed: what no rule places is reported.
+type Mapping struct {
+	Categories []string
+	Customers  []string
+	Window     Seconds
+	Scale      float64 // seconds of the trace to one of the replay
+	Thin       float64 // part of the tasks that is played
+
+	categories []rule
+	customers  []rule
+	work       struct{ scale, least, most float64 }
+	relay      field
+	failures   Failures
+}
+
+// rule places a task where all of its conditions hold.
+type rule struct{ when []condition }
+
+// condition looks at a field: a word of a list, a number in a range, or a hash in a part of all.
+type condition struct {
+	of       field
+	words    []string
+	hash     bool
+	from, to float64
+}
+
+type field int
+
+const (
+	ofClass field = iota
+	ofPriority
+	ofKind
+	ofStatus
+	ofUser
+	ofJob
+	ofMachine
+	ofTook
+)
+
+var fields = map[string]field{"class": ofClass, "priority": ofPriority, "kind": ofKind, "status": ofStatus, "user": ofUser, "job": ofJob,
+	"machine": ofMachine, "duration": ofTook}
+
+var fieldNames = [...]string{ofClass: "class", ofPriority: "priority", ofKind: "kind", ofStatus: "status", ofUser: "user", ofJob: "job",
+	ofMachine: "machine", ofTook: "duration"}
+
+// word gives a field as a word, and whether the task has it.
+func (t *Task) word(f field) (string, bool) {
+	switch f {
+	case ofKind:
+		return t.Kind, t.Kind != ""
+	case ofStatus:
+		return t.End.String(), true
+	case ofUser:
+		return t.User, t.User != ""
+	case ofJob:
+		return t.Job, t.Job != ""
+	case ofMachine:
+		return t.Machine, t.Machine != ""
+	}
+	n, ok := t.number(f)
+	return strconv.FormatFloat(n, 'g', -1, 64), ok
+}
+
+func (t *Task) number(f field) (float64, bool) {
+	switch f {
+	case ofClass:
+		return float64(t.Class), t.HasClass
+	case ofPriority:
+		return float64(t.Priority), t.HasClass
+	case ofTook:
+		return t.Took, true
+	}
+	return 0, false
+}
+
+// part is the place of a word's hash among all, from 0 to 1.
+func part(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
+
+// holds says whether a condition holds; a task without the field is reported as missing it.
+func (c *condition) holds(t *Task) (bool, Reason) {
+	if len(c.words) > 0 || c.hash {
+		w, ok := t.word(c.of)
+		if !ok {
+			return false, missing(fieldNames[c.of])
+		}
+		if c.hash {
+			x := part(w)
+			return x >= c.from && x < c.to, Taken
+		}
+		return slices.Contains(c.words, w), Taken
+	}
+	n, ok := t.number(c.of)
+	if !ok {
+		return false, missing(fieldNames[c.of])
+	}
+	return n >= c.from && n <= c.to, Taken
+}
+
+// pick gives the first rule that a task fits.
+func pick(rules []rule, t *Task, none Reason) (int, Reason) {
+	why := none
+next:
+	for i := range rules {
+		for k := range rules[i].when {
+			ok, lacks := rules[i].when[k].holds(t)
+			if lacks != Taken && why == none {
+				why = lacks
+			}
+			if !ok {
+				continue next
+			}
+		}
+		return i, Taken
+	}
+	return -1, why
+}
+
+// Place gives the query that a task becomes, or why it becomes none.
+func (m *Mapping) Place(t *Task) (q Query, why Reason) {
+	if q.Category, why = pick(m.categories, t, NoCategory); why != Taken {
+		return q, why
+	}
+	if q.Customer, why = pick(m.customers, t, NoCustomer); why != Taken {
+		return q, why
+	}
+	w, ok := t.word(m.relay)
+	if !ok {
+		return q, missing(fieldNames[m.relay])
+	}
+	q.Relay = xxhash.Sum64String(w)
+	q.At = t.At / m.Scale
+	q.Work = math.Min(math.Max(t.Took*m.work.scale, m.work.least), m.work.most)
+	if m.failures == FailLegs {
+		q.Fails = t.Fails
+		if t.End == Failed || t.End == Evicted {
+			q.Fails++
+		}
+	}
+	return q, Taken
+}
+
+// Kept says whether a task is among the part that is played. It goes by seed and task, not by what came before it.
+func (m *Mapping) Kept(t *Task, seed int64) bool {
+	return m.Thin >= 1 || part(fmt.Sprintf("%d %s %d %g", seed, t.Job, t.Line, t.At)) < m.Thin
+}
+
+var mappingForms = map[string]form.Form{
+	"mapping":  {Needs: []string{"version"}, May: []string{"scale", "thin", "window"}, Kids: []string{"category", "customer", "work", "relay", "failures"}},
+	"category": {Needs: []string{"name"}, Kids: []string{"when", "hash"}},
+	"customer": {Needs: []string{"name"}, Kids: []string{"when", "hash"}},
+	"when":     {Needs: []string{"field"}, May: []string{"is", "from", "to"}},
+	"hash":     {Needs: []string{"of", "from", "to"}},
+	"work":     {Needs: []string{"scale", "least", "most"}},
+	"relay":    {Needs: []string{"by"}},
+	"failures": {Needs: []string{"as"}},
+}
+
+// LoadMapping reads a mapping's file. Its error is *form.Faults where the file could be read but is no mapping.
+func LoadMapping(path string) (*Mapping, error) {
+	raw, err := form.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseMapping(path, raw)
+}
+
+// ParseMapping reads a mapping and names all of its faults.
+func ParseMapping(file string, raw []byte) (*Mapping, error) {
+	r := &form.Reader{Root: "mapping", Forms: mappingForms}
+	m := &Mapping{}
+	if root := r.Read(raw); root != nil {
+		m.read(r, root)
+	}
+	if err := r.Err(file); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *Mapping) read(r *form.Reader, root *form.Node) {
+	if v, ok := root.Attrs["version"]; ok && v != "1" {
+		r.Fault(root, "version: %.20q is not known, 1 is", v)
+	}
+	m.Scale, m.Thin, m.Window = r.Number(root, "scale", 1, 1e-6, 1e6), r.Number(root, "thin", 1, 0, 1), r.Span(root, "window", 60)
+	m.Categories, m.categories = rules(r, root, "category")
+	m.Customers, m.customers = rules(r, root, "customer")
+	one := func(name string) *form.Node {
+		list := root.All(name)
+		if len(list) != 1 {
+			r.Fault(root, "one <%s> is needed, %d are there", name, len(list))
+			return nil
+		}
+		return list[0]
+	}
+	if n := one("work"); n != nil {
+		m.work.scale = r.Number(n, "scale", 1, 0, 1e6)
+		m.work.least, m.work.most = r.Span(n, "least", 0), r.Span(n, "most", 0)
+		if m.work.most < m.work.least {
+			r.Fault(n, "most: less than least")
+		}
+	}
+	if n := one("relay"); n != nil {
+		m.relay = form.Word(r, n, "by", ofJob, map[string]field{"machine": ofMachine, "user": ofUser, "job": ofJob})
+	}
+	if n := one("failures"); n != nil {
+		m.failures = form.Word(r, n, "as", FailNothing, map[string]Failures{"none": FailNothing, "legs": FailLegs})
+	}
+}
+
+func rules(r *form.Reader, root *form.Node, kind string) (names []string, out []rule) {
+	taken := map[string]bool{}
+	for _, n := range root.All(kind) {
+		names = append(names, r.Name(n, taken))
+		var x rule
+		for _, k := range n.Kids {
+			x.when = append(x.when, conditionOf(r, k))
+		}
+		out = append(out, x)
+	}
+	if len(out) == 0 {
+		r.Fault(root, "no <%s>", kind)
+	}
+	return names, out
+}
+
+// conditionOf reads one condition.
+func conditionOf(r *form.Reader, n *form.Node) (c condition) {
+	name := "field"
+	if c.hash = n.Name == "hash"; c.hash {
+		name = "of"
+	}
+	c.of = form.Word(r, n, name, ofJob, fields)
+	c.from, c.to = r.Number(n, "from", math.Inf(-1), -1e12, 1e12), r.Number(n, "to", math.Inf(1), -1e12, 1e12)
+	is, words := n.Attrs["is"]
+	c.words = strings.Fields(is)
+	_, from := n.Attrs["from"]
+	_, to := n.Attrs["to"]
+	number := c.of == ofClass || c.of == ofPriority || c.of == ofTook
+	switch {
+	case c.hash && (c.from < 0 || c.to > 1):
+		r.Fault(n, "from and to: a hash lies from 0 to 1")
+	case c.hash:
+	case words && (from || to) || !words && !from && !to:
+		r.Fault(n, "either is, or from and to")
+	case words && len(c.words) == 0:
+		r.Fault(n, "is: no words")
+	case !words && !number:
+		r.Fault(n, "%s is a word: it needs is", fieldNames[c.of])
+	}
+	if c.from > c.to {
+		r.Fault(n, "from: above to")
+	}
+	return c
+}
