--- a/cmd/lichenroad/lab.go
+++ b/cmd/lichenroad/lab.go
@@ -16,7 +16,7 @@
 
 func (t *tool) labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Stand-ins on loopback, and a demonstration with them", RunE: needsVerb}
-	c.AddCommand(t.labDemo(), t.labPlanner())
+	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare())
 	return c
 }
 
--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -174,3 +174,51 @@
 		}
 	}
 }
+
+func TestSweeps(t *testing.T) {
+	dir := t.TempDir()
+	sample, file := "../../trace/testdata/alibaba-2018.csv", filepath.Join(dir, "sweep.json")
+	words := []string{"lab", "sweep", sample, "--layout", "alibaba-2018", "--mapping", "../../deploy/mapping.xml", "--seeds", "3", "--json", file}
+	code, out, errs := call(append(words, "--vary", "planners=2,8")...)
+	if code != 0 || !strings.Contains(out, "planners=8 against planners=2") || !strings.Contains(out, "worst_10s") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	var got swept
+	if raw, err := os.ReadFile(file); err != nil || json.Unmarshal(raw, &got) != nil || len(got.Runs) != 6 {
+		t.Errorf("%v %d runs", err, len(got.Runs))
+	}
+	for _, r := range got.Runs {
+		if r.Figures["broken"] != 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+	for _, m := range []string{"random", "least-in-flight"} { // the baselines keep the rules too
+		code, out, errs := call(append(words, "--vary", "module=policy,"+m)...)
+		raw, _ := os.ReadFile(file)
+		if got = (swept{}); code != 0 || json.Unmarshal(raw, &got) != nil {
+			t.Errorf("%d %s %s", code, out, errs)
+		}
+		for _, r := range got.Runs {
+			if r.Figures["broken"] != 0 || r.Figures["service"] < 0.5 {
+				t.Errorf("%+v", r)
+			}
+		}
+	}
+	one := filepath.Join(dir, "one.json")
+	call("trace", "replay", sample, "--layout", "alibaba-2018", "--mapping", "../../deploy/mapping.xml", "--seed", "2", "--json", one)
+	if code, out, errs := call("lab", "compare", one, one); code != 0 || !strings.Contains(out, "not told apart") {
+		t.Errorf("one seed tells nothing: %d %s %s", code, out, errs)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+	}{
+		{append(words, "--vary", "planners=2"), 2}, {append(words, "--vary", "moon=1,2"), 2}, {append(words, "--vary", "relays=a,b"), 2},
+		{append(words, "--vary", "module=policy,dice"), 2}, {[]string{"lab", "compare", file, one}, 1}, {[]string{"lab", "compare", sample, one}, 1},
+		{[]string{"lab", "compare", "/none", one}, 1},
+	} {
+		if code, out, errs := call(c.args...); code != c.code || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%v: %d %s %s", c.args, code, out, errs)
+		}
+	}
+}
