--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -140,7 +140,7 @@
 		var runs []string
 		for range 2 {
 			os.Remove(file)
-			code, out, errs = call("trace", "replay", sample, "--layout", layout, "--mapping", byUser, "--json", file, "--seed", "5")
+			code, out, errs = call("trace", "replay", sample, "--layout", layout, "--mapping", byUser, "--json", file, "--seed", "5", "--report", dir)
 			raw, err = os.ReadFile(file)
 			if code != 0 || err != nil {
 				t.Fatalf("%s: %d %s %s", layout, code, out, errs)
@@ -151,6 +151,9 @@
 			t.Errorf("%s: two replays differ", layout)
 		}
 	}
+	if page, err := os.ReadFile(filepath.Join(dir, "replay.html")); err != nil || strings.Count(string(page), "<svg") != 3 {
+		t.Error("no report with three charts: ", err)
+	}
 	bad := filepath.Join(dir, "bad.csv")
 	os.WriteFile(bad, []byte("a,b\nc\n"), 0o600)
 	for _, c := range []struct {
--- a/cmd/lichenroad/trace.go
+++ b/cmd/lichenroad/trace.go
@@ -159,6 +159,7 @@
 	c.Flags().Float64Var(&x.from, "from", 0, "s after the first arrival from which tasks are played")
 	c.Flags().Float64Var(&x.length, "for", 0, "s that are played; all where not given")
 	file := c.Flags().String("json", "", "a file for the result")
+	dir := c.Flags().String("report", "", "a directory for the report, an HTML page")
 	c.RunE = func(_ *cobra.Command, args []string) error {
 		ctx, cancel := untilSignal()
 		defer cancel()
@@ -202,6 +203,13 @@
 		if err := t.writeJSON(*file, got); err != nil {
 			return err
 		}
+		if *dir != "" {
+			name, err := got.Report(*dir)
+			if err != nil {
+				return failed(err)
+			}
+			fmt.Fprintln(t.out, "report:", name)
+		}
 		fmt.Fprintf(t.out, "simulated: %d queries over %.1f s, %d relays, %d planners: service %.4f, worst 10 s %.4f\n", got.All.Queries, got.Span, got.Relays,
 			got.Units, got.All.Service, got.Worst10)
 		fmt.Fprintf(t.out, "%d denied, %d written off, %.3f legs a query; latency p50 %.3f s, p99 %.3f s, most %.3f s\n", got.Denied, got.WrittenOff, got.LegsEach,
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -78,6 +78,8 @@
 	Latency    map[string]float64 `json:"latency_s"` // of honoured queries, from the intended start
 	Broken     []Broken           `json:"broken"`
 	Hash       string             `json:"timeline_sha256"`
+
+	series *series
 }
 
 const (
@@ -96,12 +98,19 @@
 	stretchAt  int64
 	worst      float64
 	latency    *hdrhistogram.Histogram
+	series     series
 }
 
 // asked counts a query in. Value is counted where it is asked for; it is served when it is answered in due time.
 func (t *tally) asked(q *query) {
 	v := categories[q.Category].value * q.work
 	t.all.Queries++
+	p, busy, cores := t.series.at(q.at), 0, 0
+	for _, u := range q.x.f.units {
+		busy, cores = busy+u.running, cores+coresEach
+	}
+	p.asked++
+	p.busy += float64(busy) / float64(max(cores, 1))
 	t.categories[q.Category].Queries++
 	t.customers[q.Customer].Queries++
 	t.all.add(v, 0)
@@ -124,9 +133,21 @@
 }
 
 func (t *tally) answered(q *query, how final) {
+	p := t.series.at(q.at)
+	switch {
+	case how == denied:
+		p.denied++
+	case how == writtenOff:
+		p.writtenOff++
+	case t.w.now > q.due:
+		p.late++
+	default:
+		p.inTime++
+	}
 	if how != honoured {
 		return
 	}
+	p.hist().RecordValue(int64((t.w.now - q.at) * 1e6))
 	t.latency.RecordValue(int64((t.w.now - q.at) * 1e6))
 	if t.w.now > q.due {
 		return
@@ -180,7 +201,7 @@
 	w.desk = newDeskLink(w)
 	w.build(opt)
 	w.tally = &tally{w: w, worst: 1, categories: make([]Share, len(categories)), customers: make([]Share, len(o.Customers)+1),
-		latency: hdrhistogram.New(1, 60e6, 3)}
+		latency: hdrhistogram.New(1, 60e6, 3), series: series{width: 1}}
 	r.w = w
 	return r, nil
 }
@@ -219,6 +240,7 @@
 		out.Latency[name] = float64(t.latency.ValueAtQuantile(q)) / 1e6
 	}
 	fmt.Fprintf(w.log, "%d %g %d %d %d", t.all.Queries, t.all.Served, w.stats.denied, w.stats.writtenOff, w.stats.legs)
+	out.series = &t.series
 	out.Hash = hex.EncodeToString(w.log.Sum(nil))
 	return out
 }
