A need that comes back in a freeze opens no group there

The step is held now too, with a test. The laboratory's deployer takes a step's share from the whole fleet, and notices planners that it started in error.

--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -281,9 +282,9 @@
 func TestKilledBetweenCountingAndTelling(t *testing.T) {
 	for _, place := range []string{"before append", "after append"} {
 		dir := t.TempDir()
-		armed := false
+		var armed atomic.Bool
 		r := start(t, dir, 1000, func(at string) error {
-			if armed && at == place {
+			if armed.Load() && at == place {
 				return errKilled
 			}
 			return nil
@@ -291,7 +292,7 @@
 		r.must(Request{Verb: "offer", Service: "a", Build: 7})
 		a, b := dial(t, r.at.Relays["a"]["r0"]), dial(t, r.at.Relays["a"]["r1"])
 		a.call("VOTE 7 0 approve")
-		armed = true
+		armed.Store(true)
 		fmt.Fprint(b, "VOTE 7 0 approve\r\n")
 		if err := <-r.over; !errors.Is(err, errKilled) {
 			t.Fatal(err)
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -225,11 +225,17 @@
 		if n.Phase == relay.Released {
 			step = plan.StepNo(len(t.Steps) - 1)
 		}
+		touched := 0.0
 		for s := range bySite {
+			if t.Touches(step, plan.SiteNo(s)) {
+				touched++
+			}
+		}
+		for s := range bySite { // the share is one of the whole fleet, at the sites that are open
 			each := float64(f.size) / float64(len(bySite))
 			want := 0
-			if n.Phase == relay.Released || t.Touches(step, plan.SiteNo(s)) {
-				want = int(math.Ceil(each*t.Steps[step].Share - 1e-9))
+			if t.Touches(step, plan.SiteNo(s)) {
+				want = int(math.Ceil(float64(f.size)*t.Steps[step].Share/touched - 1e-9))
 			}
 			if n.Phase == relay.Released {
 				want = int(math.Ceil(each))
@@ -372,6 +378,7 @@
 		// The deployer errs: a planner of a build that nobody has announced yet is there already.
 		f.builds[e.Build+1] = fault{name: "unannounced", fails: 0.5, only: -1, slower: 1}
 		f.launch(e.Build+1, plan.SiteNo(f.rng.Intn(len(f.w.plan.Sites))), startFor)
+		f.drain(func(u *planner) bool { return u.build == e.Build+1 && f.builds[u.build].name == "unannounced" }, 45) // it is noticed
 	}
 }
 
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -30,6 +30,7 @@
 	since   plan.Unix       // when its state began, by its age
 	granted plan.StepNo     // deepest step granted of that build; -1: none; the number of steps: its release
 	ceiling float64         // that the cap may not pass while a freeze holds
+	top     plan.StepNo     // and the step
 	held    bool            // a freeze held at the last look
 	others  []heardOf       // by service
 	started plan.Unix
@@ -273,6 +274,15 @@
 	return c, k
 }
 
+// bound keeps cap and step from rising in a freeze above what held at the look before, as a need that comes back would
+// have them. Only a release that came before the freeze is taken in it.
+func (g *Guard) bound(limit float64, step plan.StepNo) (float64, plan.StepNo) {
+	if !g.held || g.off.Ceiling || int(step) >= len(g.terms().Steps) {
+		return limit, step
+	}
+	return math.Min(limit, g.ceiling), min(step, g.top)
+}
+
 // Look gives what the module is to be told by now: nothing, or its scope and the news, narrowed. To be called
 // whenever something was heard, and at Next.
 func (g *Guard) Look(now plan.Unix, out []relay.Event) []relay.Event {
@@ -281,12 +291,10 @@
 		return out
 	}
 	g.grant()
-	limit, step := g.cap()
 	_, held := g.frozen(plan.StopsAll)
-	if held && g.held && !g.off.Ceiling && step < plan.StepNo(len(g.terms().Steps)) {
-		limit = math.Min(limit, g.ceiling)
-	}
-	g.held, g.ceiling = held, limit
+	g.held = g.held && held
+	limit, step := g.bound(g.cap())
+	g.held, g.ceiling, g.top = held, limit, step
 	n := g.news
 	n.Reply, n.Cap, n.Age = relay.Unasked, limit, math.Max(0, g.now-g.since)
 	if n.Phase == relay.Released && step < plan.StepNo(len(g.terms().Steps)) { // not granted here: still on trial
@@ -324,12 +332,9 @@
 
 // Cap is the cap that holds for a group at this relay.
 func (g *Guard) Cap(group plan.GroupNo) float64 {
-	limit, step := g.cap()
-	switch {
-	case int(step) >= len(g.terms().Steps):
+	limit, step := g.bound(g.cap())
+	if int(step) >= len(g.terms().Steps) {
 		return 1
-	case g.held && !g.off.Ceiling:
-		limit = math.Min(limit, g.ceiling)
 	}
 	if step < 0 || group == plan.NoGroup || !g.terms().Open(step, g.site, group) {
 		return 0
--- a/rollout/guard_test.go
+++ b/rollout/guard_test.go
@@ -289,6 +289,25 @@
 	}
 }
 
+// TestNeedThatComesBackInAFreezeOpensNoGroup has a need lost before a freeze and met again within it: neither the cap nor
+// the groups that are open may grow (found in the laboratory, seed 7: the cap was held, the groups were opened).
+func TestNeedThatComesBackInAFreezeOpensNoGroup(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		n := newNode(t, GuardDefences{Ceiling: off})
+		n.hear(freezeFrom-60, trial(3, 1, 0.3, 0))
+		n.HearOf(freezeFrom-20, 0, trial(2, 0, 0.1, 0)) // the need's next build has only begun
+		n.look(freezeFrom - 20)
+		n.look(freezeFrom - 1)
+		n.HearOf(freezeFrom+30, 0, trial(2, 1, 0.3, 40)) // and was further before the freeze, unheard
+		if limit := n.look(freezeFrom + 30); off != n.scope.Open[1] || (limit == 0.3) != off || !n.scope.Open[0] {
+			t.Errorf("defence out: %v: cap %g, %+v", off, limit, n.scope)
+		}
+		if n.HearOf(freezeTo+3, 0, trial(2, 1, 0.3, 40)); n.look(freezeTo+3) != 0.3 || !n.scope.Open[1] {
+			t.Errorf("after the freeze: %+v", n.scope)
+		}
+	}
+}
+
 // TestFreezeWithinASilence has a freeze begin and end while nothing is heard: the relay keeps to it by its own clock.
 func TestFreezeWithinASilence(t *testing.T) {
 	n := newNode(t, GuardDefences{})
