--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,10 @@
 race:
 	go test -race -count=1 ./...
 
-# demo: a good and a bad build through a plan, with real processes on loopback; ends by itself within a minute.
+# demo: a good and a bad build through a plan, with real processes on loopback; ends by itself within a minute; then a bundled trace replayed.
 demo: build
 	bin/lichenroad lab demo --dir found/demo
+	bin/lichenroad trace replay trace/testdata/alibaba-2018.csv --layout alibaba-2018 --mapping deploy/mapping.xml --report found/demo
 
 run: build
 	bin/lichenroad serve --config "$(CONFIG)"
--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -87,19 +86,6 @@
 
 func always(d deed) func(string) deed { return func(string) deed { return d } }
 
-// row is the answer to a read: one column, binary.
-func row(value string) []byte {
-	b := append([]byte{'T', 0, 0, 0, 0, 0, 1}, "body\x00"...)
-	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1)
-	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-1))
-	b = append(b, 'D')
-	b = binary.BigEndian.AppendUint32(b, uint32(len(value)+10))
-	b = append(b, 0, 1)
-	b = binary.BigEndian.AppendUint32(b, uint32(len(value)))
-	b = append(b, value...)
-	return append(append(b, 'C', 0, 0, 0, 13), "SELECT 1\x00"...)
-}
-
 func (u *unit) serve(c net.Conn) {
 	defer func() { c.Close(); u.ended <- struct{}{} }()
 	r := bufio.NewReader(c)
@@ -119,18 +105,18 @@
 		u.seen <- text
 		switch u.does(text) {
 		case honour:
-			c.Write(pgwire.Ready(row("value of " + text[:6])))
+			c.Write(pgwire.Ready(standin.Row("value of " + text[:6])))
 		case lastWord:
-			c.Write(pgwire.Ready(row("value of " + text[:6])))
+			c.Write(pgwire.Ready(standin.Row("value of " + text[:6])))
 			return
 		case half:
-			c.Write(row("a")[:40])
+			c.Write(standin.Row("a")[:40])
 		case noise:
 			c.Write([]byte{0xf7, 0, 0, 1, 0})
 		case badTag:
-			c.Write(pgwire.Ready(append(row("a")[:len(row("a"))-9], "\x01\xff\x00\x00\x00\x00\x00\x00\x00"...)))
+			c.Write(pgwire.Ready(append(standin.Row("a")[:len(standin.Row("a"))-9], "\x01\xff\x00\x00\x00\x00\x00\x00\x00"...)))
 		case badLoad:
-			c.Write(append([]byte("S\x00\x00\x00\x0evitals=\xff\xff\xff"), pgwire.Ready(row("a"))...))
+			c.Write(append([]byte("S\x00\x00\x00\x0evitals=\xff\xff\xff"), pgwire.Ready(standin.Row("a"))...))
 		case failing:
 			c.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, "XX000", "broken", "")))
 		case turnAway:
@@ -140,8 +126,8 @@
 		case garbage:
 			c.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
 		case twoRows:
-			b := row("a")
-			c.Write(pgwire.Ready(append(b[:len(b)-14], row("b")[len(row(""))-25:]...)))
+			b := standin.Row("a")
+			c.Write(pgwire.Ready(append(b[:len(b)-14], standin.Row("b")[len(standin.Row(""))-25:]...)))
 		}
 	}
 }
--- a/lab/standin/planner.go
+++ b/lab/standin/planner.go
@@ -98,7 +98,7 @@
 		p.mu.Lock()
 		fails := time.Since(p.begun) >= p.After && p.rng.Float64() < p.Fails
 		p.mu.Unlock()
-		answer := row(p.Name)
+		answer := Row(p.Name)
 		if fails {
 			answer = pgwire.ErrorAnswer(pgwire.Error, "XX000", "the build is bad", "")
 		}
@@ -120,8 +120,8 @@
 	return "-"
 }
 
-// row is an answer of one binary column.
-func row(value string) []byte {
+// Row is an answer of one binary column.
+func Row(value string) []byte {
 	b := []byte{'T', 0, 0, 0, 0, 0, 1}
 	b = append(append(b, "body"...), 0)
 	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1)
