--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -128,7 +128,7 @@
 		g.granted = -1
 	case n.Build < g.news.Build && !g.off.Backward:
 		return // a desk with an older journal; the later build is known here
-	case g.final() && (n.Phase == relay.OnTrial || n.Phase == relay.Released) && !g.off.Backward:
+	case g.known && n.Build == g.news.Build && over(g.news) && !over(n) && !g.off.Backward:
 		return // it has been on its way back: nothing that was told earlier, or by a desk that forgot, opens it again
 	}
 	g.known, g.news, g.since = true, n, g.now-n.Age
@@ -141,17 +141,19 @@
 	g.grant()
 }
 
-// final says that the newest build was seen going back or withdrawn.
-func (g *Guard) final() bool {
-	return g.known && (g.news.Phase == relay.GoingBack || g.news.Phase == relay.Withdrawn)
-}
+// over says that a build goes back or has gone.
+func over(n relay.StageNews) bool { return n.Phase == relay.GoingBack || n.Phase == relay.Withdrawn }
 
 // HearOf takes what was told of another service.
 func (g *Guard) HearOf(now plan.Unix, s plan.ServiceNo, n relay.StageNews) {
 	g.at(now)
-	if !n.Valid || int(s) >= len(g.others) || n.Build < g.others[s].news.Build {
+	if !n.Valid || int(s) >= len(g.others) {
 		return
 	}
+	old := &g.others[s].news
+	if !g.off.Backward && (n.Build < old.Build || n.Build == old.Build && over(*old) && !over(n)) {
+		return // it came late, or from a desk that forgot: what went back stays back
+	}
 	g.others[s] = heardOf{n, g.now}
 }
 
--- a/rollout/guard_test.go
+++ b/rollout/guard_test.go
@@ -105,6 +105,12 @@
 			n.hear(day+1, as(trial(3, 1, 0, 0), relay.GoingBack))
 			return n.hear(day+2, trial(3, 1, 0.3, 0))
 		}, 0, 0.3},
+		{"late news of a need that went back", GuardDefences{Backward: true}, func(n *node) float64 {
+			n.hear(day, trial(3, 1, 0.3, 0))
+			n.HearOf(day+1, 0, as(trial(1, 1, 0, 0), relay.GoingBack))
+			n.HearOf(day+2, 0, trial(1, 1, 0.3, 0)) // told before the other, and late (the laboratory, seed 14)
+			return n.look(day + 2)
+		}, 0, 0.3},
 		{"a customer of a group that is not open", GuardDefences{Groups: true}, func(n *node) float64 {
 			n.hear(day, trial(3, 0, 0.1, 0))
 			if open := n.scope.Open; open[n.scope.Groups[1]] {
