--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -1,3 +1,5 @@
+//go:build !slim
+
 package main
 
 import (
