--- a/cmd/lichenroad/slim.go
+++ b/cmd/lichenroad/slim.go
@@ -13,7 +13,9 @@
 
 func absent(use string) *cobra.Command {
 	return &cobra.Command{Use: use, Short: "Not in this build, which is for service", DisableFlagParsing: true,
-		RunE: func(*cobra.Command, []string) error { return errors.New("not in this build: build without the tag slim") }}
+		RunE: func(*cobra.Command, []string) error {
+			return errors.New("not in this build: build without the tag slim")
+		}}
 }
 
 func (t *tool) simulate() *cobra.Command     { return absent("simulate FILE") }
