--- a/lab/check.go
+++ b/lab/check.go
@@ -20,13 +20,11 @@
 }
 
 const (
-	mostBroken  = 200  // that are listed; the rest is counted
-	tellGrace   = 0.25 // s after lower news until it binds
-	window      = 2.0  // s in which exposure is counted
-	uncounted   = 1.0  // legs in it that are free
-	drainGrace  = 0.25
-	clockGrace  = 0.0 // clocks of relays may differ, the plan's skew must make up for it
-	freezeEdges = 0.8 // s that news of a move just before a freeze may take, and still count as before it
+	mostBroken = 200  // that are listed; the rest is counted
+	tellGrace  = 0.25 // s after lower news until it binds
+	window     = 2.0  // s in which exposure is counted
+	uncounted  = 1.0  // legs in it that are free
+	drainGrace = 0.25
 )
 
 // checker watches from outside: what was taken, sent, told, answered, and what the desk did. It knows the plan as it
@@ -277,8 +275,6 @@
 	}
 }
 
-func (c *checker) voted(*node, relay.Vote) {}
-
 // started begins a relay's accounts.
 func (c *checker) started(x *node) {
 	n := len(c.w.plan.Groups) + 1
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -105,7 +104,6 @@
 // process is one that the demonstration started, in a group of its own.
 type process struct {
 	cmd  *exec.Cmd
-	log  bytes.Buffer
 	done chan struct{}
 }
 
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand"
-	"sort"
 
 	"lichenroad/plan"
 	"lichenroad/relay"
@@ -178,7 +177,6 @@
 	stalled bool
 	pending []relay.StageNews // that a stalled deployer has not looked at
 	heard   relay.StageNews   // that the deployer acts on
-	weights []float64
 }
 
 // told is news to the deployer.
@@ -426,15 +424,9 @@
 	unitTold map[relay.UnitID]float64 // when it was told that a unit drains or is gone
 	rng      *rand.Rand
 	buffer   []relay.Event
-	asked    bool
 }
 
 // module is a decision module; the real one, or a baseline.
 type module interface {
 	Step(now relay.Seconds, events []relay.Event) []relay.Order
 }
-
-func sortedNodes(list []*node) []*node {
-	sort.Slice(list, func(i, j int) bool { return list[i].no < list[j].no })
-	return list
-}
--- a/lab/node.go
+++ b/lab/node.go
@@ -341,7 +341,7 @@
 	}
 	l.over = true
 	x, w := l.q.x, l.q.x.f.w
-	if l.u != nil && !w.opt.quiet {
+	if l.u != nil {
 		if f := l.u.f.builds[l.u.build]; !f.good() && !how.NeverRan() && how != relay.Cancelled && (how != relay.Honoured || w.now > l.q.due) {
 			w.stats.badWorth += categories[l.q.Category].value * l.q.work
 		}
--- a/lab/week.go
+++ b/lab/week.go
@@ -106,7 +106,6 @@
 	NoVotes bool // votes are dropped: with a clock that moves steps, the baseline
 	Module  func(relay.Settings, int64) module
 	Keep    bool // the timeline's lines
-	quiet   bool
 
 	Progress func(day float64)
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -264,7 +264,6 @@
 			back(relay.StageNews{Reply: relay.Counted}, 0.01)
 			return
 		}
-		d.w.check.voted(x, v)
 		e, refused := d.core.Vote(x.f.no, x.name, v, d.w.unix())
 		if refused != rollout.Counted {
 			back(relay.StageNews{Reply: relay.NotCounted}, 0.01)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -47,8 +47,6 @@
 	ByClock                // time; relays hold it or send it back
 )
 
-var controls = [...]string{ByShare: "share", ByAny: "any", ByClock: "clock"}
-
 // Votes are a service's terms of voting.
 type Votes struct {
 	Control   Control
