--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -51,7 +51,7 @@
 
 	mu     sync.Mutex
 	asked  []string
-	opened int
+	opened int         // connections that carried a statement: one that was too slow to come up is none
 	seen   chan string // each statement as it comes
 	ended  chan struct{}
 }
@@ -75,9 +75,6 @@
 			if err != nil {
 				return
 			}
-			u.mu.Lock()
-			u.opened++
-			u.mu.Unlock()
 			go u.serve(c)
 		}
 	}()
@@ -93,7 +90,7 @@
 		return
 	}
 	c.Write(pgwire.Welcome(1))
-	for {
+	for first := true; ; first = false {
 		kind, body, err := standin.ReadMessage(r, false)
 		if err != nil || kind != 'Q' {
 			return
@@ -101,6 +98,9 @@
 		text := strings.TrimRight(string(body), "\x00")
 		u.mu.Lock()
 		u.asked = append(u.asked, text)
+		if first {
+			u.opened++
+		}
 		u.mu.Unlock()
 		u.seen <- text
 		switch u.does(text) {
