--- a/cmd/lichenroad/lab.go
+++ b/cmd/lichenroad/lab.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -12,13 +13,14 @@
 
 	"github.com/spf13/cobra"
 
+	"lichenroad/lab"
 	"lichenroad/lab/demo"
 	"lichenroad/lab/standin"
 )
 
 func (t *tool) labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Stand-ins on loopback, and a demonstration with them", RunE: needsVerb}
-	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare())
+	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare(), t.labShape())
 	return c
 }
 
@@ -50,6 +52,28 @@
 	return c
 }
 
+func (t *tool) labShape() *cobra.Command {
+	var names []string
+	for _, s := range lab.Shapes {
+		names = append(names, s.Name+" ("+s.Layout+")")
+	}
+	c := &cobra.Command{Use: "shape NAME FILE", Short: "Write a made-up trace of a kind of load: " + strings.Join(names, ", "), Args: cobra.ExactArgs(2)}
+	span := c.Flags().Float64("span", 300, "s")
+	rate := c.Flags().Float64("rate", 100, "mean arrivals a second")
+	seed := c.Flags().Int64("seed", 1, "of all chance")
+	c.RunE = func(_ *cobra.Command, args []string) error {
+		if !(*span > 0 && *rate > 0 && *span**rate <= 1e8) {
+			return fmt.Errorf("--span and --rate: above 0, and 100 million arrivals at most")
+		}
+		var b bytes.Buffer
+		if err := lab.WriteShape(&b, args[0], *span, *rate, *seed); err != nil {
+			return err
+		}
+		return failed(lab.WriteFile(args[1], b.Bytes()))
+	}
+	return c
+}
+
 func (t *tool) labPlanner() *cobra.Command {
 	c := &cobra.Command{Use: "planner", Short: "Run a stand-in planner; it prints each query that it takes in", Args: cobra.NoArgs}
 	var p standin.Planner
--- a/cmd/lichenroad/simulate.go
+++ b/cmd/lichenroad/simulate.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -60,7 +61,7 @@
 		if *clock {
 			o.ByClock()
 		}
-		if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 && t.errs == os.Stderr {
+		if onTerminal(t.errs) {
 			bar := progressbar.NewOptions64(int64(o.Days*1000), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("days"),
 				progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish(), progressbar.OptionSetPredictTime(true))
 			o.Progress = func(day float64) { bar.Set64(int64(day * 1000)) }
@@ -131,3 +132,13 @@
 	}
 	fmt.Fprintln(t.out, "timeline", r.Hash)
 }
+
+// onTerminal says whether somebody sees what is written: progress is shown there alone.
+func onTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/cmd/lichenroad/sweep.go
+++ b/cmd/lichenroad/sweep.go
@@ -17,6 +17,7 @@
 
 	"lichenroad/experiment"
 	"lichenroad/lab"
+	"lichenroad/relay"
 	"lichenroad/trace"
 )
 
@@ -30,10 +31,13 @@
 func (t *tool) labSweep() *cobra.Command {
 	c := &cobra.Command{Use: "sweep FILE...", Short: "Replay a trace with one thing changed, on several seeds, and say what it does", Args: cobra.MinimumNArgs(1),
 		Long: "Replay a trace with one thing changed, on several seeds. --vary names it and its values: relays=4,8, planners=8,10,12,\nmodule=" + strings.Join(lab.Baselines(), ",") +
-			". Each value is held against the first, by the same seeds."}
+			". Or a fault: fault=" + strings.Join(lab.Troubles(), ",") +
+			",\nor a setting: legs=1,2,3, cancel=true,false, retry-after=true,false. Each value is held against the first, by the same seeds."}
 	var x traced
 	x.flags(c)
 	c.MarkFlagRequired("mapping")
+	all := c.Flags().String("fault", "none", "what goes wrong with planners in all runs: "+strings.Join(lab.Troubles(), ", "))
+	chart := c.Flags().String("report", "", "a directory for the chart, an HTML page")
 	vary := c.Flags().String("vary", "", "what is changed, and its values: NAME=A,B,...")
 	c.MarkFlagRequired("vary")
 	seeds := c.Flags().Int("seeds", 5, "seeds, from 1 on; up to 200")
@@ -54,7 +58,8 @@
 				if len(arrivals) >= mostSwept {
 					return fmt.Errorf("over %d queries: thin or cut the trace", mostSwept)
 				}
-				arrivals = append(arrivals, lab.Arrival{At: q.At, Category: q.Category, Customer: q.Customer, Work: q.Work, Relay: q.Relay, Fails: q.Fails})
+				arrivals = append(arrivals, lab.Arrival{At: q.At, Category: q.Category, Customer: q.Customer, Work: q.Work, Relay: q.Relay, Fails: q.Fails,
+					Machine: q.Machine, BadFor: q.BadFor, BadPart: q.BadPart})
 			}
 			return nil
 		})
@@ -68,7 +73,11 @@
 		var todo []lab.ReplayOptions
 		var at []experiment.Run
 		for _, v := range values {
-			o := lab.ReplayOptions{Relays: *relays, Units: *units, Categories: x.m.Categories, Customers: x.m.Customers}
+			trouble, err := lab.TroubleOf(*all)
+			if err != nil {
+				return err
+			}
+			o := lab.ReplayOptions{Trouble: trouble, Relays: *relays, Units: *units, Categories: x.m.Categories, Customers: x.m.Customers}
 			switch name {
 			case "relays", "planners":
 				n, err := strconv.Atoi(v)
@@ -84,8 +93,16 @@
 				if o.Module, err = lab.Baseline(v); err != nil {
 					return err
 				}
+			case "fault":
+				if o.Trouble, err = lab.TroubleOf(v); err != nil {
+					return err
+				}
+			case "legs", "cancel", "retry-after":
+				if o.Change, err = setting(name, v); err != nil {
+					return fmt.Errorf("--vary: %w", err)
+				}
 			default:
-				return fmt.Errorf("--vary: %q is none of relays, planners, module", name)
+				return fmt.Errorf("--vary: %q is none of relays, planners, module, fault, legs, cancel, retry-after", name)
 			}
 			for s := range *seeds {
 				o.Seed = int64(s + 1)
@@ -99,6 +116,13 @@
 			return err
 		}
 		order, by := experiment.Split(at)
+		if *chart != "" {
+			page, err := sweepPage(*chart, name, order, by, *confidence)
+			if err != nil {
+				return failed(err)
+			}
+			fmt.Fprintln(t.out, "report:", page)
+		}
 		for _, v := range order[1:] {
 			fmt.Fprintf(t.out, "\n%s=%s against %s=%s (simulated)\n", name, v, name, order[0])
 			if err := t.compare(by[order[0]], by[v], experiment.Options{Confidence: *confidence, Margin: *margin}); err != nil {
@@ -110,6 +134,40 @@
 	return c
 }
 
+// sweepPage writes the charts of a sweep: each figure's mean and interval, by value.
+func sweepPage(dir, name string, order []string, by map[string][]experiment.Run, confidence float64) (string, error) {
+	figures, of := []string{"service", "worst_10s", "denied_part", "written_off_part", "legs_a_query", "p99_s"}, map[string][]lab.Bar{}
+	for _, f := range figures {
+		for _, v := range order {
+			mean, low, top := experiment.Mean(by[v], f, confidence)
+			of[f] = append(of[f], lab.Bar{Name: v, Mean: mean, Low: low, Top: top})
+		}
+	}
+	return lab.SweepPage(dir, "What "+name+" does", figures, of)
+}
+
+// setting gives the change of a setting that relays are told.
+func setting(name, v string) (func(*relay.Settings), error) {
+	if name == "legs" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 || n > 10 {
+			return nil, fmt.Errorf("legs: %q is none from 1 to 10", v)
+		}
+		return func(s *relay.Settings) { s.Limits.MaxLegs = n }, nil
+	}
+	on, err := strconv.ParseBool(v)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %q is neither true nor false", name, v)
+	}
+	return func(s *relay.Settings) {
+		if name == "cancel" {
+			s.Limits.Cancel = on
+		} else {
+			s.Limits.RetryAfter = on
+		}
+	}, nil
+}
+
 // mostSwept bounds the queries of a sweep: 64 bytes each.
 const mostSwept = 4 << 20
 
--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -6,9 +6,14 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"lichenroad/lab"
+	"lichenroad/lab/live"
 )
 
 // call runs a command and gives its exit code and what it printed.
@@ -180,6 +185,102 @@
 	}
 }
 
+// TestLiveReplay plays a sample twice to relays as processes: every query is asked and ends, and the figures lie close.
+func TestLiveReplay(t *testing.T) {
+	dir := t.TempDir()
+	mapping := filepath.Join(dir, "fast.xml")
+	text, err := os.ReadFile("../../deploy/mapping.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(mapping, []byte(strings.NewReplacer(`scale="1"`, `scale="60"`, `most="400ms"`, `most="100ms"`).Replace(string(text))), 0o600)
+	words := []string{"trace", "replay", "../../trace/testdata/alibaba-2018.csv", "--layout", "alibaba-2018", "--mapping", mapping, "--live", "--relays", "2",
+		"--planners", "4", "--dir", filepath.Join(dir, "state"), "--report", dir}
+	var got [2]live.Result
+	for i := range got {
+		file := filepath.Join(dir, "live.json")
+		os.Remove(file)
+		code, out, errs := call(append(words, "--json", file, "--late", "1s")...) // a busy machine is no fault of what is tested
+		raw, err := os.ReadFile(file)
+		if code != 0 || err != nil || json.Unmarshal(raw, &got[i]) != nil || !strings.Contains(out, "measured on loopback: 316 queries") {
+			t.Fatalf("%d %s %s %v", code, out, errs, err)
+		}
+		if r := got[i]; r.All.Queries != 316 || r.Sender.Sent+r.Sender.Unsent != 316 || r.Unheard > 0 || r.Legs < 300 || r.All.Service < 0.5 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if d := got[0].All.Service - got[1].All.Service; d > 0.2 || d < -0.2 {
+		t.Errorf("two runs lie %g apart", d)
+	}
+	for _, c := range []struct {
+		more string
+		code int
+		errs string
+	}{
+		{"--late 0s --late-share 0", 1, "invalid: the sender was over 0 s late"}, // any sender is: the check can fail
+		{"--late-share 2", 2, "late-share"}, {"--fault slow", 2, "--fault"}, {"--relays 41", 1, "relays"}, {"--mapping /none", 1, "/none"},
+	} {
+		if code, out, errs := call(append(words, strings.Fields(c.more)...)...); code != c.code || !strings.Contains(errs, c.errs) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: %d %s %s", c.more, code, out, errs)
+		}
+	}
+}
+
+// TestLiveReplayIsEndedBySignal: what was played is told, and nothing goes on.
+func TestLiveReplayIsEndedBySignal(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "live.json")
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "LICHENROAD_ARGS=trace replay ../../trace/testdata/alibaba-2018.csv --layout alibaba-2018 --mapping ../../deploy/mapping.xml --live "+
+		"--relays 1 --planners 2 --late 1s --dir "+dir+" --json "+file)
+	var out, errs strings.Builder
+	c.Stdout, c.Stderr = &out, &errs
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		if logs, _ := filepath.Glob(filepath.Join(dir, "serve-*.log")); len(logs) == 1 || time.Now().After(until) {
+			break
+		}
+	}
+	time.Sleep(time.Second) // some queries go out; what is shown holds for any number of them
+	c.Process.Signal(os.Interrupt)
+	err := c.Wait()
+	var got live.Result
+	raw, _ := os.ReadFile(file)
+	if err == nil || c.ProcessState.ExitCode() != 1 || json.Unmarshal(raw, &got) != nil || !got.Ended || got.All.Queries >= 316 ||
+		!strings.Contains(errs.String(), "ended by a signal after") || !strings.Contains(out.String(), "measured on loopback") {
+		t.Errorf("%v %s %s %+v", err, out.String(), errs.String(), got)
+	}
+}
+
+// TestShapes makes each kind of load, twice the same, of which every row can be used.
+func TestShapes(t *testing.T) {
+	dir := t.TempDir()
+	for _, s := range lab.Shapes {
+		var texts [2]string
+		for i := range texts {
+			file := filepath.Join(dir, s.Name+".csv")
+			if code, _, errs := call("lab", "shape", s.Name, file, "--span", "120", "--rate", "20", "--seed", "4"); code != 0 {
+				t.Fatal(errs)
+			}
+			raw, _ := os.ReadFile(file)
+			texts[i] = string(raw)
+			if code, out, errs := call("trace", "check", file, "--layout", s.Layout); code != 0 || !strings.Contains(out, " 0 reported") {
+				t.Errorf("%s: %d %s %s", s.Name, code, out, errs)
+			}
+		}
+		if n := strings.Count(texts[0], "\n"); texts[0] != texts[1] || n < 1800 || n > 12000 {
+			t.Errorf("%s: %d rows, the same: %v", s.Name, n, texts[0] == texts[1])
+		}
+	}
+	for _, args := range [][]string{{"lab", "shape", "round", "x"}, {"lab", "shape", "tails", "x", "--rate", "0"}} {
+		if code, _, errs := call(args...); code != 2 || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%v: %d %s", args, code, errs)
+		}
+	}
+}
+
 func TestSweeps(t *testing.T) {
 	dir := t.TempDir()
 	sample, file := "../../trace/testdata/alibaba-2018.csv", filepath.Join(dir, "sweep.json")
@@ -209,6 +310,22 @@
 			}
 		}
 	}
+	code, out, errs = call(append(words, "--vary", "fault="+strings.Join(lab.Troubles(), ","), "--report", dir)...)
+	raw, _ := os.ReadFile(file)
+	if got = (swept{}); code != 0 || json.Unmarshal(raw, &got) != nil || len(got.Runs) != 3*len(lab.Troubles()) {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	for _, r := range got.Runs { // no trouble brings the module to break a rule
+		if r.Figures["broken"] != 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if page, err := os.ReadFile(filepath.Join(dir, "sweep.html")); err != nil || strings.Count(string(page), "<svg") != 6 {
+		t.Error("no page with six charts: ", err)
+	}
+	if code, out, errs = call(append(words, "--vary", "legs=3,1", "--fault", "failing")...); code != 0 || !strings.Contains(out, "legs=1 against legs=3") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
 	one := filepath.Join(dir, "one.json")
 	call("trace", "replay", sample, "--layout", "alibaba-2018", "--mapping", "../../deploy/mapping.xml", "--seed", "2", "--json", one)
 	if code, out, errs := call("lab", "compare", one, one); code != 0 || !strings.Contains(out, "not told apart") {
@@ -219,7 +336,8 @@
 		code int
 	}{
 		{append(words, "--vary", "planners=2"), 2}, {append(words, "--vary", "moon=1,2"), 2}, {append(words, "--vary", "relays=a,b"), 2},
-		{append(words, "--vary", "module=policy,dice"), 2}, {[]string{"lab", "compare", file, one}, 1}, {[]string{"lab", "compare", sample, one}, 1},
+		{append(words, "--vary", "module=policy,dice"), 2}, {append(words, "--vary", "fault=none,moon"), 2}, {append(words, "--vary", "legs=1,x"), 2},
+		{append(words, "--vary", "cancel=true,perhaps"), 2}, {append(words, "--vary", "legs=1,2", "--fault", "moon"), 2}, {[]string{"lab", "compare", file, one}, 1}, {[]string{"lab", "compare", sample, one}, 1},
 		{[]string{"lab", "compare", "/none", one}, 1},
 	} {
 		if code, out, errs := call(c.args...); code != c.code || strings.Count(errs, "\n") != 1 {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -131,6 +131,21 @@
 	return mean - half, mean + half, true
 }
 
+// Mean gives a figure's mean over runs, and its interval.
+func Mean(runs []Run, figure string, confidence float64) (mean, low, high float64) {
+	var xs []float64
+	for _, r := range runs {
+		if x, ok := r.Figures[figure]; ok && !math.IsNaN(x) {
+			xs = append(xs, x)
+		}
+	}
+	if len(xs) == 0 {
+		return 0, 0, 0
+	}
+	low, high, _ = interval(xs, confidence)
+	return stat.Mean(xs, nil), low, high
+}
+
 // judge gives the verdict: equal where the whole interval lies within the margin, better or worse where it lies on one
 // side of nothing.
 func judge(c Comparison, s Sense, margin float64) Verdict {
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -12,7 +12,6 @@
 	"math"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sort"
 	"strconv"
@@ -83,10 +82,10 @@
 	file    string
 	watch   string
 	disc    *standin.Discovery
-	desk    *process
+	desk    *standin.Process
 	mu      sync.Mutex
 	units   map[string]standin.Unit
-	procs   []*process
+	procs   []*standin.Process
 	legs    []leg
 	asked   []asked
 	news    []toldAt
@@ -101,67 +100,24 @@
 	n  relay.StageNews
 }
 
-// process is one that the demonstration started, in a group of its own.
-type process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
 // start runs the program with some words; lines of its standard output go to each.
-func (s *show) start(each func(string), words ...string) (*process, error) {
-	p := &process{cmd: exec.Command(s.o.Self, words...), done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), "LICHENROAD_AS_PROGRAM=1")
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	log, err := os.Create(filepath.Join(s.o.Dir, fmt.Sprintf("%s-%d.log", words[0], time.Now().UnixNano())))
-	if err != nil {
-		return nil, err
-	}
-	p.cmd.Stderr = log
-	out, err := p.cmd.StdoutPipe()
+func (s *show) start(each func(string), words ...string) (*standin.Process, error) {
+	p, err := standin.Start(s.o.Self, s.o.Dir, each, words...)
 	if err != nil {
 		return nil, err
 	}
-	if err := p.cmd.Start(); err != nil {
-		return nil, err
-	}
 	s.mu.Lock()
 	s.procs = append(s.procs, p)
 	s.mu.Unlock()
-	go func() {
-		for r := bufio.NewScanner(out); r.Scan(); {
-			if each != nil {
-				each(r.Text())
-			}
-		}
-		p.cmd.Wait()
-		log.Close()
-		close(p.done)
-	}()
 	return p, nil
 }
 
-func (p *process) kill(sig syscall.Signal) { p.cmd.Process.Signal(sig) }
-
 func (s *show) now() float64 { return time.Since(s.begun).Seconds() }
 
 func (s *show) say(format string, a ...any) {
 	fmt.Fprintf(s.o.Out, "%5.1f s  %s\n", s.now(), fmt.Sprintf(format, a...))
 }
 
-// freePorts gives addresses on loopback that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 func planText(ports []string) string {
 	var b strings.Builder
 	b.WriteString(`<plan version="1" clock-skew="1s" news-life="10s">
@@ -201,7 +157,7 @@
 
 // launch starts a planner and lists it when it answers.
 func (s *show) launch(build int, site string, fails float64) error {
-	ports, err := freePorts(1)
+	ports, err := standin.FreePorts(1)
 	if err != nil {
 		return err
 	}
@@ -211,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	if err := reach(ports[0], p); err != nil {
+	if err := standin.Reach(ports[0], p); err != nil {
 		return fmt.Errorf("planner %s: %w", name, err)
 	}
 	s.mu.Lock()
@@ -222,21 +178,6 @@
 	return nil
 }
 
-func reach(address string, p *process) error {
-	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); {
-		if c, err := net.Dial("tcp", address); err == nil {
-			c.Close()
-			return nil
-		}
-		select {
-		case <-p.done:
-			return errors.New("it ended at once")
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-	return errors.New("it does not answer")
-}
-
 // leg notes what a planner took in: when, from which relay, for whom.
 func (s *show) leg(line string, build int) {
 	w := strings.Fields(line)
@@ -434,10 +375,10 @@
 	procs := s.procs
 	s.mu.Unlock()
 	for _, p := range procs {
-		p.kill(syscall.SIGKILL)
+		p.Kill(syscall.SIGKILL)
 	}
 	for _, p := range procs {
-		<-p.done
+		<-p.Done
 	}
 	if s.disc != nil {
 		s.disc.Close()
@@ -448,7 +389,7 @@
 	if err := os.MkdirAll(s.o.Dir, 0o755); err != nil {
 		return err
 	}
-	ports, err := freePorts(2 + 2*relays)
+	ports, err := standin.FreePorts(2 + 2*relays)
 	if err != nil {
 		return err
 	}
@@ -489,7 +430,7 @@
 		if err != nil {
 			return err
 		}
-		if err := reach(listen, p); err != nil {
+		if err := standin.Reach(listen, p); err != nil {
 			return fmt.Errorf("relay n%d: %w", i, err)
 		}
 	}
@@ -519,8 +460,8 @@
 		return err
 	}
 	s.say("killing the desk in the middle of the step, and starting it again 2 s later")
-	s.desk.kill(syscall.SIGKILL)
-	<-s.desk.done
+	s.desk.Kill(syscall.SIGKILL)
+	<-s.desk.Done
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -551,7 +492,7 @@
 		return err
 	}
 	s.desk = p
-	if err := reach(s.watch, p); err != nil {
+	if err := standin.Reach(s.watch, p); err != nil {
 		return fmt.Errorf("the desk: %w", err)
 	}
 	for { // its control file is written last
@@ -559,7 +500,7 @@
 			return nil
 		}
 		select {
-		case <-p.done:
+		case <-p.Done:
 			return errors.New("the desk ended at once")
 		case <-time.After(20 * time.Millisecond):
 		}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -87,6 +87,7 @@
 	running int
 	waiting []*leg
 	fallen  bool
+	ill     illness
 	rng     *rand.Rand
 	sent    []float64 // times of sends while it is cold, for rule 4
 }
@@ -136,6 +137,10 @@
 			took *= bad.slower
 			fails = (bad.only < 0 || bad.only == int(l.q.Category)) && p.rng.Float64() < bad.fails
 		}
+		if p.ill.until > w.now {
+			took *= math.Max(p.ill.slower, 1)
+			fails = fails || p.rng.Float64() < p.ill.fails
+		}
 		if l.q.fails > 0 {
 			l.q.fails--
 			fails = true
--- a/lab/node.go
+++ b/lab/node.go
@@ -285,7 +285,7 @@
 	w.stats.worth += k.value * q.work
 	w.check.taken(q)
 	if w.tally != nil {
-		w.tally.asked(q)
+		w.tally.Asked(q.counted(), x.f.busy())
 	}
 	life := x.life
 	w.at(q.until, func() {
@@ -293,12 +293,27 @@
 			w.check.unanswered(q)
 			q.over = true
 			w.stats.left++
+			if w.tally != nil {
+				w.tally.Ended(q.counted(), w.now, EndedUnheard)
+			}
 			x.step(relay.ClientLeft{Query: q.ID})
 		}
 	})
 	x.step(q.Query)
 }
 
+// counted is a query as a tally counts it.
+func (q *query) counted() Asked { return Asked{q.at, int(q.Category), int(q.Customer), q.work} }
+
+// busy is the part of the planners' cores that works.
+func (f *fleet) busy() float64 {
+	busy, cores := 0, 0
+	for _, u := range f.units {
+		busy, cores = busy+u.running, cores+coresEach
+	}
+	return float64(busy) / float64(max(cores, 1))
+}
+
 // send sends a leg.
 func (x *node) send(o relay.SendLeg) {
 	w := x.f.w
@@ -388,7 +403,7 @@
 	}
 	q.over = true
 	if w.tally != nil {
-		w.tally.answered(q, how)
+		w.tally.Ended(q.counted(), w.now, Ended(how))
 	}
 	k := &categories[q.Category]
 	switch {
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -22,6 +22,9 @@
 	Work     float64
 	Relay    uint64
 	Fails    int
+	Machine  uint64  // whose planner is bad from this on,
+	BadFor   float64 // for so many s
+	BadPart  float64 // with so much of its queries
 }
 
 // ReplayOptions are what a replay is made of.
@@ -32,6 +35,8 @@
 	Categories []string // by name, of those that the laboratory knows
 	Customers  []string
 	Module     func(relay.Settings, int64) module
+	Trouble    Trouble
+	Change     func(*relay.Settings) // of what relays are told, where given
 }
 
 // CategoryNames lists the categories that the laboratory knows.
@@ -73,11 +78,12 @@
 	Worst10    float64            `json:"worst_10s"`
 	Denied     int                `json:"denied"`
 	WrittenOff int                `json:"written_off"`
+	Unheard    int                `json:"unanswered"`
 	Legs       int                `json:"legs"`
 	LegsEach   float64            `json:"legs_a_query"`
 	Latency    map[string]float64 `json:"latency_s"` // of honoured queries, from the intended start
 	Broken     []Broken           `json:"broken"`
-	Hash       string             `json:"timeline_sha256"`
+	Hash       string             `json:"timeline_sha256,omitempty"`
 
 	series *series
 }
@@ -88,35 +94,61 @@
 	afterLast  = 10.0 // s that a replay goes on after the last arrival: longer than any patience
 )
 
-// tally keeps a replay's figures.
-type tally struct {
-	w          *world
+// Ended is how a query ended for its client.
+type Ended int
+
+// The ends.
+const (
+	EndedHonoured Ended = iota
+	EndedDenied
+	EndedWrittenOff
+	EndedUnheard // no answer came
+)
+
+// Asked is a query as a tally counts it.
+type Asked struct {
+	At       float64 // s; when it was to be asked
+	Category int     // place in the laboratory's table
+	Customer int
+	Work     float64
+}
+
+// Tally keeps a replay's figures. Value is counted where it is asked for; it is served when it is answered in due time,
+// by the time at which the query was to be asked. A replay over sockets counts by it too.
+type Tally struct {
 	all        Share
 	categories []Share
 	customers  []Share
+	names      []string
 	stretch    Share // the present ten seconds
 	stretchAt  int64
 	worst      float64
 	latency    *hdrhistogram.Histogram
 	series     series
+	denied     int
+	writtenOff int
+	unheard    int
+}
+
+// NewTally begins the figures of a replay with customers.
+func NewTally(customers []string) *Tally {
+	return &Tally{worst: 1, categories: make([]Share, len(categories)), customers: make([]Share, len(customers)+1), names: customers,
+		latency: hdrhistogram.New(1, 60e6, 3), series: series{width: 1}}
 }
 
-// asked counts a query in. Value is counted where it is asked for; it is served when it is answered in due time.
-func (t *tally) asked(q *query) {
-	v := categories[q.Category].value * q.work
+// Asked counts a query in; busy is the part of the planners' cores that works.
+func (t *Tally) Asked(q Asked, busy float64) {
+	v := categories[q.Category].value * q.Work
 	t.all.Queries++
-	p, busy, cores := t.series.at(q.at), 0, 0
-	for _, u := range q.x.f.units {
-		busy, cores = busy+u.running, cores+coresEach
-	}
+	p := t.series.at(q.At)
 	p.asked++
-	p.busy += float64(busy) / float64(max(cores, 1))
+	p.busy += busy
 	t.categories[q.Category].Queries++
 	t.customers[q.Customer].Queries++
 	t.all.add(v, 0)
 	t.categories[q.Category].add(v, 0)
 	t.customers[q.Customer].add(v, 0)
-	if at := int64(q.at / worstWidth); at != t.stretchAt {
+	if at := int64(q.At / worstWidth); at != t.stretchAt {
 		t.turn()
 		t.stretchAt = at
 	}
@@ -125,42 +157,93 @@
 }
 
 // turn ends a stretch of ten seconds.
-func (t *tally) turn() {
+func (t *Tally) turn() {
 	if t.stretch.Queries >= worstLeast {
 		t.worst = math.Min(t.worst, t.stretch.Served/t.stretch.Asked)
 	}
 	t.stretch = Share{}
 }
 
-func (t *tally) answered(q *query, how final) {
-	p := t.series.at(q.at)
+// Ended counts a query's end.
+func (t *Tally) Ended(q Asked, now float64, how Ended) {
+	p := t.series.at(q.At)
+	due := now <= q.At+categories[q.Category].due
 	switch {
-	case how == denied:
+	case how == EndedUnheard:
+		t.unheard++
+		p.writtenOff++
+	case how == EndedDenied:
+		t.denied++
 		p.denied++
-	case how == writtenOff:
+	case how == EndedWrittenOff:
+		t.writtenOff++
 		p.writtenOff++
-	case t.w.now > q.due:
+	case !due:
 		p.late++
 	default:
 		p.inTime++
 	}
-	if how != honoured {
+	if how != EndedHonoured {
 		return
 	}
-	p.hist().RecordValue(int64((t.w.now - q.at) * 1e6))
-	t.latency.RecordValue(int64((t.w.now - q.at) * 1e6))
-	if t.w.now > q.due {
+	p.hist().RecordValue(int64((now - q.At) * 1e6))
+	t.latency.RecordValue(int64((now - q.At) * 1e6))
+	if !due {
 		return
 	}
-	v := categories[q.Category].value * q.work
+	v := categories[q.Category].value * q.Work
 	t.all.add(0, v)
 	t.categories[q.Category].add(0, v)
 	t.customers[q.Customer].add(0, v)
-	if int64(q.at/worstWidth) == t.stretchAt { // an answer that comes after the turn counts for the whole alone
+	if int64(q.At/worstWidth) == t.stretchAt { // an answer that comes after the turn counts for the whole alone
 		t.stretch.add(0, v)
 	}
 }
 
+// Done gives the figures that the tally knows.
+func (t *Tally) Done() Replayed {
+	t.turn()
+	out := Replayed{All: t.all.done(), Categories: map[string]Share{}, Customers: map[string]Share{}, Worst10: t.worst, Denied: t.denied,
+		WrittenOff: t.writtenOff, Unheard: t.unheard, Latency: map[string]float64{}, Broken: []Broken{}, series: &t.series}
+	for i := range t.categories {
+		if s := t.categories[i].done(); s.Queries > 0 {
+			out.Categories[categories[i].name] = s
+		}
+	}
+	for i, name := range t.names {
+		out.Customers[name] = t.customers[i].done()
+	}
+	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "p99.9": 99.9, "max": 100} {
+		out.Latency[name] = float64(t.latency.ValueAtQuantile(q)) / 1e6
+	}
+	return out
+}
+
+// Place finds a category in the laboratory's table.
+func Place(name string) (int, error) {
+	for i, c := range categories {
+		if c.name == name {
+			return i, nil
+		}
+	}
+	return -1, fmt.Errorf("category %q is none of %v", name, CategoryNames())
+}
+
+// Term is what the laboratory has for a category: value, s of due time and patience, what a repeat may do.
+type Term struct {
+	Name                         string
+	Value, Due, Patience, Window float64
+	Repeat                       relay.Repeat
+}
+
+// Terms lists them, in the order of the table.
+func Terms() (out []Term) {
+	for _, c := range categories {
+		out = append(out, Term{c.name, c.value, c.due, c.patience, c.window, c.repeat})
+	}
+	return out
+}
+
 // Replay is a replay that goes on: arrivals are handed to it in their order.
 type Replay struct {
 	w      *world
@@ -178,21 +261,16 @@
 		return nil, fmt.Errorf("from 1 to 1000 relays and from 2 to 1000 planners")
 	}
 	for _, name := range o.Categories {
-		at := -1
-		for i, c := range categories {
-			if c.name == name {
-				at = i
-			}
-		}
-		if at < 0 {
-			return nil, fmt.Errorf("category %q is none of %v", name, CategoryNames())
+		at, err := Place(name)
+		if err != nil {
+			return nil, err
 		}
 		r.places = append(r.places, at)
 	}
 	p := &plan.Plan{Sites: []string{"bole", "kality"}, Groups: []plan.Group{{Name: "all", Customers: o.Customers}},
 		Services: []plan.Service{{Name: "replay", Votes: plan.Votes{On: 0.5, Back: 0.15, Life: 10, PerSecond: 100},
 			Steps: []plan.Step{{Name: "all", Share: 1, Cap: 1, Opens: []plan.Scope{{Site: 0, Group: 0}, {Site: 1, Group: 0}}}}}}}
-	opt := Options{Plan: p, Seed: o.Seed, Days: 1, Start: 1, Relays: o.Relays, Units: o.Units, Module: o.Module,
+	opt := Options{Plan: p, Seed: o.Seed, Days: 1, Start: 1, Relays: o.Relays, Units: o.Units, Module: o.Module, Change: o.Change,
 		Guard: rollout.GuardDefences{All: true}}
 	w := &world{opt: opt, plan: withRelays(p, o.Relays), epoch: 1, log: sha256.New(), awake: true}
 	w.rng = rand.New(rand.NewSource(o.Seed))
@@ -200,9 +278,9 @@
 	w.spell = spell{w: w}
 	w.desk = newDeskLink(w)
 	w.build(opt)
-	w.tally = &tally{w: w, worst: 1, categories: make([]Share, len(categories)), customers: make([]Share, len(o.Customers)+1),
-		latency: hdrhistogram.New(1, 60e6, 3), series: series{width: 1}}
+	w.tally = NewTally(o.Customers)
 	r.w = w
+	w.fleets[0].trouble(o.Trouble)
 	return r, nil
 }
 
@@ -214,6 +292,9 @@
 	r.last = a.At - r.first
 	r.w.run(math.Max(r.last, r.w.now))
 	x := r.w.fleets[0].nodes[a.Relay%uint64(len(r.w.fleets[0].nodes))]
+	if a.BadFor > 0 {
+		r.w.fleets[0].hour(a.Machine, a.BadFor, a.BadPart)
+	}
 	x.take(r.places[a.Category], a.Customer, a.Work, a.Fails)
 }
 
@@ -221,26 +302,11 @@
 func (r *Replay) End() Replayed {
 	w, t := r.w, r.w.tally
 	w.run(r.last + afterLast)
-	t.turn()
-	out := Replayed{Seed: r.o.Seed, Relays: r.o.Relays, Units: r.o.Units, Span: r.last, All: t.all.done(), Categories: map[string]Share{},
-		Customers: map[string]Share{}, Worst10: t.worst, Denied: w.stats.denied, WrittenOff: w.stats.writtenOff, Legs: w.stats.legs,
-		LegsEach: float64(w.stats.legs) / math.Max(float64(w.stats.queries), 1), Latency: map[string]float64{}, Broken: w.check.broken}
-	if out.Broken == nil {
-		out.Broken = []Broken{}
-	}
-	for i := range t.categories {
-		if s := t.categories[i].done(); s.Queries > 0 {
-			out.Categories[categories[i].name] = s
-		}
-	}
-	for i, name := range r.o.Customers {
-		out.Customers[name] = t.customers[i].done()
-	}
-	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "p99.9": 99.9, "max": 100} {
-		out.Latency[name] = float64(t.latency.ValueAtQuantile(q)) / 1e6
-	}
+	out := t.Done()
+	out.Seed, out.Relays, out.Units, out.Span, out.Legs = r.o.Seed, r.o.Relays, r.o.Units, r.last, w.stats.legs
+	out.LegsEach = float64(w.stats.legs) / math.Max(float64(w.stats.queries), 1)
+	out.Broken = append(out.Broken, w.check.broken...)
 	fmt.Fprintf(w.log, "%d %g %d %d %d", t.all.Queries, t.all.Served, w.stats.denied, w.stats.writtenOff, w.stats.legs)
-	out.series = &t.series
 	out.Hash = hex.EncodeToString(w.log.Sum(nil))
 	return out
 }
--- a/lab/series.go
+++ b/lab/series.go
@@ -7,6 +7,7 @@
 	"image/color"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/plot"
@@ -133,7 +134,7 @@
 <html lang="en"><head><meta charset="utf-8"><title>lichenroad: a trace replayed</title><style>
 body{font-family:sans-serif;max-width:68em;margin:2em auto;padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ddd}svg{max-width:100%;height:auto}</style></head><body>
-<h1>A trace replayed</h1><p>Simulated: {{.R.All.Queries}} queries over {{printf "%.1f" .R.Span}} s, {{.R.Relays}} relays, {{.R.Units}} planners, seed {{.R.Seed}}.</p>
+<h1>A trace replayed</h1><p>{{.How}}: {{.R.All.Queries}} queries over {{printf "%.1f" .R.Span}} s, {{.R.Relays}} relays, {{.R.Units}} planners, seed {{.R.Seed}}.</p>
 <table><tr><th></th><th>queries</th><th>service</th></tr><tr><td>all</td><td>{{.R.All.Queries}}</td><td>{{printf "%.4f" .R.All.Service}}</td></tr>
 <tr><td>worst 10 s</td><td></td><td>{{printf "%.4f" .R.Worst10}}</td></tr>
 {{range $k, $v := .R.Categories}}<tr><td>{{$k}}</td><td>{{$v.Queries}}</td><td>{{printf "%.4f" $v.Service}}</td></tr>{{end}}
@@ -143,7 +144,7 @@
 `))
 
 // Report writes the page of a replay into a directory, whole or not at all.
-func (r *Replayed) Report(dir string) (string, error) {
+func (r *Replayed) Report(dir, how string) (string, error) {
 	charts, err := r.series.charts()
 	if err != nil {
 		return "", err
@@ -151,8 +152,9 @@
 	var b bytes.Buffer
 	if err := replayPage.Execute(&b, struct {
 		R      *Replayed
+		How    string
 		Charts []template.HTML
-	}{r, charts}); err != nil {
+	}{r, strings.ToUpper(how[:1]) + how[1:], charts}); err != nil {
 		return "", err
 	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/lab/standin/planner.go
+++ b/lab/standin/planner.go
@@ -12,6 +12,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lichenroad/internal/pgwire"
@@ -45,11 +46,15 @@
 	Fails float64       // part that it answers with an error
 	After time.Duration // of its life from which it does so
 	Seed  int64
-	Seen  io.Writer // gets a line for each query that comes: leg, Unix nanoseconds, id, customer
+	Most  int                                                     // queries that it holds before it turns more away; 0: any number
+	Do    func(statement string) (took time.Duration, fails bool) // in the place of Took and Fails, where given
+	Busy  *atomic.Int64                                           // where given: queries that are worked on
+	Seen  io.Writer                                               // gets a line for each query that comes: leg, Unix nanoseconds, id, customer
 
 	once  sync.Once
 	slots chan struct{}
 	begun time.Time
+	held  atomic.Int64 // queries that wait or are worked on
 	mu    sync.Mutex
 	rng   *rand.Rand
 }
@@ -92,12 +97,13 @@
 			fmt.Fprintf(p.Seen, "leg %d %s %s\n", time.Now().UnixNano(), field(text, "id="), field(text, "t="))
 			p.mu.Unlock()
 		}
-		p.slots <- struct{}{}
-		time.Sleep(p.Took)
-		<-p.slots
-		p.mu.Lock()
-		fails := time.Since(p.begun) >= p.After && p.rng.Float64() < p.Fails
-		p.mu.Unlock()
+		if n := p.held.Add(1); p.Most > 0 && n > int64(p.Most) {
+			p.held.Add(-1)
+			c.Write(pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, pgwire.CodeFull, "full", "")))
+			continue
+		}
+		fails := p.work(text)
+		p.held.Add(-1)
 		answer := Row(p.Name)
 		if fails {
 			answer = pgwire.ErrorAnswer(pgwire.Error, "XX000", "the build is bad", "")
@@ -108,6 +114,25 @@
 	}
 }
 
+// work does a query, when a core is free, and says whether it fails.
+func (p *Planner) work(text string) (fails bool) {
+	p.slots <- struct{}{}
+	defer func() { <-p.slots }()
+	if p.Busy != nil {
+		p.Busy.Add(1)
+		defer p.Busy.Add(-1)
+	}
+	if p.Do != nil {
+		took, fails := p.Do(text)
+		time.Sleep(took)
+		return fails
+	}
+	time.Sleep(p.Took)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.begun) >= p.After && p.rng.Float64() < p.Fails
+}
+
 // field gives the value behind a name in a statement's comment.
 func field(text, name string) string {
 	_, rest, ok := strings.Cut(text, "/* ")
@@ -145,7 +170,6 @@
 type Client struct {
 	net.Conn
 	r *bufio.Reader
-	n uint64
 }
 
 // Dial connects to a relay.
@@ -189,8 +213,12 @@
 
 // Ask sends a read of a category for a customer, and waits for its one answer.
 func (c *Client) Ask(id uint64, category, customer string, wait time.Duration) (Outcome, error) {
+	return c.AskText(fmt.Sprintf("SELECT body FROM objects WHERE oid = '%016x' /* id=%016x,c=%s,t=%s,d=%d */", id, id, category, customer, wait.Milliseconds()), wait)
+}
+
+// AskText sends a statement, and waits for its one answer.
+func (c *Client) AskText(text string, wait time.Duration) (Outcome, error) {
 	c.SetDeadline(time.Now().Add(wait + 2*time.Second))
-	text := fmt.Sprintf("SELECT body FROM objects WHERE oid = '%016x' /* id=%016x,c=%s,t=%s,d=%d */", id, id, category, customer, wait.Milliseconds())
 	if _, err := c.Write(pgwire.QueryMessage(text)); err != nil {
 		return Outcome{}, err
 	}
--- a/lab/week.go
+++ b/lab/week.go
@@ -105,7 +105,8 @@
 	Desk    rollout.Defences
 	NoVotes bool // votes are dropped: with a clock that moves steps, the baseline
 	Module  func(relay.Settings, int64) module
-	Keep    bool // the timeline's lines
+	Change  func(*relay.Settings) // of what relays are told, where given
+	Keep    bool                  // the timeline's lines
 
 	Progress func(day float64)
 }
@@ -386,6 +387,9 @@
 		f := &fleet{w: w, no: plan.ServiceNo(i), name: s.Name, builds: map[relay.Build]fault{1: {name: "good", only: -1, slower: 1}},
 			stable: 1, size: o.Units / len(w.plan.Services), rng: w.random("fleet", i)}
 		f.set = w.settings(f.no, len(s.Relays))
+		if o.Change != nil {
+			o.Change(&f.set)
+		}
 		w.fleets = append(w.fleets, f)
 		for k := range f.size {
 			f.launch(1, plan.SiteNo(k%len(w.plan.Sites)), 0)
--- a/lab/world.go
+++ b/lab/world.go
@@ -38,7 +38,7 @@
 	parked  []*node // whose wake waits for the next spell
 	spell   spell
 	stats   counts
-	tally   *tally // of a replay
+	tally   *Tally // of a replay
 }
 
 type counts struct {
--- a/trace/mapping.go
+++ b/trace/mapping.go
@@ -26,6 +26,9 @@
 	Work     Seconds // on a core of speed 1
 	Relay    uint64  // a hash: the same for what should go through the same relay
 	Fails    int     // legs of it that fail before one may be honoured
+	Machine  uint64  // a hash of the machine whose planner has a bad hour,
+	BadFor   Seconds // for so long,
+	BadPart  float64 // with so much of its queries
 }
 
 // Failures says what the failures of a trace become.
@@ -34,6 +37,7 @@
 const (
 	FailNothing Failures = iota
 	FailLegs             // a run that failed or was evicted is a leg that fails
+	FailHours            // it begins a bad hour of the planner that its machine stands for
 )
 
 // Mapping says which tasks become which queries. Nothing is guessed: what no rule places is reported.
@@ -49,6 +53,7 @@
 	work       struct{ scale, least, most float64 }
 	relay      field
 	failures   Failures
+	hour       struct{ last, part float64 }
 }
 
 // rule places a task where all of its conditions hold.
@@ -168,11 +173,18 @@
 	q.Relay = xxhash.Sum64String(w)
 	q.At = t.At / m.Scale
 	q.Work = math.Min(math.Max(t.Took*m.work.scale, m.work.least), m.work.most)
-	if m.failures == FailLegs {
-		q.Fails = t.Fails
-		if t.End == Failed || t.End == Evicted {
-			q.Fails++
+	fails := t.Fails
+	if t.End == Failed || t.End == Evicted {
+		fails++
+	}
+	switch {
+	case m.failures == FailLegs:
+		q.Fails = fails
+	case m.failures == FailHours && fails > 0:
+		if t.Machine == "" {
+			return q, missing(fieldNames[ofMachine])
 		}
+		q.Machine, q.BadFor, q.BadPart = xxhash.Sum64String(t.Machine), m.hour.last, m.hour.part
 	}
 	return q, Taken
 }
@@ -190,7 +202,7 @@
 	"hash":     {Needs: []string{"of", "from", "to"}},
 	"work":     {Needs: []string{"scale", "least", "most"}},
 	"relay":    {Needs: []string{"by"}},
-	"failures": {Needs: []string{"as"}},
+	"failures": {Needs: []string{"as"}, May: []string{"for", "part"}},
 }
 
 // LoadMapping reads a mapping's file. Its error is *form.Faults where the file could be read but is no mapping.
@@ -241,7 +253,13 @@
 		m.relay = form.Word(r, n, "by", ofJob, map[string]field{"machine": ofMachine, "user": ofUser, "job": ofJob})
 	}
 	if n := one("failures"); n != nil {
-		m.failures = form.Word(r, n, "as", FailNothing, map[string]Failures{"none": FailNothing, "legs": FailLegs})
+		m.failures = form.Word(r, n, "as", FailNothing, map[string]Failures{"none": FailNothing, "legs": FailLegs, "hours": FailHours})
+		m.hour.last, m.hour.part = r.Span(n, "for", 0), r.Number(n, "part", 0, 0, 1)
+		_, hasFor := n.Attrs["for"]
+		_, hasPart := n.Attrs["part"]
+		if hours := m.failures == FailHours; hours != hasFor || hours != hasPart {
+			r.Fault(n, "for and part: needed where failures are hours, and only there")
+		}
 	}
 }
 
--- a/trace/mapping_test.go
+++ b/trace/mapping_test.go
@@ -38,6 +38,10 @@
 		{"twice a category", `name="odd"`, `name="urgent"`, "twice", false},
 		{"thin of two", `thin="0.5"`, `thin="2"`, "thin", false},
 		{"unknown element", `<customer name="two"/>`, `<customer name="two"/><cat/>`, "not known", true},
+		{"hours", `as="legs"`, `as="hours" for="5s" part="0.8"`, "", false},
+		{"hours without their length", `as="legs"`, `as="hours" part="0.8"`, "for and part", false},
+		{"legs with a length", `as="legs"`, `as="legs" for="5s"`, "for and part", false},
+		{"hours of more than all", `as="legs"`, `as="hours" for="5s" part="1.5"`, "part", true},
 		{"no customers", `customer`, `client`, "not known", true},
 	} {
 		text := strings.ReplaceAll(goodMapping, c.old, c.new)
@@ -103,6 +107,21 @@
 	if q, _ = m.Place(with(func(x *Task) { x.Priority, x.Took = 9, 0 })); q.Work != 0.02 || q.Fails != 0 {
 		t.Errorf("%+v", q)
 	}
+	if m, err = ParseMapping("m", []byte(strings.Replace(goodMapping, `as="legs"`, `as="hours" for="5s" part="0.8"`, 1))); err != nil {
+		t.Fatal(err)
+	}
+	if q, why := m.Place(with(func(x *Task) { x.End = Failed })); why != Taken || q.Fails != 0 || q.BadFor != 5 || q.BadPart != 0.8 || q.Machine == 0 {
+		t.Errorf("%+v %q", q, why)
+	}
+	if q, _ := m.Place(with(func(x *Task) { x.Priority = 9 })); q.BadFor != 0 {
+		t.Errorf("a good run begins a bad hour: %+v", q)
+	}
+	if m, err = ParseMapping("m", []byte(strings.NewReplacer(`as="legs"`, `as="hours" for="5s" part="0.8"`, `by="machine"`, `by="job"`).Replace(goodMapping))); err != nil {
+		t.Fatal(err)
+	}
+	if _, why := m.Place(with(func(x *Task) { x.End, x.Machine = Failed, "" })); why != "missing_machine" {
+		t.Errorf("whose hour it is was guessed: %q", why)
+	}
 	kept, same := 0, true
 	for i := range 2000 {
 		x := with(func(x *Task) { x.Line = int64(i) })
