The gate goes by the last second's pace where it is higher; value ranks beyond a share too

Replayed bursts (three quarters of all in 1.5 s at ten times the rate) were denied by idle units: the gate knew its pace from 2 s of answers, and flattened values for a customer beyond its share, which a burst mostly is.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,9 +96,10 @@
 	flowCount  = 4   // buckets: 2 s, long enough for small relays, short enough for a loss
 
 	gateWait   = 0.5  // of the mean due time that a leg may take before the gate holds the inflow
+	gateLately = 2    // buckets of the gate's, the present one and one before, that show a burst's own pace
 	gateSpare  = 4.0  // open queries beyond that, so that a small relay is not shut by one slow answer
 	gateLow    = 0.8  // part of the limit from which the category of least value is denied; the top: 1
-	gateOver   = 0.9  // part of the limit from which beyond-share customers are denied
+	gateOver   = 0.9  // times its part of the limit from which a beyond-share customer's query is denied
 	overShare  = 1.15 // times its share of traffic at which a customer counts as beyond it
 	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
@@ -498,7 +499,11 @@
 	if g.p.now < flowWidth*flowCount {
 		return math.Inf(1) // no pace is known yet
 	}
-	return gateSpare + gateWait*g.answers.all(g.p.now, 0)/(flowWidth*flowCount)
+	// After a quiet time the mean tells what was asked, not what can be answered: a burst would be turned
+	// away from idle units. The pace of the last second counts where it is higher.
+	lately := flowWidth*(gateLately-1) + math.Mod(g.p.now, flowWidth)
+	return gateSpare + gateWait*math.Max(g.answers.all(g.p.now, 0)/(flowWidth*flowCount),
+		g.answers.sum(g.p.now, 0, 0, gateLately)/lately)
 }
 
 // denies says whether a new query is turned away, and counts it.
@@ -509,7 +514,7 @@
 	if c < n {
 		g.mix.add(g.p.now, c, 1)
 		if share := g.p.set.Customers[c].Share; g.mix.all(g.p.now, c) > overShare*share*g.mix.all(g.p.now, n) {
-			part = math.Min(part, gateOver)
+			part *= gateOver // value ranks beyond a share too: a burst is mostly one customer's
 		}
 	}
 	return float64(g.p.desk.inTime) > part*g.limit()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -593,3 +593,51 @@
 		})
 	}
 }
+
+// The gate knew its pace from two seconds of answers: after a quiet time it turned a burst away from idle units.
+func TestGateOpensInABurst(t *testing.T) {
+	p := New(plainSettings(), 1)
+	for p.now = 10; p.now < 12; p.now += 0.25 {
+		p.gate.answers.add(p.now, 0, 1) // four a second, due in 1 s
+	}
+	quiet := p.gate.limit()
+	for p.now = 12; p.now < 12.49; p.now += 0.01 {
+		p.gate.answers.add(p.now, 0, 1) // a hundred a second
+	}
+	burst := p.gate.limit()
+	p.now = 13.75 // over, and nothing answered since: the mean of 2 s alone is left
+	after, mean := p.gate.limit(), gateSpare+gateWait*p.gate.answers.all(p.now, 0)/(flowWidth*flowCount)
+	if quiet > gateSpare+4 || burst < gateSpare+20 || after != mean {
+		t.Errorf("limit %.1f, in the burst %.1f, after it %.1f of %.1f", quiet, burst, after, mean)
+	}
+}
+
+// A customer beyond its share met one limit in all categories but the least: a burst, mostly one customer's, was
+// served in the order in which it came.
+func TestValueRanksBeyondAShare(t *testing.T) {
+	set := plainSettings()
+	set.Customers = []relay.CustomerTerms{{Share: 0.5}, {Share: 0.5}}
+	for i := range set.Categories {
+		set.Categories[i].Value = float64(i + 1)
+	}
+	p := New(set, 1)
+	p.now = 20
+	p.gate.answers.add(19.6, 0, 1000)
+	admits := func(customer relay.Customer, category int) (n int) {
+		for ; n < 10000; n++ {
+			p.desk.inTime = n
+			if p.gate.denies(&query{Query: relay.Query{Customer: customer, Category: relay.Category(category)}, row: &p.rows[category]}) {
+				return n
+			}
+		}
+		return n
+	}
+	for c := 1; c < len(set.Categories); c++ {
+		if less, more := admits(0, c-1), admits(0, c); less >= more {
+			t.Errorf("beyond its share, value %d is denied at %d open, value %d at %d", c, less, c+1, more)
+		}
+		if beyond, within := admits(0, c), admits(1, c); beyond >= within {
+			t.Errorf("value %d: denied at %d open beyond a share, at %d within", c+1, beyond, within)
+		}
+	}
+}
