Where few units are sound, suspects take what these can't carry

Below three sound in ten a suspect is taken where a sound unit costs three times as much, never for at-most-once queries.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,6 +77,8 @@
 	suspectAt   = 0.3   // failure figure of a suspect
 	brokenAt    = 0.5   // part of its last legs that a unit failed, at which the machine is at fault: 3 in a row
 	suspectFirm = 0.1   // the same for queries that can't be sent again after an error
+	soundFew    = 0.3   // part of the units below which the sound ones can't carry the load alone
+	suspectDear = 3.0   // times a suspect's cost up to which a sound one is taken then: three legs, one honoured
 	paceStep    = 0.2   // weight of one answer in a unit's pace
 	paceFleet   = 0.02  // the same in the fleet's
 	paceKind    = 0.002 // the same in a kind of machine's over all relays: 500 legs, as kinds change slowly
@@ -415,18 +417,33 @@
 		}
 		pools[i] = append(pools[i], u)
 	}
+	// Where most units fail at once the few sound ones can't carry everything: suspects take what would
+	// wait there for long, of queries that may go out again.
+	sound, suspects := float64(len(pools[0])), float64(len(pools[2]))
+	if sound > 0 && sound < soundFew*(sound+suspects) && q.row.repeat != relay.AtMostOnce {
+		a, b := d.cheaper(pools[0]), d.draw(pools[2])
+		if b.cost()*suspectDear < a.cost() {
+			return b
+		}
+		return a
+	}
 	for _, pool := range [...][]*unit{pools[0], pools[1], pools[2], units} {
 		if len(pool) > 0 {
-			a := d.draw(pool)
-			if b := d.draw(pool); b.cost() < a.cost() {
-				return b
-			}
-			return a
+			return d.cheaper(pool)
 		}
 	}
 	return nil
 }
 
+// cheaper is the cheaper of two random choices.
+func (d *desk) cheaper(pool []*unit) *unit {
+	a := d.draw(pool)
+	if b := d.draw(pool); b.cost() < a.cost() {
+		return b
+	}
+	return a
+}
+
 // may is the guard that every leg passes: rules 2 to 5.
 func (d *desk) may(q *query, u *unit) bool {
 	p := d.p
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -641,3 +641,39 @@
 		}
 	}
 }
+
+// Where eight of ten units failed, the two sound ones got everything and were swamped: a plain balancer did better.
+func TestSuspectsTakeWhatFewSoundUnitsCantCarry(t *testing.T) {
+	for _, c := range []struct {
+		sound, open int // sound units, legs that each holds
+		repeat      relay.Repeat
+		some, all   bool // suspects get some, or all
+	}{
+		{2, 0, relay.Reissuable, false, false},
+		{2, 30, relay.Reissuable, true, true},
+		{2, 30, relay.Numbered, true, true},
+		{2, 30, relay.AtMostOnce, false, false}, // an error there is a query lost
+		{4, 30, relay.Reissuable, false, false}, // they are not few
+		{0, 0, relay.Reissuable, true, true},
+	} {
+		w := newWorld(t, plainSettings())
+		w.step(relay.Roster{Form: relay.RosterFull, Units: entries(10, 5, 1)})
+		p := w.mod
+		p.now = w.now
+		for i, u := range p.roster.units {
+			if u.open = c.open; i >= c.sound {
+				u.open, u.bad, u.badAt = 0, 1, p.now
+			}
+			u.answer = p.now
+		}
+		suspects := 0
+		for range 200 {
+			if u := p.desk.best(&query{row: &row{repeat: c.repeat}}, p.roster.units); u.bad > 0 {
+				suspects++
+			}
+		}
+		if suspects > 0 != c.some || suspects == 200 != c.all {
+			t.Errorf("%+v: %d of 200", c, suspects)
+		}
+	}
+}
