--- a/lab/check.go
+++ b/lab/check.go
@@ -449,14 +449,13 @@
 	}
 	// 4. Cold planners.
 	if u.cold && c.w.now-u.started < warmUp {
-		keep := u.sent[:0]
+		keep, work := u.sent[:0], q.work/u.speed // each leg by its own work: by the last one's a long query broke the rule alone
 		for _, t := range u.sent {
-			if t > c.w.now-fallAfter {
-				keep = append(keep, t)
+			if t.at > c.w.now-fallAfter {
+				keep, work = append(keep, t), work+t.work/u.speed
 			}
 		}
-		u.sent = append(keep, c.w.now)
-		work := float64(len(u.sent)) * q.work / u.speed
+		u.sent = append(keep, load{c.w.now, q.work})
 		if can := coresEach * u.warmth() * fallAfter; work > fallTimes*can && !u.fallen {
 			u.fallen = true
 			c.fail(x.name, "cold planner pushed over", work/can, "planner %d, %d legs in a second", u.id, len(u.sent))
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -89,9 +89,12 @@
 	fallen  bool
 	ill     illness
 	rng     *rand.Rand
-	sent    []float64 // times of sends while it is cold, for rule 4
+	sent    []load // legs sent to it while it is cold, for rule 4
 }
 
+// load is a leg's work, by when it was sent.
+type load struct{ at, work float64 }
+
 // warmth is the part of its work that it can do.
 func (p *planner) warmth() float64 {
 	if !p.cold {
--- a/lab/trouble_test.go
+++ b/lab/trouble_test.go
@@ -64,3 +64,18 @@
 		t.Errorf("%d, %d, %d written off", calm.WrittenOff, short.WrittenOff, long.WrittenOff)
 	}
 }
+
+// TestALongQueryPushesNobodyOver: the checker took every leg at a cold planner for as long as the last one, so that a
+// long query among short ones broke rule 4 alone.
+func TestALongQueryPushesNobodyOver(t *testing.T) {
+	for seed := range 4 {
+		got := troubled(t, func(o *ReplayOptions) { o.Trouble, o.Seed, o.Relays = troubles["dying"], int64(seed+1), 20 }, func(i int, a *Arrival) {
+			if a.At, a.Work = float64(i)*0.004, 0.04; i%25 == 0 {
+				a.Work = 1.5
+			}
+		})
+		if len(got.Broken) > 0 {
+			t.Errorf("seed %d: %+v", seed+1, got.Broken[0])
+		}
+	}
+}
