--- a/cmd/lichenroad/sweep.go
+++ b/cmd/lichenroad/sweep.go
@@ -203,7 +203,7 @@
 
 func figures(r lab.Replayed) map[string]float64 {
 	n := float64(max(r.All.Queries, 1))
-	return map[string]float64{"service": r.All.Service, "worst_10s": r.Worst10, "denied_part": float64(r.Denied) / n, "written_off_part": float64(r.WrittenOff) / n,
+	return map[string]float64{"service": r.All.Service, "worst_10s": r.Worst10, "tail": r.Tail, "figure": r.Figure, "denied_part": float64(r.Denied) / n, "written_off_part": float64(r.WrittenOff) / n,
 		"legs_a_query": r.LegsEach, "p50_s": r.Latency["p50"], "p99_s": r.Latency["p99"], "broken": float64(len(r.Broken))}
 }
 
--- a/cmd/lichenroad/trace.go
+++ b/cmd/lichenroad/trace.go
@@ -282,10 +282,10 @@
 		}
 		fmt.Fprintln(t.out, "report:", name)
 	}
-	fmt.Fprintf(t.out, "%s: %d queries over %.1f s, %d relays, %d planners: service %.4f, worst 10 s %.4f\n", how, got.All.Queries, got.Span, got.Relays,
-		got.Units, got.All.Service, got.Worst10)
-	fmt.Fprintf(t.out, "%d denied, %d written off, %d unanswered, %.3f legs a query; latency p50 %.3f s, p99 %.3f s, most %.3f s\n", got.Denied, got.WrittenOff,
-		got.Unheard, got.LegsEach, got.Latency["p50"], got.Latency["p99"], got.Latency["max"])
+	fmt.Fprintf(t.out, "%s: %d queries over %.1f s, %d relays, %d planners: service %.4f, worst 10 s %.4f, tail %.4f\n", how, got.All.Queries, got.Span, got.Relays,
+		got.Units, got.All.Service, got.Worst10, got.Tail)
+	fmt.Fprintf(t.out, "%d denied, %d written off, %d unanswered, %.3f legs a query, %d crossings; latency p50 %.3f s, p99 %.3f s, most %.3f s\n", got.Denied, got.WrittenOff,
+		got.Unheard, got.LegsEach, got.Crossings, got.Latency["p50"], got.Latency["p99"], got.Latency["max"])
 	return nil
 }
 
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -40,7 +40,7 @@
 )
 
 // Senses are the figures that are compared, and what is better.
-var Senses = map[string]Sense{"service": MoreIsBetter, "worst_10s": MoreIsBetter, "denied_part": LessIsBetter, "written_off_part": LessIsBetter,
+var Senses = map[string]Sense{"service": MoreIsBetter, "worst_10s": MoreIsBetter, "tail": MoreIsBetter, "figure": MoreIsBetter, "denied_part": LessIsBetter, "written_off_part": LessIsBetter,
 	"legs_a_query": LessIsBetter, "p50_s": LessIsBetter, "p99_s": LessIsBetter}
 
 // Comparison is one figure of B against A.
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -25,6 +25,7 @@
 	mostQueue = 60  // queries that one holds before it turns more away, as there
 	overrun   = 0.1 // s after the end of patience from which an answer is one that came too late
 	ms        = 1000000
+	relayBits = 48 // of a query's id: the relay stands above them
 )
 
 var sites = []string{"bole", "kality"}
@@ -111,7 +112,7 @@
 	r := Result{Replayed: s.tally.Done(), Sender: s.sender.Lateness(), Overran: s.ran, Ended: early}
 	r.Seed, r.Relays, r.Units, r.Span = o.Seed, o.Relays, o.Units, span
 	s.book.mu.Lock()
-	r.Legs = s.book.legs
+	r.Legs, r.Crossings = s.book.legs, s.book.cross
 	for _, id := range s.book.twice {
 		r.Broken = append(r.Broken, lab.Broken{Rule: "effect twice", Text: "query " + id + " ran twice and may only once"})
 	}
@@ -139,7 +140,7 @@
 		s.closer = append(s.closer, func() { ln.Close() })
 		name := fmt.Sprintf("p%d", i)
 		p := &standin.Planner{Name: name, Cores: coresEach, Most: mostQueue, Seed: s.o.Seed + int64(i), Do: func(text string) (time.Duration, bool) {
-			return s.book.leg(text, time.Now())
+			return s.book.leg(text, i%len(sites), time.Now())
 		}, Busy: &s.busy}
 		go p.Serve(ln)
 		units = append(units, standin.Unit{ID: name, HostPort: ln.Addr().String(), Zone: sites[i%2], Machine: "m", Lifecycle: "SERVING", Weight: 1,
@@ -300,7 +301,7 @@
 		return
 	}
 	t := lab.Terms()[p.asked.Category]
-	out, err := c.AskText(statement(j.No, t, s.o.Customers[p.Customer], left, p.Work, p.Fails), time.Duration(left*1e9))
+	out, err := c.AskText(statement(uint64(j.Relay)<<relayBits|uint64(j.No), t, s.o.Customers[p.Customer], left, p.Work, p.Fails), time.Duration(left*1e9))
 	if err != nil {
 		return
 	}
@@ -316,7 +317,7 @@
 }
 
 // statement is a query in the form that relays and planners read: h is its work, the object says how many of its legs fail.
-func statement(no int, t lab.Term, customer string, left, work float64, fails int) string {
+func statement(no uint64, t lab.Term, customer string, left, work float64, fails int) string {
 	note := fmt.Sprintf("/* id=%016x,c=%s,t=%s,d=%d,h=%d", no, t.Name, customer, int(left*1000), int(work*1e6))
 	object := fmt.Sprintf("f%d-%x", fails, no)
 	switch t.Repeat {
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -23,14 +23,17 @@
 		}
 		b := newBook()
 		for n, want := range []bool{true, true, false} {
-			if took, fails := b.leg(text, time.Unix(0, 0)); took != 125*time.Millisecond || fails != want {
+			if took, fails := b.leg(text, 0, time.Unix(0, 0)); took != 125*time.Millisecond || fails != want {
 				t.Errorf("%s leg %d: %v %v", term.Name, n, took, fails)
 			}
 		}
 		if twice := len(b.twice) > 0; twice != (term.Repeat == relay.AtMostOnce) {
 			t.Errorf("%s that ran three times: %v", term.Name, b.twice)
 		}
-		b.leg(statement(78, term, "dairy", 1, 0.1, 0), time.Unix(0, 0).Add(2*forgetAfter))
+		b.leg(statement(78, term, "dairy", 1, 0.1, 0), 1, time.Unix(0, 0).Add(2*forgetAfter))
+		if b.cross != 1 {
+			t.Errorf("%d crossings", b.cross)
+		}
 		if len(b.runs) != 1 || len(b.old) != 1 {
 			t.Error("the book forgets nothing")
 		}
--- a/lab/live/units.go
+++ b/lab/live/units.go
@@ -21,6 +21,7 @@
 	runs  map[string]*ran
 	old   []*ran // in the order in which they came
 	legs  int
+	cross int // of them, those from a relay of the other site
 	twice []string
 }
 
@@ -33,8 +34,8 @@
 
 func newBook() *book { return &book{terms: lab.Terms(), runs: map[string]*ran{}} }
 
-// leg is a statement that a planner begins: how long it takes and whether it fails.
-func (b *book) leg(statement string, now time.Time) (time.Duration, bool) {
+// leg is a statement that a planner of a site begins: how long it takes and whether it fails.
+func (b *book) leg(statement string, site int, now time.Time) (time.Duration, bool) {
 	note := fields(statement)
 	work, err := strconv.ParseInt(note["h"], 10, 64)
 	if err != nil {
@@ -47,6 +48,9 @@
 		b.old = b.old[1:]
 	}
 	b.legs++
+	if no, err := strconv.ParseUint(note["id"], 16, 64); err == nil && int(no>>relayBits)%len(sites) != site {
+		b.cross++
+	}
 	r := b.runs[note["id"]]
 	if r == nil {
 		r = &ran{id: note["id"], at: now}
--- a/lab/node.go
+++ b/lab/node.go
@@ -338,6 +338,7 @@
 	}
 	if l.u.site != x.site {
 		l.way = crossTook
+		w.stats.crossed++
 	}
 	w.stats.legs++
 	w.check.sent(l)
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -76,6 +76,9 @@
 	Categories map[string]Share   `json:"categories"`
 	Customers  map[string]Share   `json:"customers"`
 	Worst10    float64            `json:"worst_10s"`
+	Tail       float64            `json:"tail"`
+	Figure     float64            `json:"figure"`    // the brief's, before its deductions
+	Crossings  int                `json:"crossings"` // legs to the other site
 	Denied     int                `json:"denied"`
 	WrittenOff int                `json:"written_off"`
 	Unheard    int                `json:"unanswered"`
@@ -124,6 +127,7 @@
 	stretchAt  int64
 	worst      float64
 	latency    *hdrhistogram.Histogram
+	tail       tail
 	series     series
 	denied     int
 	writtenOff int
@@ -133,7 +137,7 @@
 // NewTally begins the figures of a replay with customers.
 func NewTally(customers []string) *Tally {
 	return &Tally{worst: 1, categories: make([]Share, len(categories)), customers: make([]Share, len(customers)+1), names: customers,
-		latency: hdrhistogram.New(1, 60e6, 3), series: series{width: 1}}
+		latency: hdrhistogram.New(1, 60e6, 3), series: series{width: 1}, tail: tail{cells: make([][tailSlots]tailCell, len(categories))}}
 }
 
 // Asked counts a query in; busy is the part of the planners' cores that works.
@@ -154,6 +158,9 @@
 	}
 	t.stretch.Queries++
 	t.stretch.add(v, 0)
+	if c := t.tail.at(q.Category, q.At); c != nil {
+		c.queries, c.asked = c.queries+1, c.asked+v
+	}
 }
 
 // turn ends a stretch of ten seconds.
@@ -168,6 +175,10 @@
 func (t *Tally) Ended(q Asked, now float64, how Ended) {
 	p := t.series.at(q.At)
 	due := now <= q.At+categories[q.Category].due
+	cell := t.tail.at(q.Category, q.At)
+	if cell != nil && due && how == EndedDenied {
+		cell.early++
+	}
 	switch {
 	case how == EndedUnheard:
 		t.unheard++
@@ -192,6 +203,9 @@
 		return
 	}
 	v := categories[q.Category].value * q.Work
+	if cell != nil {
+		cell.inTime, cell.served = cell.inTime+1, cell.served+v
+	}
 	t.all.add(0, v)
 	t.categories[q.Category].add(0, v)
 	t.customers[q.Customer].add(0, v)
@@ -213,6 +227,8 @@
 	for i, name := range t.names {
 		out.Customers[name] = t.customers[i].done()
 	}
+	out.Tail = t.tail.done()
+	out.Figure = out.figure()
 	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "p99.9": 99.9, "max": 100} {
 		out.Latency[name] = float64(t.latency.ValueAtQuantile(q)) / 1e6
 	}
@@ -304,6 +320,7 @@
 	w.run(r.last + afterLast)
 	out := t.Done()
 	out.Seed, out.Relays, out.Units, out.Span, out.Legs = r.o.Seed, r.o.Relays, r.o.Units, r.last, w.stats.legs
+	out.Crossings = w.stats.crossed
 	out.LegsEach = float64(w.stats.legs) / math.Max(float64(w.stats.queries), 1)
 	out.Broken = append(out.Broken, w.check.broken...)
 	fmt.Fprintf(w.log, "%d %g %d %d %d", t.all.Queries, t.all.Served, w.stats.denied, w.stats.writtenOff, w.stats.legs)
--- a/lab/world.go
+++ b/lab/world.go
@@ -42,10 +42,10 @@
 }
 
 type counts struct {
-	queries, honoured, denied, writtenOff, left, legs, trialLegs int
-	worth, served                                                float64
-	badWorth                                                     float64 // lost by bad builds: legs of theirs that failed or came late
-	steps, awakeFor                                              float64
+	queries, honoured, denied, writtenOff, left, legs, crossed, trialLegs int
+	worth, served                                                         float64
+	badWorth                                                              float64 // lost by bad builds: legs of theirs that failed or came late
+	steps, awakeFor                                                       float64
 }
 
 type event struct {
