--- a/cmd/lichenroad/simulate.go
+++ b/cmd/lichenroad/simulate.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 	"time"
@@ -61,9 +60,7 @@
 		if *clock {
 			o.ByClock()
 		}
-		if onTerminal(t.errs) {
-			bar := progressbar.NewOptions64(int64(o.Days*1000), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("days"),
-				progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish(), progressbar.OptionSetPredictTime(true))
+		if bar := t.progress(int64(o.Days*1000), "days"); bar != nil {
 			o.Progress = func(day float64) { bar.Set64(int64(day * 1000)) }
 		}
 		ctx, cancel := untilSignal()
@@ -133,12 +130,15 @@
 	fmt.Fprintln(t.out, "timeline", r.Hash)
 }
 
-// onTerminal says whether somebody sees what is written: progress is shown there alone.
-func onTerminal(w io.Writer) bool {
-	f, ok := w.(*os.File)
+// progress is a bar up to a number, -1 where none is known; none where nobody sees it, as in a pipe.
+func (t *tool) progress(most int64, what string, more ...progressbar.Option) *progressbar.ProgressBar {
+	f, ok := t.errs.(*os.File)
 	if !ok {
-		return false
+		return nil
+	}
+	if info, err := f.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
 	}
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0
+	return progressbar.NewOptions64(most, append(more, progressbar.OptionSetWriter(f), progressbar.OptionSetDescription(what),
+		progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish(), progressbar.OptionSetPredictTime(true))...)
 }
--- a/cmd/lichenroad/sweep.go
+++ b/cmd/lichenroad/sweep.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -18,7 +19,6 @@
 	"lichenroad/experiment"
 	"lichenroad/lab"
 	"lichenroad/relay"
-	"lichenroad/trace"
 )
 
 // swept is the file that a sweep leaves and a comparison reads.
@@ -52,31 +52,24 @@
 		if !ok || list == "" || *seeds < 1 || *seeds > 200 {
 			return fmt.Errorf("--vary NAME=A,B,..., --seeds from 1 to 200")
 		}
+		trouble, err := lab.TroubleOf(*all)
+		if err != nil {
+			return err
+		}
 		var arrivals []lab.Arrival // a trace that is swept is held whole: its queries, not its rows
-		a, err := x.read(t, args, func(k *trace.Task) error {
-			if q, why := x.m.Place(k); why == trace.Taken && x.m.Kept(k, 1) {
-				if len(arrivals) >= mostSwept {
-					return fmt.Errorf("over %d queries: thin or cut the trace", mostSwept)
-				}
-				arrivals = append(arrivals, lab.Arrival{At: q.At, Category: q.Category, Customer: q.Customer, Work: q.Work, Relay: q.Relay, Fails: q.Fails,
-					Machine: q.Machine, BadFor: q.BadFor, BadPart: q.BadPart})
+		_, err = x.play(context.Background(), t, args, 1, func(a lab.Arrival) error {
+			if len(arrivals) >= mostSwept {
+				return fmt.Errorf("over %d queries: thin or cut the trace", mostSwept)
 			}
+			arrivals = append(arrivals, a)
 			return nil
 		})
 		if err != nil {
 			return err
 		}
-		t.audit(a)
-		if len(arrivals) == 0 {
-			return failed(fmt.Errorf("%s: nothing could be played", strings.Join(args, ", ")))
-		}
 		var todo []lab.ReplayOptions
 		var at []experiment.Run
 		for _, v := range values {
-			trouble, err := lab.TroubleOf(*all)
-			if err != nil {
-				return err
-			}
 			o := lab.ReplayOptions{Trouble: trouble, Relays: *relays, Units: *units, Categories: x.m.Categories, Customers: x.m.Customers}
 			switch name {
 			case "relays", "planners":
--- a/cmd/lichenroad/trace.go
+++ b/cmd/lichenroad/trace.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"os"
 	"strings"
 	"time"
@@ -63,10 +62,10 @@
 		return nil, fmt.Errorf("--layout: %q is none of %s", x.layout, strings.Join(trace.Layouts(), ", "))
 	}
 	var from []io.Reader
-	total := int64(0)
+	total, known := int64(0), true
 	for _, name := range files {
 		if name == "-" {
-			total, from = math.MinInt64/2, append(from, os.Stdin)
+			known, from = false, append(from, os.Stdin)
 			continue
 		}
 		f, err := os.Open(name)
@@ -74,18 +73,17 @@
 			return nil, failed(err)
 		}
 		defer f.Close()
-		size := int64(-1)
 		if info, err := f.Stat(); err == nil && info.Mode().IsRegular() {
-			size = info.Size()
-		}
-		total, from = total+size, append(from, f)
-		if size < 0 {
-			total = math.MinInt64 / 2 // no end is known
+			total += info.Size()
+		} else {
+			known = false
 		}
+		from = append(from, f)
+	}
+	if !known {
+		total = -1
 	}
-	if onTerminal(t.errs) { // rate and remaining time go by the bytes read
-		bar := progressbar.NewOptions64(max(total, -1), progressbar.OptionSetWriter(t.errs), progressbar.OptionSetDescription("trace"),
-			progressbar.OptionShowBytes(true), progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish(), progressbar.OptionSetPredictTime(true))
+	if bar := t.progress(total, "trace", progressbar.OptionShowBytes(true)); bar != nil { // rate and remaining time go by the bytes read
 		defer bar.Clear()
 		for i := range from {
 			from[i] = io.TeeReader(from[i], bar)
--- a/lab/check.go
+++ b/lab/check.go
@@ -456,7 +456,7 @@
 			}
 		}
 		u.sent = append(keep, load{c.w.now, q.work})
-		if can := coresEach * u.warmth() * fallAfter; work > fallTimes*can && !u.fallen {
+		if can := CoresEach * u.warmth() * fallAfter; work > fallTimes*can && !u.fallen {
 			u.fallen = true
 			c.fail(x.name, "cold planner pushed over", work/can, "planner %d, %d legs in a second", u.id, len(u.sent))
 		}
@@ -505,14 +505,14 @@
 func (c *checker) ran(l *leg) { l.ran = true }
 
 // answered holds a final answer against rule 1 and rule 2.
-func (c *checker) answered(q *query, how final) {
+func (c *checker) answered(q *query, how Ended) {
 	if q.over {
 		c.fail(q.x.name, "answered twice", 0, "query %d", q.ID)
 	}
 	if c.w.now > q.until {
 		c.fail(q.x.name, "answered too late", c.w.now-q.until, "query %d", q.ID)
 	}
-	if k := &categories[q.Category]; how == denied && k.repeat != relay.Reissuable {
+	if k := &categories[q.Category]; how == EndedDenied && k.repeat != relay.Reissuable {
 		for _, l := range q.legs {
 			if l.ran || !l.over && l.u != nil {
 				c.fail(q.x.name, "denied what may have run", 0, "%s query %d", k.name, q.ID)
--- a/lab/compare.go
+++ b/lab/compare.go
@@ -1,11 +1,8 @@
 package lab
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
-	"os"
-	"path/filepath"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -59,16 +56,8 @@
 		}
 		charts = append(charts, h)
 	}
-	var page bytes.Buffer
-	if err := sweepPage.Execute(&page, struct {
+	return putPage(dir, "sweep.html", sweepPage, struct {
 		Title  string
 		Charts []template.HTML
-	}{title, charts}); err != nil {
-		return "", err
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", fmt.Errorf("report: %w", err)
-	}
-	name := filepath.Join(dir, "sweep.html")
-	return name, WriteFile(name, page.Bytes())
+	}{title, charts})
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -11,8 +11,8 @@
 
 // Facts of the emulated site, each with its unit.
 const (
-	coresEach   = 3     // cores of a planner
-	mostQueue   = 60    // queries that a planner holds before it turns more away
+	CoresEach   = 3     // cores of a planner
+	MostQueue   = 60    // queries that a planner holds before it turns more away
 	warmUp      = 4.0   // s until a started planner can do all of its work
 	coldFrom    = 0.4   // part of it that it can do at first
 	fallTimes   = 3.0   // times what a cold planner can do at which it falls over
@@ -112,7 +112,7 @@
 		return
 	case p.fallen: // it answers nothing any more
 		return
-	case len(p.waiting) >= mostQueue || p.state == relay.Draining && w.now > l.q.x.unitTold[p.id]+1:
+	case len(p.waiting) >= MostQueue || p.state == relay.Draining && w.now > l.q.x.unitTold[p.id]+1:
 		w.in(l.way, func() { l.end(relay.TurnedAway) })
 		return
 	}
@@ -126,7 +126,7 @@
 	if p.paused > w.now || p.fallen {
 		return
 	}
-	for p.running < coresEach && len(p.waiting) > 0 {
+	for p.running < CoresEach && len(p.waiting) > 0 {
 		l := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		if l.over {
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -21,8 +21,6 @@
 
 // Facts of a live replay.
 const (
-	coresEach = 3   // of a stand-in planner, as in the laboratory
-	mostQueue = 60  // queries that one holds before it turns more away, as there
 	overrun   = 0.1 // s after the end of patience from which an answer is one that came too late
 	ms        = 1000000
 	relayBits = 48 // of a query's id: the relay stands above them
@@ -40,7 +38,6 @@
 	Categories []string
 	Customers  []string
 	Bounds     Bounds
-	Progress   func(done int)
 }
 
 // Result is what it showed.
@@ -64,6 +61,7 @@
 // session is a live replay that goes on. Its loop owns all state; connections have a goroutine each.
 type session struct {
 	o      Options
+	terms  []lab.Term
 	places []int
 	begun  time.Time
 	sender *Sender
@@ -81,14 +79,14 @@
 
 type playing struct {
 	lab.Arrival
-	asked    lab.Asked
-	patience float64
+	asked lab.Asked
+	term  *lab.Term
 }
 
 // Run plays arrivals, which come in their order, until there are no more or the context ends. It ends every process
 // that it started. Queries that are out at an early end are still waited for, as long as their patience lasts.
 func Run(ctx context.Context, o Options, arrivals <-chan lab.Arrival) (Result, error) {
-	s := &session{o: o, sender: NewSender(o.Relays, o.Bounds), tally: lab.NewTally(o.Customers), book: newBook(),
+	s := &session{o: o, terms: lab.Terms(), sender: NewSender(o.Relays, o.Bounds), tally: lab.NewTally(o.Customers), book: newBook(),
 		over: make(chan over, 1024), conns: map[[2]int]*standin.Client{}, asked: map[int]playing{}}
 	for _, name := range o.Categories {
 		at, err := lab.Place(name)
@@ -139,11 +137,11 @@
 		}
 		s.closer = append(s.closer, func() { ln.Close() })
 		name := fmt.Sprintf("p%d", i)
-		p := &standin.Planner{Name: name, Cores: coresEach, Most: mostQueue, Seed: s.o.Seed + int64(i), Do: func(text string) (time.Duration, bool) {
+		p := &standin.Planner{Name: name, Cores: lab.CoresEach, Most: lab.MostQueue, Seed: s.o.Seed + int64(i), Do: func(text string) (time.Duration, bool) {
 			return s.book.leg(text, i%len(sites), time.Now())
 		}, Busy: &s.busy}
 		go p.Serve(ln)
-		units = append(units, standin.Unit{ID: name, HostPort: ln.Addr().String(), Zone: sites[i%2], Machine: "m", Lifecycle: "SERVING", Weight: 1,
+		units = append(units, standin.Unit{ID: name, HostPort: ln.Addr().String(), Zone: sites[i%len(sites)], Machine: "m", Lifecycle: "SERVING", Weight: 1,
 			StartedMs: time.Now().Add(-time.Hour).UnixMilli(), Build: 1})
 	}
 	disc.Set(units)
@@ -173,7 +171,7 @@
 
 func (s *session) config(i int, listen string, disc *standin.Discovery) map[string]any {
 	var grades, tenants []any
-	for _, t := range lab.Terms() {
+	for _, t := range s.terms {
 		g := map[string]any{"name": t.Name, "repeat": map[relay.Repeat]string{relay.Reissuable: "retryable", relay.Numbered: "dedup",
 			relay.AtMostOnce: "fragile"}[t.Repeat], "target": int64(t.Due * 1e9), "deadline": int64(t.Patience * 1e9), "worth": t.Value}
 		if t.Repeat == relay.Numbered {
@@ -186,7 +184,7 @@
 	}
 	return map[string]any{"name": fmt.Sprintf("n%d", i), "listen": listen, "discovery": disc.Addr(), "seed": strconv.FormatInt(s.o.Seed*1000+int64(i), 10),
 		"limits": map[string]any{"sockets": 1024, "memory_mb": 192}, "known": disc.List(),
-		"settings": map[string]any{"areas": sites, "kinds": []string{"m"}, "az": i % 2, "my_number": i, "replicas_of_me": s.o.Relays,
+		"settings": map[string]any{"areas": sites, "kinds": []string{"m"}, "az": i % len(sites), "my_number": i, "replicas_of_me": s.o.Relays,
 			"discovery": "subscribe", "grades": grades, "tenants": tenants,
 			"policy_limits": map[string]any{"cancel": true, "conn_idle": 30000 * ms, "dial_timeout": 500 * ms, "max_attempts": 3, "retry_after": true, "max_retry_after": 1000 * ms},
 			"report":        map[string]any{"via": "off"}, "rules": map[string]any{"drain_grace": 250 * ms, "ask_every": 30000 * ms, "answer_slack": 10 * ms},
@@ -205,29 +203,22 @@
 	first, any, has := 0.0, false, false
 	done := ctx.Done()
 	for arrivals != nil || has || len(s.asked) > 0 {
-		if !has && arrivals != nil {
-			select {
-			case a, ok := <-arrivals:
-				if !ok {
-					arrivals = nil
-					continue
-				}
-				if !any {
-					any, first = true, a.At-0.5 // half a second for the relays to come up
-				}
-				a.At -= first
-				next, has = a, true
-				timer.Reset(time.Until(s.begun.Add(time.Duration(next.At * 1e9))))
-			case e := <-s.over:
-				s.finish(e)
-				continue
-			case <-done:
-				early, arrivals, done = true, nil, nil
-				s.drop()
-				continue
-			}
+		more := arrivals
+		if has {
+			more = nil // one ahead is enough
 		}
 		select {
+		case a, ok := <-more:
+			if !ok {
+				arrivals = nil
+				continue
+			}
+			if !any {
+				any, first = true, a.At-0.5 // half a second for the relays to come up
+			}
+			a.At -= first
+			next, has = a, true
+			timer.Reset(time.Until(s.begun.Add(time.Duration(next.At * 1e9))))
 		case <-timer.C:
 			if has && s.now() >= next.At {
 				span = next.At
@@ -240,27 +231,27 @@
 			s.finish(e)
 		case <-done:
 			early, arrivals, has, done = true, nil, false, nil
-			s.drop()
+			for _, j := range s.sender.Drop() { // what waits for a connection was never asked
+				s.unheard(j)
+			}
 		}
 	}
 	return span, early
 }
 
-// drop gives up what waits for a connection when a run is ended early: it was never asked.
-func (s *session) drop() {
-	for _, j := range s.sender.Drop() {
-		s.tally.Ended(s.asked[j.No].asked, s.now(), lab.EndedUnheard)
-		delete(s.asked, j.No)
-	}
+// unheard ends a query that does not go out.
+func (s *session) unheard(j Job) {
+	s.tally.Ended(s.asked[j.No].asked, s.now(), lab.EndedUnheard)
+	delete(s.asked, j.No)
 }
 
 func (s *session) ask(a lab.Arrival) {
 	p := playing{Arrival: a, asked: lab.Asked{At: a.At, Category: s.places[a.Category], Customer: a.Customer, Work: a.Work}}
-	p.patience = lab.Terms()[p.asked.Category].Patience
+	p.term = &s.terms[p.asked.Category]
 	j := Job{No: s.sent, Due: a.At, Relay: int(a.Relay % uint64(len(s.relays)))}
 	s.sent++
 	s.asked[j.No] = p
-	s.tally.Asked(p.asked, float64(s.busy.Load())/float64(coresEach*s.o.Units))
+	s.tally.Asked(p.asked, float64(s.busy.Load())/float64(lab.CoresEach*s.o.Units))
 	act, lane := s.sender.Due(j)
 	s.act(j, act, lane)
 }
@@ -268,8 +259,7 @@
 func (s *session) act(j Job, act Act, lane Lane) {
 	switch act {
 	case Refuse:
-		s.tally.Ended(s.asked[j.No].asked, s.now(), lab.EndedUnheard)
-		delete(s.asked, j.No)
+		s.unheard(j)
 	case Reuse, Open:
 		key := [2]int{j.Relay, int(lane)}
 		p, c := s.asked[j.No], s.conns[key]
@@ -295,13 +285,12 @@
 		*c = *n
 	}
 	e.went = s.now()
-	left := j.Due + p.patience - e.went
+	left := j.Due + p.term.Patience - e.went
 	if left <= 0.001 {
 		e.kept = true
 		return
 	}
-	t := lab.Terms()[p.asked.Category]
-	out, err := c.AskText(statement(uint64(j.Relay)<<relayBits|uint64(j.No), t, s.o.Customers[p.Customer], left, p.Work, p.Fails), time.Duration(left*1e9))
+	out, err := c.AskText(statement(uint64(j.Relay)<<relayBits|uint64(j.No), p.term, s.o.Customers[p.Customer], left, p.Work, p.Fails), time.Duration(left*1e9))
 	if err != nil {
 		return
 	}
@@ -317,7 +306,7 @@
 }
 
 // statement is a query in the form that relays and planners read: h is its work, the object says how many of its legs fail.
-func statement(no uint64, t lab.Term, customer string, left, work float64, fails int) string {
+func statement(no uint64, t *lab.Term, customer string, left, work float64, fails int) string {
 	note := fmt.Sprintf("/* id=%016x,c=%s,t=%s,d=%d,h=%d", no, t.Name, customer, int(left*1000), int(work*1e6))
 	object := fmt.Sprintf("f%d-%x", fails, no)
 	switch t.Repeat {
@@ -335,7 +324,7 @@
 	delete(s.asked, e.job.No)
 	s.sender.Went(e.job, e.went)
 	s.tally.Ended(p.asked, e.at, e.how)
-	if e.at > e.job.Due+p.patience+overrun {
+	if e.at > e.job.Due+p.term.Patience+overrun {
 		s.ran++
 	}
 	key := [2]int{e.job.Relay, int(e.lane)}
@@ -349,7 +338,4 @@
 	if act != Hold {
 		s.act(j, act, lane)
 	}
-	if s.o.Progress != nil {
-		s.o.Progress(1)
-	}
 }
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -11,7 +11,9 @@
 
 // TestStatementsAreRead holds what the sender writes to the relay's own reader and to the planners' book.
 func TestStatementsAreRead(t *testing.T) {
-	for i, term := range lab.Terms() {
+	terms := lab.Terms()
+	for i := range terms {
+		term := &terms[i]
 		text := statement(77, term, "dairy", 1.5, 0.125, 2)
 		q, err := pgwire.ParseQuery([]byte(text))
 		if err != nil {
--- a/lab/live/units.go
+++ b/lab/live/units.go
@@ -1,11 +1,12 @@
 package live
 
 import (
+	"fmt"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"lichenroad/internal/pgwire"
 	"lichenroad/lab"
 	"lichenroad/relay"
 )
@@ -26,19 +27,18 @@
 }
 
 type ran struct {
-	id       string
-	at       time.Time
-	fails    int
-	finished int // runs that were begun and not failed: each has its effect
+	id    string
+	at    time.Time
+	fails int // legs that still have to fail
+	legs  int // that began, failed ones too: each may have had its effect
 }
 
 func newBook() *book { return &book{terms: lab.Terms(), runs: map[string]*ran{}} }
 
 // leg is a statement that a planner of a site begins: how long it takes and whether it fails.
 func (b *book) leg(statement string, site int, now time.Time) (time.Duration, bool) {
-	note := fields(statement)
-	work, err := strconv.ParseInt(note["h"], 10, 64)
-	if err != nil {
+	q, err := pgwire.ParseQuery([]byte(statement))
+	if err != nil || !q.HasWork {
 		return 0, true
 	}
 	b.mu.Lock()
@@ -48,23 +48,23 @@
 		b.old = b.old[1:]
 	}
 	b.legs++
-	if no, err := strconv.ParseUint(note["id"], 16, 64); err == nil && int(no>>relayBits)%len(sites) != site {
+	if no, err := strconv.ParseUint(q.ID, 16, 64); err == nil && int(no>>relayBits)%len(sites) != site {
 		b.cross++
 	}
-	r := b.runs[note["id"]]
+	r := b.runs[q.ID]
 	if r == nil {
-		r = &ran{id: note["id"], at: now}
-		r.fails, _ = strconv.Atoi(note["oid"])
+		r = &ran{id: q.ID, at: now}
+		fmt.Sscanf(q.Object, "f%d-", &r.fails)
 		b.runs[r.id] = r
 		b.old = append(b.old, r)
 	}
 	fails := r.fails > 0
 	r.fails--
-	r.finished++
-	if r.finished > 1 && b.once(note["c"]) {
+	r.legs++
+	if r.legs > 1 && b.once(q.Category) {
 		b.twice = append(b.twice, r.id)
 	}
-	return time.Duration(work) * time.Microsecond, fails
+	return time.Duration(q.Work) * time.Microsecond, fails
 }
 
 func (b *book) once(category string) bool {
@@ -75,18 +75,3 @@
 	}
 	return false
 }
-
-// fields gives what a statement says: the values of its comment, and the failures that its object names as oid.
-func fields(statement string) map[string]string {
-	out := map[string]string{}
-	if _, rest, ok := strings.Cut(statement, "'f"); ok {
-		out["oid"], _, _ = strings.Cut(rest, "-")
-	}
-	_, note, _ := strings.Cut(statement, "/* ")
-	for _, one := range strings.Split(strings.TrimSuffix(note, " */"), ",") {
-		if name, value, ok := strings.Cut(one, "="); ok {
-			out[name] = value
-		}
-	}
-	return out
-}
--- a/lab/node.go
+++ b/lab/node.go
@@ -209,9 +209,9 @@
 				w.in(0, func() { l.end(relay.Cancelled) })
 			}
 		case relay.Deny:
-			x.final(o.Query, denied)
+			x.final(o.Query, EndedDenied)
 		case relay.WriteOff:
-			x.final(o.Query, writtenOff)
+			x.final(o.Query, EndedWrittenOff)
 		case relay.Wake:
 			life := x.life
 			w.at(x.born+o.At, func() { x.wake(life, o.ID) })
@@ -309,7 +309,7 @@
 func (f *fleet) busy() float64 {
 	busy, cores := 0, 0
 	for _, u := range f.units {
-		busy, cores = busy+u.running, cores+coresEach
+		busy, cores = busy+u.running, cores+CoresEach
 	}
 	return float64(busy) / float64(max(cores, 1))
 }
@@ -366,7 +366,7 @@
 		return
 	}
 	if how == relay.Honoured && !l.q.over {
-		x.answered(l.q, honoured)
+		x.answered(l.q, EndedHonoured)
 	}
 	x.step(relay.LegEnded{Query: l.q.ID, Leg: l.no, Unit: l.unit(), How: how, Took: w.now - l.at, Over: l.q.over})
 	x.forget(l.q)
@@ -379,15 +379,7 @@
 	return l.u.id
 }
 
-type final int
-
-const (
-	honoured final = iota
-	denied
-	writtenOff
-)
-
-func (x *node) final(id relay.QueryID, how final) {
+func (x *node) final(id relay.QueryID, how Ended) {
 	q := x.queries[id]
 	if q == nil {
 		return
@@ -396,7 +388,7 @@
 	x.forget(q)
 }
 
-func (x *node) answered(q *query, how final) {
+func (x *node) answered(q *query, how Ended) {
 	w := x.f.w
 	w.check.answered(q, how)
 	if q.over {
@@ -404,16 +396,16 @@
 	}
 	q.over = true
 	if w.tally != nil {
-		w.tally.Ended(q.counted(), w.now, Ended(how))
+		w.tally.Ended(q.counted(), w.now, how)
 	}
 	k := &categories[q.Category]
 	switch {
-	case how == honoured:
+	case how == EndedHonoured:
 		w.stats.honoured++
 		if w.now <= q.due {
 			w.stats.served += k.value * q.work
 		}
-	case how == denied:
+	case how == EndedDenied:
 		w.stats.denied++
 	default:
 		w.stats.writtenOff++
--- a/lab/report.go
+++ b/lab/report.go
@@ -225,15 +225,7 @@
 		data.Held = append(data.Held, heldFor{code, s})
 	}
 	sort.Slice(data.Held, func(i, j int) bool { return data.Held[i].For > data.Held[j].For })
-	var b bytes.Buffer
-	if err := page.Execute(&b, data); err != nil {
-		return "", err
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", err
-	}
-	name := filepath.Join(dir, "plan.html")
-	return name, WriteFile(name, b.Bytes())
+	return putPage(dir, "plan.html", page, data)
 }
 
 // WriteFile puts a file in place whole, or not at all.
@@ -243,3 +235,16 @@
 	}
 	return os.Rename(name+".part", name)
 }
+
+// putPage writes a page into a directory, whole or not at all.
+func putPage(dir, name string, page *template.Template, data any) (string, error) {
+	var b bytes.Buffer
+	if err := page.Execute(&b, data); err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", fmt.Errorf("report: %w", err)
+	}
+	name = filepath.Join(dir, name)
+	return name, WriteFile(name, b.Bytes())
+}
--- a/lab/series.go
+++ b/lab/series.go
@@ -1,12 +1,8 @@
 package lab
 
 import (
-	"bytes"
-	"fmt"
 	"html/template"
 	"image/color"
-	"os"
-	"path/filepath"
 	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -149,17 +145,9 @@
 	if err != nil {
 		return "", err
 	}
-	var b bytes.Buffer
-	if err := replayPage.Execute(&b, struct {
+	return putPage(dir, "replay.html", replayPage, struct {
 		R      *Replayed
 		How    string
 		Charts []template.HTML
-	}{r, strings.ToUpper(how[:1]) + how[1:], charts}); err != nil {
-		return "", err
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", fmt.Errorf("report: %w", err)
-	}
-	name := filepath.Join(dir, "replay.html")
-	return name, WriteFile(name, b.Bytes())
+	}{r, strings.ToUpper(how[:1]) + how[1:], charts})
 }
--- a/trace/task.go
+++ b/trace/task.go
@@ -90,7 +90,7 @@
 }
 
 func (o *order) hand() error {
-	t := o.heap.pop().t
+	t := o.heap.first().t
 	o.low, o.any = t.At, true
 	o.audit.Taken += t.rows
 	if t.moved {
@@ -128,15 +128,23 @@
 }
 func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 func (q *tasks) Push(x any)   { *q = append(*q, x.(waiting)) }
-func (q *tasks) Pop() any     { return q.pop() }
+func (q *tasks) Pop() any     { return q.cut() }
 
-func (q *tasks) pop() waiting {
+// cut takes off the last one.
+func (q *tasks) cut() waiting {
 	last := len(*q) - 1
-	first := (*q)[0]
-	(*q)[0] = (*q)[last]
+	w := (*q)[last]
 	(*q)[last] = waiting{}
-	if *q = (*q)[:last]; last > 0 {
+	*q = (*q)[:last]
+	return w
+}
+
+// first takes off the earliest.
+func (q *tasks) first() waiting {
+	q.Swap(0, len(*q)-1)
+	w := q.cut()
+	if len(*q) > 0 {
 		heap.Fix(q, 0)
 	}
-	return first
+	return w
 }
