--- a/policy/policy.go
+++ b/policy/policy.go
@@ -331,9 +331,10 @@
 // look goes over the open queries: held ones, due times, patience.
 func (d *desk) look() {
 	warm, all := d.p.roster.warm()
-	if d.choice = 0; d.strain.n >= leastPace { // only the budget holds in an overload, or if not known
-		d.choice = warm / math.Max(all, 1) * math.Min(math.Max(2-2*d.strain.v/gateWait, 0), 1)
+	if d.ease = 0; d.strain.n >= leastPace {
+		d.ease = math.Min(math.Max(2-2*d.strain.v/gateWait, 0), 1)
 	}
+	d.choice = warm / math.Max(all, 1) * d.ease // only the budget holds in an overload, or if not known
 	d.evenFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(all, 1)
 	left := d.open[:0]
 	for _, q := range d.open {
@@ -722,8 +723,14 @@
 			earlier++
 		}
 	}
+	// An even part of the load would do, but machines that came beside the earlier ones can do what these did
+	// alone; all relays together would else leave half of the queries to the earlier build for a whole stage.
+	part := warm / math.Max(all, 1)
+	if besides := math.Min(1, warm/math.Max(all-warm, 1)); !t.p.set.Rollout.InPlace {
+		part += t.p.desk.ease * math.Max(besides-part, 0)
+	}
 	// Where own legs show how full a unit is, its cost bounds what it gets; a small relay sees nothing of it.
-	t.room = warm / math.Max(all, 1) * (1 + math.Min(1, float64(t.p.desk.inTime)/math.Max(newer+earlier, 1)))
+	t.room = part * (1 + math.Min(1, float64(t.p.desk.inTime)/math.Max(newer+earlier, 1)))
 	if t.p.set.Rollout.InPlace {
 		earlier += newer
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -677,3 +677,40 @@
 		}
 	}
 }
+
+// TestBuildBesideTheEarlierOne: machines that came beside the earlier ones take what these did alone, not an even
+// part of the load, while legs are quick; where legs take most of their due time, an even part stays.
+func TestBuildBesideTheEarlierOne(t *testing.T) {
+	for _, c := range []struct{ took, least, most float64 }{{0.1, 0.44, 0.6}, {0.6, 0.25, 0.47}} {
+		set := plainSettings()
+		set.Rollout.VotesOn, set.Rollout.VotesBack = 9, 9
+		w := newWorld(t, set)
+		w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
+			l.end = w.now + c.took
+			return relay.Honoured
+		}
+		w.step(relay.Roster{Form: relay.RosterFull, Units: append(entries(12, 5, 1), entries(6, 6, 100)...)},
+			relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1})
+		newer, all := 0.0, 0.0
+		for i := 0; i < 12; i++ {
+			n := len(w.sent)
+			w.run(1, func() (out []relay.Event) {
+				if int(w.now*100)%12 == 0 { // some eight queries a second
+					out = append(out, w.query(0, 0))
+				}
+				return out
+			})
+			if i < 3 {
+				continue
+			}
+			for _, o := range w.sent[n:] {
+				if all++; o.Unit >= 100 {
+					newer++
+				}
+			}
+		}
+		if share := newer / all; share < c.least || share > c.most {
+			t.Errorf("legs of %.1f s: %.2f of %.0f legs at 6 machines beside 12, wanted %.2f to %.2f", c.took, share, all, c.least, c.most)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -302,6 +302,7 @@
 	strain   mean           // leg time over due time of late
 	links    ring           // legs ended, and those of them without a connection
 	flow     ring           // legs honoured
+	ease     float64        // 1: legs take a small part of their due time; 0: a large one, or not known yet
 	choice   float64        // part of the ready units that are warm and may be used
 	evenFlow float64        // a second, to each ready unit if all got the same
 }
