Evidence at fleet size: memos spread over the second, a lost zone is not the build's doing

A build's broken machines were left out of the evidence unless they were more than half: 37 of 60 earlier ones there, so both fell on either side of that line by chance. At fault: trial.gather, which asked the newest build alone. Now its broken machines count only where their part is also twice the earlier build's. Seen beside (probe in the fuser's look): pooled counts stand still for a second and jump for all relays within the same quarter (7 at 1.08 s, 703 at 1.33, 715 at 2.09, 1472 at 2.34): relays that start together look and tell at the same moments. The seed now spreads them.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,6 +58,8 @@
 	flagLasts       = 1.0  // s that a pooled flag must last: a verdict from every relay
 	poolPoints      = 0.02 // the same as flagPoints for pooled failures: many outcomes show a mild fault too
 	slowTimes       = 1.6  // times the earlier machines' leg time that a flag needs: as much differs by load
+	illPart         = 0.5  // of a build's units that fail most legs, above which that is the build's doing
+	illTimes        = 2.0  // times the earlier build's part that it must be too: twice is no chance of the draw
 	fleetTimes      = 1.4  // times the fleet's leg time before the trial that stops a vote on
 	fleetPatience   = 6.0  // s that it may last until the build is held its cause: most troubles pass
 	hourLag         = 0.5  // s after the last leg of earlier machines that they still tell how the hour is
@@ -122,6 +124,8 @@
 			stretch: c.DueStretch, patience: c.Patience, gate: gateLow + (1-gateLow)*c.Value/top})
 	}
 	p.assemble()
+	// Relays that start together would all look and tell at the same moments, once a second.
+	p.trial.judgeAt, p.trial.toldAt = judgeEvery*p.rng.Float64(), -verdictEvery*p.rng.Float64()
 	return p
 }
 
@@ -218,16 +222,21 @@
 	}
 }
 
-// cost is what one more leg here is expected to cost, for comparison with other units. A unit that holds
-// legs and answers nothing gets dearer by the moment: pauses, stalls and silent losses look alike so far.
+// cost is what one more leg here is expected to cost, for comparison with other units.
 func (u *unit) cost() float64 {
+	if u.Zone != u.p.set.Zone && u.p.set.Prices.CrossZone > 0 {
+		return crossCost * u.load()
+	}
+	return u.load()
+}
+
+// load is what it costs the unit. A unit that holds legs and answers nothing gets dearer by the moment:
+// pauses, stalls and silent losses look alike so far.
+func (u *unit) load() float64 {
 	c := u.paceNow() * float64(u.open+1)
 	if u.open > 0 {
 		c *= 1 + quietShare*(u.p.now-u.answer)/math.Max(u.p.desk.usual.v, 1e-3)
 	}
-	if u.Zone != u.p.set.Zone && u.p.set.Prices.CrossZone > 0 {
-		c *= crossCost
-	}
 	return c
 }
 
@@ -376,7 +385,8 @@
 }
 
 // pick chooses the unit for a query's next leg: two random choices among the earlier units, two among
-// those of the build on trial while its share of the cap lasts, and the cheaper of the winners.
+// those of the build on trial while its share of the cap lasts, and the cheaper of the winners; a crossing
+// doesn't count there, as it costs far less than what is kept from the newest build.
 func (d *desk) pick(q *query) *unit {
 	var earlier, onTrial []*unit
 	for _, u := range d.p.roster.units {
@@ -390,7 +400,7 @@
 		}
 	}
 	old, fresh := d.best(q, earlier), d.best(q, onTrial)
-	if old == nil || fresh != nil && d.p.trial.within(q, fresh.Build) && fresh.cost() <= trialDear*old.cost() {
+	if old == nil || fresh != nil && d.p.trial.within(q, fresh.Build) && fresh.load() <= trialDear*old.load() {
 		return fresh
 	}
 	return old
@@ -755,8 +765,11 @@
 // compare sets the newest build's outcomes in one category against the earlier ones'.
 func (t *trial) compare(by, c, to int) (newer, before counts) {
 	pooled := by == told
-	newer = t.gather(pooled, c, true, 0, to)
-	before = t.gather(pooled, c, false, 0, evidenceBuckets)
+	before, ill := t.gather(pooled, c, false, 0, evidenceBuckets, illPart)
+	// A zone that is lost takes machines of both builds along: where half of the earlier ones are off, that
+	// most of the newest one's are is not its doing.
+	spare := math.Max(illPart, illTimes*ill)
+	newer, _ = t.gather(pooled, c, true, 0, to, spare)
 	if before[figCount] >= leastCount {
 		t.last[by][c] = before
 		return newer, before
@@ -764,17 +777,19 @@
 	// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 	// then says more of the hour than of the build, and is left out.
 	if before = t.last[by][c]; before[figCount] == 0 {
-		newer = t.gather(pooled, c, true, 0, evidenceRecent)
-		before = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets)
+		newer, _ = t.gather(pooled, c, true, 0, evidenceRecent, spare)
+		before, _ = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets, spare)
 	}
 	newer[figLate], newer[figMatched] = 0, 0
 	return newer, before
 }
 
 // gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
-// a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless
-// most of the build's units did; the slowest quarter is left out of slowness; a single unit shows no faults.
-func (t *trial) gather(pooled bool, c int, newest bool, from, to int) (sound counts) {
+// a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless more
+// than a part of the build's units did; the slowest quarter is left out of slowness; a single unit shows no
+// faults. With it comes the part of the units that failed so.
+func (t *trial) gather(pooled bool, c int, newest bool, from, to int, spare float64) (sound counts,
+	ill float64) {
 	var seen, off []counts
 	for _, u := range t.p.roster.units {
 		if u.newest() != newest {
@@ -790,14 +805,15 @@
 			seen = append(seen, e)
 		}
 	}
-	if len(off) > len(seen) {
+	all := float64(len(off) + len(seen))
+	if ill = float64(len(off)) / math.Max(all, 1); ill > spare {
 		seen = append(seen, off...)
 	}
 	for _, e := range seen {
 		sound.add(e)
 	}
 	if len(seen) == 1 && newest {
-		return counts{figCount: sound[figCount]}
+		return counts{figCount: sound[figCount]}, ill
 	}
 	seen = slices.DeleteFunc(seen, func(e counts) bool { return e[figMatched] == 0 })
 	sort.SliceStable(seen, func(i, j int) bool {
@@ -809,7 +825,7 @@
 		left -= e[figMatched]
 	}
 	sound[figOver] *= sound[figMatched] / math.Max(left, 1)
-	return sound
+	return sound, ill
 }
 
 // flagged is the design's test of one build's shares against another's. Pooled counts need fewer points for
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -714,3 +714,72 @@
 		}
 	}
 }
+
+// A zone that was lost came back and reset what its machines held: most of the newest build's machines had
+// broken legs, nearly half of the earlier ones had, and the build went back.
+func TestZoneLostIsNotTheBuildsDoing(t *testing.T) {
+	lost := func(all bool) []relay.Vote {
+		return trialRun(t, 9, func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if at > 15 && at < 17 && u.Zone == 0 && (all || u.Build == 6) {
+				return relay.Broken, 0.1
+			}
+			return relay.Honoured, 0.1
+		})
+	}
+	if back(lost(true)) {
+		t.Error("a build went back over a zone that was lost")
+	}
+	if !back(lost(false)) {
+		t.Error("a build whose machines alone broke their legs did not go back")
+	}
+}
+
+// Relays that started together all told the fusers in the same quarter of a second, so that evidence came late.
+func TestMemosAreSpread(t *testing.T) {
+	set, at := plainSettings(), make([]int, 10)
+	set.Relays = 60
+	for i := 0; i < set.Relays; i++ {
+		set.Self = relay.RelayNo(i)
+		w := newWorld(t, set)
+		w.mod = New(set, int64(i))
+		w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
+			relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
+		w.run(4, w.load)
+		for _, s := range w.told[len(w.told)-1:] {
+			at[int(s*10)%10]++
+		}
+	}
+	for i, n := range at {
+		if n > set.Relays/3 {
+			t.Errorf("%d of %d relays told at %d tenths of a second: %v", n, set.Relays, i, at)
+		}
+	}
+}
+
+// Where the trial's best machine stood in the other zone, the query stayed with the earlier build.
+func TestTrialIsNotLeftForACrossing(t *testing.T) {
+	set := plainSettings()
+	set.Prices.CrossZone = 0.02
+	far := entries(8, 6, 100)
+	for i := range far {
+		far[i].Zone = 1
+	}
+	w := newWorld(t, set)
+	w.step(relay.Roster{Form: relay.RosterFull, Units: append(entries(8, 5, 1), far...)},
+		relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1})
+	w.run(6, func() (out []relay.Event) {
+		if int(w.now*100)%12 == 0 {
+			out = w.load()
+		}
+		return out
+	})
+	newer := 0
+	for _, o := range w.sent {
+		if o.Unit >= 100 {
+			newer++
+		}
+	}
+	if 3*newer < len(w.sent) {
+		t.Errorf("%d of %d legs at a trial in the other zone", newer, len(w.sent))
+	}
+}
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -44,6 +44,7 @@
 	sent    []relay.SendLeg
 	votes   []relay.Vote
 	denied  int
+	told    []relay.Seconds // when it sent memos
 }
 
 type wMark struct {
@@ -136,6 +137,7 @@
 			if !w.set.Limits.Messages || len(o.Body) > 256 {
 				w.t.Fatalf("message not allowed, or of %d bytes", len(o.Body))
 			}
+			w.told = append(w.told, w.now)
 		case relay.Vote:
 			w.votes = append(w.votes, o)
 		}
