--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The test command: format check, vet, build, tests. Random runs use a fixed seed and leave no fail files.
+# The test command: format check, vet, build, tests, and the deploy file's own build started and ended. Random runs use a fixed seed and leave no fail files.
 set -euo pipefail
 cd "$(dirname "$0")"
 bad=$(gofmt -l .)
@@ -11,3 +11,4 @@
 mkdir -p bin
 go build -o bin/ ./cmd/...
 go test -count=1 ./...
+deploy/check.sh
