A build's eldest machines are judged alone, and release waits for their legs, not for 15 s

Ruled out: the platform's least time, votes not counted, lists that came late (all there by 13.3 s). At fault: fuser.fused, which pools all machines of a build, and trial.ripe, whose fixed age stood for evidence.

Now fused also compares the eldest machines alone, by what they showed from 5 s of age on; the last stage waits until all relays together have 60 legs of theirs from 11 s on, or for 15 s as before. Also: discovery's watch is asked for at once where a list is known, without a call before it: one call for each relay that starts instead of two.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -193,8 +193,9 @@
 	}
 }
 
-// watching makes one call after the other while the watch is on. The first does not wait: its answer is
-// the one that the module's order gets.
+// watching makes one call after the other while the watch is on. Where a list is known the first waits too, as it
+// is answered at once if there is anything newer: a call before it that only asks for that would be one more for each
+// relay at a discovery which works through calls in turn and fails those that wait too long.
 func (p *place) watching() {
 	for {
 		var on bool
@@ -205,12 +206,9 @@
 		}
 		c := &call{p: p}
 		for first := true; on; first = false {
-			wait := limits.WatchFor
-			if first {
-				wait = 0
-			}
-			path := target
+			wait, path := time.Duration(0), target
 			if v := p.version.Load(); v >= 0 {
+				wait = limits.WatchFor
 				path = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, v, wait.Milliseconds())
 			}
 			list, why, err := c.get(path, wait)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,6 +49,8 @@
 	evidenceLately  = 6    // of these buckets, looked at alone too: a build that turns bad has shone for long
 	evidenceRecent  = 12   // buckets taken as recent where a build is compared with its own earlier share
 	steadyTime      = 12.0 // s after a release that the usual pace is held: a window of evidence
+	turnAge         = 11.0 // s of a machine's age at which the last of the builds that turn bad have done so
+	eldestSpread    = 2.0  // s between the starts of machines that count as the eldest: one stage's
 	ripeAge         = 15.0 // s of a build's first machines up to which it is not released: some turn bad at 12 s
 	ripePart        = 0.9  // of the time between two builds after which it is: the next would end the trial
 	lateBuckets     = 8    // 4 s of legs that show slowness: the hour changes faster than builds do
@@ -755,21 +757,22 @@
 	if t.legs.all(t.p.now, c) < leastCount {
 		return verdict{}
 	}
-	newer, before := t.compare(own, c, evidenceBuckets)
+	newer, before := t.compare(own, c, evidenceBuckets, 0)
 	if newer[figCount] < leastCount || before[figCount] < leastCount {
 		return verdict{}
 	}
 	return verdict{flagged(newer, before, false), newer[figCount]}
 }
 
-// compare sets the newest build's outcomes in one category against the earlier ones'.
-func (t *trial) compare(by, c, to int) (newer, before counts) {
+// compare sets the newest build's outcomes in one category against the earlier ones'; of its eldest machines
+// alone, and only what these showed beyond an age, where one is given.
+func (t *trial) compare(by, c, to int, age relay.Seconds) (newer, before counts) {
 	pooled := by == told
-	before, ill := t.gather(pooled, c, false, 0, evidenceBuckets, illPart)
+	before, ill := t.gather(pooled, c, false, 0, evidenceBuckets, illPart, 0)
 	// A zone that is lost takes machines of both builds along: where half of the earlier ones are off, that
 	// most of the newest one's are is not its doing.
 	spare := math.Max(illPart, illTimes*ill)
-	newer, _ = t.gather(pooled, c, true, 0, to, spare)
+	newer, _ = t.gather(pooled, c, true, 0, to, spare, age)
 	if before[figCount] >= leastCount {
 		t.last[by][c] = before
 		return newer, before
@@ -777,8 +780,8 @@
 	// Without earlier machines: what they last showed, or else this release's own earlier share. Lateness
 	// then says more of the hour than of the build, and is left out.
 	if before = t.last[by][c]; before[figCount] == 0 {
-		newer, _ = t.gather(pooled, c, true, 0, evidenceRecent, spare)
-		before, _ = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets, spare)
+		newer, _ = t.gather(pooled, c, true, 0, min(to, evidenceRecent), spare, age)
+		before, _ = t.gather(pooled, c, true, evidenceRecent, evidenceBuckets, spare, 0)
 	}
 	newer[figLate], newer[figMatched] = 0, 0
 	return newer, before
@@ -788,14 +791,21 @@
 // a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless more
 // than a part of the build's units did; the slowest quarter is left out of slowness; a single unit shows no
 // faults. With it comes the part of the units that failed so.
-func (t *trial) gather(pooled bool, c int, newest bool, from, to int, spare float64) (sound counts,
-	ill float64) {
+func (t *trial) gather(pooled bool, c int, newest bool, from, to int, spare float64,
+	age relay.Seconds) (sound counts, ill float64) {
 	var seen, off []counts
+	eldest := t.eldest()
 	for _, u := range t.p.roster.units {
 		if u.newest() != newest {
 			continue
 		}
-		e := u.evidence(pooled, c, from, to)
+		until := to
+		if has := t.p.now - u.started; age > 0 {
+			if until = min(to, int((has-age)/evidenceWidth)); until <= 0 || has < eldest-eldestSpread {
+				continue
+			}
+		}
+		e := u.evidence(pooled, c, from, until)
 		if e[figCount] == 0 {
 			continue
 		}
@@ -965,9 +975,14 @@
 	}
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
-	for _, to := range [...]int{evidenceLately, evidenceBuckets} {
+	// Also the eldest machines alone: a build that turns bad with age would hide behind its fresh ones.
+	for i, to := range [...]int{evidenceLately, evidenceLately, evidenceBuckets} {
 		for c := 0; c <= cats; c++ {
-			newer, before := t.compare(told, c, to)
+			age := 0.0
+			if i == 0 {
+				age = youngUnit
+			}
+			newer, before := t.compare(told, c, to, age)
 			if pooled = newer[figCount]; c < cats {
 				newer[figMatched] = 0 // slowness is judged over all categories: a full unit slows them unlike
 			}
@@ -1023,11 +1038,16 @@
 	return relay.NoVote
 }
 
-// ripe says that the build's first machines are so old that a build which turns bad with age has shown it.
-// Only the last stage waits for that: after a release there are no earlier machines to go back to.
+// ripe says that the build's first machines are so old that a build which turns bad with age has shown it: by
+// their legs beyond the age, where all relays together have enough, or else by some seconds more. Only the
+// last stage waits for that: after a release there are no earlier machines to go back to.
 func (t *trial) ripe() bool {
 	due := t.cycle > 0 && t.p.now-t.offered > ripePart*t.cycle
-	return int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge
+	if int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge {
+		return true
+	}
+	shown, _ := t.compare(told, len(t.p.rows), evidenceLately, turnAge)
+	return shown[figMatched] >= leastSlow
 }
 
 // turn is how long this relay lets others vote first. As many relays as are needed vote at once, a few more
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -501,10 +501,25 @@
 		return false
 	}
 	last := relay.StageNews{Valid: true, Build: 6, Stage: 3, Cap: 1}
-	if w := trialOf(t, started(entries(8, 6, 20), 11), last, ripeAge-2, good); released(w) {
+	if w := trialOf(t, started(entries(8, 6, 20), 11), last, turnAge-1, good); released(w) {
 		t.Error("released before its first machines were old")
-	} else if w.run(2, w.load); !released(w) {
-		t.Error("not released when they were")
+	} else if w.run(2.5, w.load); !released(w) {
+		t.Error("not released when many legs had shown them well beyond the age at which builds turn bad")
+	}
+	few := func(w *world) func() []relay.Event { // too few legs at that age: some seconds more
+		return func() []relay.Event {
+			if int(w.now*100)%20 == 0 {
+				return w.load()
+			}
+			return nil
+		}
+	}
+	if w := trialOf(t, started(entries(8, 6, 20), 11), last, 0, good); true {
+		if w.run(ripeAge-2, few(w)); released(w) {
+			t.Error("released on a handful of legs")
+		} else if w.run(2, few(w)); !released(w) {
+			t.Error("not released at the latest age")
+		}
 	}
 	// The next build is due: it would end the trial.
 	w := trialOf(t, nil, relay.StageNews{Valid: true, Build: 6, Phase: relay.Withdrawn}, 8, good)
@@ -532,6 +547,24 @@
 	}
 }
 
+// The eldest machines of a build turned bad, and fresh ones, many times as many, hid them for seconds.
+func TestEldestMachinesShowABuildThatTurns(t *testing.T) {
+	n := 0
+	newer := append(started(entries(4, 6, 20), 11), started(entries(12, 6, 40), 16)...)
+	w := trialOf(t, newer, relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1}, 8.5,
+		func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
+			if u.Build == 6 && at-u.StartedAt > 6 {
+				if n++; n%5 == 0 {
+					return relay.Errored, 0.1
+				}
+			}
+			return relay.Honoured, 0.1
+		})
+	if !back(w.votes) {
+		t.Error("a fifth of the eldest machines' legs has failed for 3.5 s, and it stays")
+	}
+}
+
 // TestScopeKeepsGroupsApart sends queries of three customers while a scope opens one of two groups: only its queries
 // meet the build, within the cap of their own number, whatever the others send, and builds after it none.
 func TestScopeKeepsGroupsApart(t *testing.T) {
