A vote on what is past is not cast again: half the fleet no longer fills the platform

Ruled out: lost answers (each came within 0.1 s), a watch that had ended (n0's stood). At fault: fuser.take, which takes every vote not counted as one to cast again after 0.4 to 0.8 s, and the hosts, which did not tell 'moot' from 'full' and 'error'.

Now a moot vote stands as cast until other news comes or it is due anew. New counter votes_moot.

--- a/cmd/lichenroad/others_test.go
+++ b/cmd/lichenroad/others_test.go
@@ -78,7 +78,7 @@
 	}
 	vote(3)
 	settled(t, p, stats.VotesCounted, 2)
-	settled(t, p, stats.VotesNotCounted, 1)
+	settled(t, p, stats.VotesMoot, 1)
 	vote(2)
 	(<-d.conns).Close()
 	settled(t, p, stats.VotesMaybe, 2)
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -193,6 +193,8 @@
 				n.Reply = relay.Counted
 			case 110:
 				n.Reply = relay.MaybeCounted
+			case 114:
+				n.Reply = relay.Moot
 			default:
 				n.Reply = relay.NotCounted
 			}
--- a/internal/linewire/linewire.go
+++ b/internal/linewire/linewire.go
@@ -13,6 +13,9 @@
 	"lichenroad/relay"
 )
 
+// Moot is the error that answers a vote on a build or stage that is past.
+const Moot = "ConditionFailed"
+
 // MaxLine is the longest line read; the platform ends a connection at lines of 8 KiB.
 const MaxLine = 8 << 10
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -86,6 +86,8 @@
 		d.loop.Stats.Add(stats.VotesCounted, 1)
 	case relay.NotCounted:
 		d.loop.Stats.Add(stats.VotesNotCounted, 1)
+	case relay.Moot:
+		d.loop.Stats.Add(stats.VotesMoot, 1)
 	case relay.MaybeCounted:
 		d.loop.Stats.Add(stats.VotesMaybe, 1)
 	}
@@ -282,7 +284,9 @@
 	news.Reply = relay.Counted
 	if reply.Error != "" {
 		b.d.loop.Log.WithFields(logrus.Fields{"peer": "platform", "error": reply.Error}).Info("vote not counted")
-		news.Reply = relay.NotCounted
+		if news.Reply = relay.NotCounted; reply.Error == linewire.Moot {
+			news.Reply = relay.Moot
+		}
 	}
 	b.d.tell(news)
 	return nil
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -37,6 +37,7 @@
 	Votes
 	VotesCounted
 	VotesNotCounted
+	VotesMoot
 	VotesMaybe
 	News
 	MemosOut
@@ -61,7 +62,7 @@
 	LegHonoured: "leg_honoured", LegErrored: "leg_errored", LegTurnedAway: "leg_turned_away",
 	LegTimedOut: "leg_timed_out", LegNoConnect: "leg_no_connect", LegBroken: "leg_broken",
 	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", Probes: "probes", Votes: "votes",
-	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMaybe: "votes_maybe_counted",
+	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMoot: "votes_moot", VotesMaybe: "votes_maybe_counted",
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
 	RosterCalls: "roster_calls", RosterFailed: "roster_failed", BadInput: "bad_input",
 	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -899,7 +899,9 @@
 		}
 	case relay.StageNews:
 		if n.Reply != relay.Unasked {
-			f.pending, f.sure = false, n.Reply == relay.Counted
+			// A vote on what is past stays as cast until other news comes or it is due anew: all relays that
+			// hold old news would else fill the platform twice a second, and votes that matter go unheard.
+			f.pending, f.sure = false, n.Reply == relay.Counted || n.Reply == relay.Moot
 			if n.Reply == relay.NotCounted {
 				f.nextAt = f.p.now + voteGap*(1+f.p.rng.Float64())
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -819,3 +819,26 @@
 		t.Errorf("%d of %d legs at a trial in the other zone", newer, len(w.sent))
 	}
 }
+
+// Relays that held old news cast a vote on what was past twice a second, all of them, and filled the platform.
+func TestMootVoteIsNotRepeated(t *testing.T) {
+	for _, c := range []struct {
+		reply       relay.Reply
+		least, most int
+	}{{relay.Moot, 1, 2}, {relay.NotCounted, 4, 12}} {
+		w := newWorld(t, plainSettings())
+		w.step(relay.Roster{Form: relay.RosterFull, Units: append(entries(8, 5, 1), entries(8, 6, 20)...)},
+			relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4})
+		seen := 0
+		w.run(9, func() []relay.Event {
+			events := w.load()
+			for ; seen < len(w.votes); seen++ {
+				events = append(events, relay.StageNews{Reply: c.reply})
+			}
+			return events
+		})
+		if n := len(w.votes); n < c.least || n > c.most {
+			t.Errorf("reply %d: %d votes in nine seconds, wanted %d to %d", c.reply, n, c.least, c.most)
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,6 +208,7 @@
 	Counted
 	NotCounted // lapsed, refused or in error
 	MaybeCounted
+	Moot // not counted, as its build or stage is past: no use in casting it again
 )
 
 // Event is anything an instance learns.
