--- a/policy/policy.go
+++ b/policy/policy.go
@@ -798,7 +798,10 @@
 func (t *trial) gather(pooled bool, c int, newest bool, from, to int, spare float64,
 	age relay.Seconds) (sound counts, ill float64) {
 	var seen, off []counts
-	eldest := t.eldest()
+	eldest := 0.0
+	if age > 0 {
+		eldest = t.eldest()
+	}
 	for _, u := range t.p.roster.units {
 		if u.newest() != newest {
 			continue
@@ -982,13 +985,12 @@
 	threshold := math.Log(alarmCost * (1 - prior) / (missCost * prior))
 	back, pooledFlag := sum >= threshold && flaggers >= leastFlags, false
 	// Also the eldest machines alone: a build that turns bad with age would hide behind its fresh ones.
-	for i, to := range [...]int{evidenceLately, evidenceLately, evidenceBuckets} {
+	for _, x := range [...]struct {
+		to  int
+		age relay.Seconds
+	}{{evidenceLately, youngUnit}, {evidenceLately, 0}, {evidenceBuckets, 0}} {
 		for c := 0; c <= cats; c++ {
-			age := 0.0
-			if i == 0 {
-				age = youngUnit
-			}
-			newer, before := t.compare(told, c, to, age)
+			newer, before := t.compare(told, c, x.to, x.age)
 			if pooled = newer[figCount]; c < cats {
 				newer[figMatched] = 0 // slowness is judged over all categories: a full unit slows them unlike
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -176,11 +176,7 @@
 		for i := 0; i < queries; i++ {
 			w.step(w.query(0, 0))
 		}
-		for _, o := range w.sent {
-			if w.units[o.Unit].Build == build {
-				legs++
-			}
-		}
+		legs += w.legsOf(build, w.sent)
 	}
 	return legs
 }
@@ -478,13 +474,7 @@
 func TestShareOfTheTrialIsNotCut(t *testing.T) {
 	w := trialOf(t, entries(8, 6, 20), relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1}, 4, fails(1, 0,
 		func(relay.UnitEntry) bool { return false }))
-	legs := 0
-	for _, o := range w.sent {
-		if w.units[o.Unit].Build == 6 {
-			legs++
-		}
-	}
-	if 2*legs < len(w.sent) {
+	if legs := w.legsOf(6, w.sent); 2*legs < len(w.sent) {
 		t.Errorf("%d of %d legs went to half of the units", legs, len(w.sent))
 	}
 }
@@ -506,23 +496,14 @@
 	} else if w.run(2.5, w.load); !released(w) {
 		t.Error("not released when many legs had shown them well beyond the age at which builds turn bad")
 	}
-	few := func(w *world) func() []relay.Event { // too few legs at that age: some seconds more
-		return func() []relay.Event {
-			if int(w.now*100)%20 == 0 {
-				return w.load()
-			}
-			return nil
-		}
-	}
-	if w := trialOf(t, started(entries(8, 6, 20), 11), last, 0, good); true {
-		if w.run(ripeAge-2, few(w)); released(w) {
-			t.Error("released on a handful of legs")
-		} else if w.run(2, few(w)); !released(w) {
-			t.Error("not released at the latest age")
-		}
+	w := trialOf(t, started(entries(8, 6, 20), 11), last, 0, good)
+	if w.run(ripeAge-2, w.thin(20)); released(w) { // too few legs at that age: some seconds more
+		t.Error("released on a handful of legs")
+	} else if w.run(2, w.thin(20)); !released(w) {
+		t.Error("not released at the latest age")
 	}
 	// The next build is due: it would end the trial.
-	w := trialOf(t, nil, relay.StageNews{Valid: true, Build: 6, Phase: relay.Withdrawn}, 8, good)
+	w = trialOf(t, nil, relay.StageNews{Valid: true, Build: 6, Phase: relay.Withdrawn}, 8, good)
 	w.step(relay.Roster{Form: relay.RosterDelta, Units: started(entries(8, 7, 20), w.now)},
 		relay.StageNews{Valid: true, Build: 7, Stage: 3, Cap: 1})
 	if w.run(8, w.load); !released(w) {
@@ -727,26 +708,12 @@
 		}
 		w.step(relay.Roster{Form: relay.RosterFull, Units: append(entries(12, 5, 1), entries(c.newer, 6, 100)...)},
 			relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1})
-		newer, all := 0.0, 0.0
-		for i := 0; i < 12; i++ {
-			n := len(w.sent)
-			w.run(1, func() (out []relay.Event) {
-				if int(w.now*100)%12 == 0 { // some eight queries a second
-					out = append(out, w.query(0, 0))
-				}
-				return out
-			})
-			if i < 3 {
-				continue
-			}
-			for _, o := range w.sent[n:] {
-				if all++; o.Unit >= 100 {
-					newer++
-				}
-			}
-		}
-		if share := newer / all; share < c.least || share > c.most {
-			t.Errorf("legs of %.1f s: %.2f of %.0f legs at %d machines beside 12, wanted %.2f to %.2f", c.took, share, all, c.newer, c.least, c.most)
+		w.run(3, w.thin(12)) // some eight queries a second
+		w.sent = nil
+		w.run(9, w.thin(12))
+		all := len(w.sent)
+		if share := float64(w.legsOf(6, w.sent)) / float64(all); share < c.least || share > c.most {
+			t.Errorf("legs of %.1f s: %.2f of %d legs at %d machines beside 12, wanted %.2f to %.2f", c.took, share, all, c.newer, c.least, c.most)
 		}
 	}
 }
@@ -781,9 +748,7 @@
 		w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
 			relay.StageNews{Valid: true, Build: 5, Phase: relay.Released, Cap: 1})
 		w.run(4, w.load)
-		for _, s := range w.told[len(w.told)-1:] {
-			at[int(s*10)%10]++
-		}
+		at[int(w.told[len(w.told)-1]*10)%10]++
 	}
 	for i, n := range at {
 		if n > set.Relays/3 {
@@ -803,19 +768,8 @@
 	w := newWorld(t, set)
 	w.step(relay.Roster{Form: relay.RosterFull, Units: append(entries(8, 5, 1), far...)},
 		relay.StageNews{Valid: true, Build: 6, Stage: 2, Cap: 1})
-	w.run(6, func() (out []relay.Event) {
-		if int(w.now*100)%12 == 0 {
-			out = w.load()
-		}
-		return out
-	})
-	newer := 0
-	for _, o := range w.sent {
-		if o.Unit >= 100 {
-			newer++
-		}
-	}
-	if 3*newer < len(w.sent) {
+	w.run(6, w.thin(12))
+	if newer := w.legsOf(6, w.sent); 3*newer < len(w.sent) {
 		t.Errorf("%d of %d legs at a trial in the other zone", newer, len(w.sent))
 	}
 }
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -329,6 +329,26 @@
 	}
 }
 
+// thin is a query each so many hundredths of a second.
+func (w *world) thin(every int) func() []relay.Event {
+	return func() []relay.Event {
+		if int(w.now*100)%every == 0 {
+			return w.load()
+		}
+		return nil
+	}
+}
+
+// legsOf is how many of the legs went to a build.
+func (w *world) legsOf(build relay.Build, legs []relay.SendLeg) (n int) {
+	for _, o := range legs {
+		if w.units[o.Unit].Build == build {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *world) query(c relay.Category, key relay.Key) relay.Query {
 	w.next++
 	return relay.Query{ID: w.next - 1, Category: c, Key: key, Until: w.now + w.set.Categories[c].Patience,
