A leg that waits for a connection ends at the news that its unit leaves or has moved

Need: nothing new goes to draining or gone units after the grace. A leg in unit.waiting (internal/units) was written whenever its connection came up, also when the unit had been told as draining, gone or at another address meanwhile: up to the connect timeout after its order, on top of the time that the news took. Where that timeout is near the grace, or longer, the first byte leaves too late; a leg for an earlier process went to its successor.

Change: roster.Take tells the pool of each entry's lifecycle, and of whole lists, before the module's step. Legs that wait end as never sent, in the same batch as the news, so the module places them anew without that unit. A connection that comes up, or is answered, after the news is closed (reason leaving); new legs and probes for such a unit end as not sent. Units that are gone and hold nothing are forgotten; so far the pool kept each one for good.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,18 +21,25 @@
 // target is the path of the list.
 const target = "/api/targets"
 
+// Units are told of a list before the module is, on the loop: where each unit is, and which want nothing new.
+type Units interface {
+	Listed(id relay.UnitID, name, address string)
+	Leaving(id relay.UnitID, gone bool)
+	Whole(listed func(relay.UnitID) bool) // a whole list stands: units that it leaves out are gone
+}
+
 // Asker talks to discovery. Its fields belong to the loop.
 type Asker struct {
 	loop   *stage.Loop
 	reader *Reader
-	name   func(id relay.UnitID, name, address string)
+	units  Units
 	at     *place
 	on     bool // the module wants the watch
 }
 
-// New returns an asker; name is told of each unit's address, on the loop.
-func New(l *stage.Loop, address string, r *Reader, name func(relay.UnitID, string, string)) *Asker {
-	a := &Asker{loop: l, reader: r, name: name}
+// New returns an asker; units are told of each list.
+func New(l *stage.Loop, address string, r *Reader, units Units) *Asker {
+	a := &Asker{loop: l, reader: r, units: units}
 	a.at = a.place(address)
 	return a
 }
@@ -152,18 +159,26 @@
 	form relay.RosterForm
 }
 
-// Take names the units' addresses, then tells the module.
+// Take tells the connections to units, then the module.
 func (t told) Take(l *stage.Loop) {
 	if t.from != t.from.a.at {
 		return // it crossed a move
 	}
 	r := relay.Roster{Form: t.form}
+	listed, units := map[relay.UnitID]bool{}, t.from.a.units
 	for _, line := range t.list.Lines {
+		listed[line.Unit] = true
 		if line.State != relay.Gone {
-			t.from.a.name(line.Unit, line.Name, line.Address)
+			units.Listed(line.Unit, line.Name, line.Address)
+		}
+		if line.State != relay.Ready {
+			units.Leaving(line.Unit, line.State == relay.Gone)
 		}
 		r.Units = append(r.Units, line.UnitEntry)
 	}
+	if t.form == relay.RosterCached || t.form == relay.RosterFull {
+		units.Whole(func(id relay.UnitID) bool { return listed[id] })
+	}
 	if t.list.Bad > 0 {
 		l.Stats.Add(stats.BadInput, int64(t.list.Bad))
 		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": t.list.Bad}).Warn("entries left out")
--- a/internal/stats/reasons.go
+++ b/internal/stats/reasons.go
@@ -22,6 +22,7 @@
 	ByGivenUp      Reason = "given_up"      // its leg was cancelled, timed out or is no longer wanted
 	ByIdle         Reason = "idle"          // idle for long; a client's: and others need the room
 	ByMove         Reason = "moved"         // the unit is listed, or discovery configured, at another address
+	ByLeaving      Reason = "leaving"       // the unit drains or is gone, and gets nothing new
 	ByOrder        Reason = "ordered"       // the module ordered it, or the call is done
 	ByLateAnswer   Reason = "answer_late"   // no answer, or no sign of life, in time
 	ByStatus       Reason = "error_status"  // discovery answered with another status than 200
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -380,6 +380,8 @@
 	c.unit.idle = append(c.unit.idle, c)
 	if c.address != c.unit.address {
 		c.close(stats.ByMove)
+	} else if c.unit.leaving {
+		c.close(stats.ByLeaving) // dialled before the news, or answered after it
 	}
 	c.pool.serve(c.unit)
 }
--- a/internal/units/conn_test.go
+++ b/internal/units/conn_test.go
@@ -59,7 +59,7 @@
 	l := stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
 	p := New(l, 4)
 	l.Units = p
-	p.Name(1, "s-1", "127.0.0.1:1")
+	p.Listed(1, "s-1", "127.0.0.1:1")
 	return bench{l, p, p.units[1]}
 }
 
@@ -67,6 +67,7 @@
 func (b bench) conn(n *pipe) *conn {
 	c := &conn{pool: b.pool, unit: b.unit, address: b.unit.address, net: n}
 	b.pool.open++
+	b.unit.open++
 	b.unit.coming++
 	ready{c}.Take(b.Loop)
 	return c
@@ -244,7 +245,7 @@
 	b.conn(third)
 	b.pool.CloseIdle(1)
 	b.conn(fourth)
-	b.pool.Name(1, "s-1", "127.0.0.1:2")
+	b.pool.Listed(1, "s-1", "127.0.0.1:2")
 	if third.closed == 0 || fourth.closed == 0 {
 		t.Error("ordered closed, or moved, and kept")
 	}
@@ -256,7 +257,7 @@
 	c := b.conn(n)
 	leg := b.leg()
 	b.pool.Send(leg)
-	b.pool.Name(1, "s-1", "127.0.0.1:2")
+	b.pool.Listed(1, "s-1", "127.0.0.1:2")
 	answered{c: c, how: relay.Errored, code: "XX000"}.Take(b.Loop)
 	ready{c}.Take(b.Loop)
 	if n.closed == 0 || len(b.unit.idle) != 0 {
@@ -269,7 +270,7 @@
 	b.pool.most = 1
 	idle := &pipe{takes: 1 << 20}
 	b.conn(idle)
-	b.pool.Name(2, "s-2", "127.0.0.1:1")
+	b.pool.Listed(2, "s-2", "127.0.0.1:1")
 	leg := b.leg()
 	leg.Unit = 2
 	b.pool.Send(leg)
@@ -304,7 +305,7 @@
 	address := ln.Addr().String()
 	ln.Close()
 	b := newBench(t, nil)
-	b.pool.Name(1, "s-1", address)
+	b.pool.Listed(1, "s-1", address)
 	b.pool.Send(b.leg())
 	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		if ends := b.told(); len(ends) == 1 {
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -26,8 +26,12 @@
 
 // unit is one server as the pool sees it.
 type unit struct {
+	id      relay.UnitID
 	name    string
 	address string
+	leaving bool         // told as draining or gone: nothing new goes to it
+	gone    bool         // told as gone: forgotten when nothing holds it any more
+	open    int          // connections, those coming up included
 	idle    []*conn      // the one last used is last
 	coming  int          // connections coming up, or about to be idle again
 	waiting []*stage.Leg // legs without a connection, the oldest first
@@ -50,24 +54,67 @@
 	return p
 }
 
-// Name tells the address of a unit, before the module is told of it. A unit that is at another address now
-// is another process: connections to the old one are of no use.
-func (p *Pool) Name(id relay.UnitID, name, address string) {
+// Listed tells that a unit is listed at an address, before the module is told of it. A unit that is at another address
+// now is another process: connections to the old one are of no use, and legs that wait for one were not meant for it.
+func (p *Pool) Listed(id relay.UnitID, name, address string) {
 	u := p.units[id]
 	if u == nil {
-		u = &unit{name: name}
+		u = &unit{id: id, name: name, address: address}
 		p.units[id] = u
 	}
+	u.leaving, u.gone = false, false
 	if u.address != address {
 		u.address = address
 		p.closeIdle(u, stats.ByMove)
+		p.release(u)
+	}
+}
+
+// Leaving tells that a unit drains or is gone, before the module is told of it. A leg that still waits for a connection
+// was ordered before the news and would be written after it, by as much as the connection takes to come up; it never
+// left, so the module can place it anew.
+func (p *Pool) Leaving(id relay.UnitID, gone bool) {
+	u := p.units[id]
+	if u == nil {
+		return
+	}
+	u.leaving, u.gone = true, gone
+	p.closeIdle(u, stats.ByLeaving)
+	p.release(u)
+	p.forget(u)
+}
+
+// Whole tells that a whole list stands: units that it leaves out are gone.
+func (p *Pool) Whole(listed func(relay.UnitID) bool) {
+	for id := range p.units {
+		if !listed(id) {
+			p.Leaving(id, true)
+		}
+	}
+}
+
+// release ends the legs that wait for a connection to a unit as never sent.
+func (p *Pool) release(u *unit) {
+	for len(u.waiting) > 0 {
+		leg := u.waiting[0]
+		u.waiting = u.waiting[1:]
+		p.loop.Stats.Add(stats.LegsReleased, 1)
+		p.loop.End(leg, stage.Ending{How: relay.NotSent})
+	}
+}
+
+// forget drops a unit that is gone and holds nothing: with releases every day units come and go for as long as a
+// relay lives.
+func (p *Pool) forget(u *unit) {
+	if u.gone && u.open == 0 && len(u.waiting) == 0 && p.units[u.id] == u {
+		delete(p.units, u.id)
 	}
 }
 
 // Send finds a connection for a leg, or opens one.
 func (p *Pool) Send(leg *stage.Leg) {
 	u := p.units[leg.Unit]
-	if u == nil {
+	if u == nil || u.leaving { // a probe, say, or an order of the step that was under way
 		p.loop.End(leg, stage.Ending{How: relay.NotSent})
 		return
 	}
@@ -156,6 +203,7 @@
 			continue
 		}
 		p.open++
+		u.open++
 		u.coming++
 		p.loop.Stats.Add(stats.UnitConns, 1)
 		p.loop.Stats.Add(stats.UnitConnsOpen, 1)
@@ -198,6 +246,8 @@
 // ended is the one place where a connection is given back, whether it came up or not.
 func (p *Pool) ended(u *unit, why stats.Reason, age relay.Seconds, queries int, fault error) {
 	p.open--
+	u.open--
+	defer p.forget(u)
 	p.loop.Stats.Add(stats.UnitConnsOpen, -1)
 	stats.LogEnd(p.loop.Log, "unit", u.name, why, age, queries, fault)
 }
