An entry that says of a unit that it leaves is believed, whatever else of it can't be read

Need: roster.line left an entry out whole when any field was of the wrong type or the address was none, also one of lifecycle DRAINING or DELETED. The list counts as told, and the unit went on getting queries until the next list.

Change: where id and lifecycle can be read and the lifecycle is DRAINING or DELETED, the entry is passed on bare (relay.UnitEntry.Bare), with one log line and bad_input as before; the module keeps what it knew of the unit beside its state. A ready entry with a fault is left out as it was, and the old one stands.

Checked: TestParse has four such entries; it fails with the earlier reader.

--- a/internal/roster/list.go
+++ b/internal/roster/list.go
@@ -21,7 +21,7 @@
 	Generation int64
 	Whole      bool
 	Lines      []Line
-	Bad        int // entries that could not be read, and were left out
+	Bad        int // entries that could not be read, and were left out or are bare
 }
 
 // Line is one entry: what the module sees of it, and where it is.
@@ -94,8 +94,8 @@
 
 var states = map[string]relay.UnitState{"SERVING": relay.Ready, "DRAINING": relay.Draining, "DELETED": relay.Gone}
 
-// Parse reads a list. An entry that can't be read is left out and does not lose the rest; of two entries
-// with one id the later holds.
+// Parse reads a list. An entry that can't be read is left out and does not lose the rest, but one that says of a unit
+// that it leaves is believed with what can be read of it; of two entries with one id the later holds.
 func (r *Reader) Parse(raw []byte) (List, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,7 +112,9 @@
 		line, err := r.line(raw)
 		if err != nil {
 			l.Bad++
-			continue
+			if !line.Bare || line.State == relay.Ready {
+				continue
+			}
 		}
 		if i, twice := at[line.Unit]; twice {
 			l.Lines[i] = line
@@ -126,15 +128,27 @@
 
 func (r *Reader) line(raw []byte) (Line, error) {
 	var w wireLine
-	if err := json.Unmarshal(raw, &w); err != nil {
-		return Line{}, err
+	fault := json.Unmarshal(raw, &w)
+	if fault != nil {
+		// Whatever else is wrong with it: a unit that is said to leave gets nothing new.
+		var bare struct {
+			ID        string `json:"instanceId"`
+			Lifecycle string `json:"lifecycle"`
+		}
+		if json.Unmarshal(raw, &bare) != nil {
+			return Line{}, fault
+		}
+		w = wireLine{ID: bare.ID, Lifecycle: bare.Lifecycle}
 	}
 	state, known := states[w.Lifecycle]
 	if w.ID == "" || !known {
 		return Line{}, fmt.Errorf("%w: entry %.40q", errList, w.ID)
 	}
-	if _, err := netip.ParseAddrPort(w.HostPort); err != nil && state != relay.Gone {
-		return Line{}, fmt.Errorf("%w: address %.40q", errList, w.HostPort)
+	if _, err := netip.ParseAddrPort(w.HostPort); err != nil && fault == nil && state != relay.Gone {
+		fault = fmt.Errorf("%w: address %.40q", errList, w.HostPort)
+	}
+	if fault != nil {
+		return Line{UnitEntry: relay.UnitEntry{Unit: idOf(w.ID), State: state, Bare: true}, Name: w.ID}, fault
 	}
 	e := relay.UnitEntry{Unit: idOf(w.ID), Zone: relay.Zone(r.zones.number(w.Zone)),
 		Kind: relay.Kind(r.kinds.number(w.Machine)), Cell: relay.Cell(w.Cell), Build: relay.Build(w.Build),
--- a/internal/roster/list_test.go
+++ b/internal/roster/list_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -17,8 +18,12 @@
 		{"instanceId":7,"hostPort":"10.1.0.19:5433","lifecycle":"SERVING"},
 		{"instanceId":"s-4","hostPort":"10.1.0.20:5433","zone":"c","cell":"2","build":"42","lifecycle":"SERVING"},
 		{"instanceId":"s-4","hostPort":"10.1.0.21:5433","zone":"c","lifecycle":"DRAINING"},
-		{"instanceId":"s-5","lifecycle":"DELETED"}]}`))
-	if err != nil || list.Generation != 41 || !list.Whole || list.Bad != 3 || len(list.Lines) != 3 {
+		{"instanceId":"s-5","lifecycle":"DELETED"},
+		{"instanceId":"s-6","hostPort":"10.1.0.21:5433","zone":"b","lifecycle":"SERVING"},
+		{"instanceId":"s-6","hostPort":17,"zone":["b"],"cell":{},"build":"new","lifecycle":"DRAINING"},
+		{"instanceId":"s-7","hostPort":"nowhere","lifecycle":"DRAINING"},
+		{"instanceId":"s-8","startedAtMs":"then","lifecycle":"DELETED"}]}`))
+	if err != nil || list.Generation != 41 || !list.Whole || list.Bad != 6 || len(list.Lines) != 6 {
 		t.Fatalf("%+v %v", list, err)
 	}
 	one, four, five := list.Lines[0], list.Lines[1], list.Lines[2]
@@ -33,6 +38,12 @@
 	if five.State != relay.Gone {
 		t.Errorf("%+v", five)
 	}
+	// Whatever else is wrong with it, an entry that says of a unit that it leaves is believed.
+	for i, want := range []relay.UnitState{relay.Draining, relay.Draining, relay.Gone} {
+		if l := list.Lines[3+i]; l.UnitEntry != (relay.UnitEntry{Unit: idOf(fmt.Sprint("s-", 6+i)), State: want, Bare: true}) {
+			t.Errorf("%+v", l)
+		}
+	}
 	again, err := r.Parse([]byte(`{"generation":42,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:5433",
 		"zone":"c","lifecycle":"SERVING"}]}`))
 	if err != nil || again.Lines[0].Zone != 2 || again.Lines[0].Unit != one.Unit {
--- a/policy/state.go
+++ b/policy/state.go
@@ -257,6 +257,7 @@
 	byMark  map[mark]*unit
 	units   []*unit // all ever listed, by id
 	watched bool
+	silent  bool // the last watch fell silent, and nothing has come since
 	asked   relay.Seconds
 	askAt   relay.Seconds // when to ask again after a failure; 0: no need
 }
@@ -381,6 +382,11 @@
 			copy(r.units[at+1:], r.units[at:])
 			r.units[at] = u
 		}
+		if e.Bare && u.met {
+			state := e.State
+			e = u.UnitEntry
+			e.State = state
+		}
 		r.p.post(u, e)
 	}
 	for _, u := range r.units {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -161,6 +161,7 @@
 	State     UnitState
 	Started   bool
 	StartedAt Seconds
+	Bare      bool // of a unit that leaves: no more than Unit and State could be read
 }
 
 // RosterForm says how to read a Roster event.
@@ -171,6 +172,7 @@
 	RosterCached                   // the whole list as last held, maybe old
 	RosterDelta
 	RosterFull
+	RosterSilent // the watch fell silent and is broken: what it missed counts as told soon; the old list stands
 )
 
 // Outcome is how a leg or a probe ended.
