A silent watch is given up in time, and the list asked for anew at once

Log lines: 'call failed ... connection read timeout ... reason=answer_late' in 273 relays at 26 s, 106 of 'reason=error_status' at 28 s. Ruled out: the queue of the loop (lists are taken in the millisecond they come), refused calls alone (191 relays had those at the start and broke nothing), legs that wait for a connection.

Change: how a watch is kept is a keeper of its own, without clock, socket or goroutine. A watch waits 10 to 20 s, drawn by the seed, so that a fleet does not find out together; its answer may be 0.5 s late, a call without a wait 4 s, and an answer that has begun and stalls counts as silent after 1 s. A whole list that crosses a watch's answer can't undo it: versions are compared and posted under one lock.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -86,7 +86,7 @@
 	forUnits := int(limits.UnitPart * float64(sockets))
 	legs := units.New(loop, forUnits)
 	reader := roster.NewReader(c.Site.Zones, c.Site.Kinds, loop.Clock.Unix)
-	asker := roster.New(loop, c.Discovery, reader, legs)
+	asker := roster.New(loop, c.Discovery, reader, legs, c.Seed)
 	desk := platform.New(loop, c.Platform)
 	loop.Units, loop.Roster, loop.Platform, loop.Peers = legs, asker, desk, noPeers{counters}
 	var host *guard.Host
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -55,6 +55,9 @@
 	chunked bool
 }
 
+// Begun says that something of the answer has come.
+func (r *Response) Begun() bool { return r.at != inStatus || len(r.line) > 0 }
+
 // Done says that the answer is whole.
 func (r *Response) Done() bool { return r.at == done }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -49,10 +49,18 @@
 	InlineWait  = 20 * time.Millisecond  // that a small write may hold the loop up; its send buffer is empty, it takes none
 
 	// Discovery.
-	WatchFor  = 20 * time.Second // that a watch waits for something new
-	AnswerFor = 2 * time.Second  // that an answer may take beyond what the call may wait: then it counts as told
-	PlainFor  = 6 * time.Second  // the same for a call that does not wait
-	DialFor   = 1 * time.Second  // that the connection may take to come up
+	//
+	// What a silent watch misses counts as told 2 s after its wait is over (6 s for a call that does not wait), and the
+	// list has to be in hand by then: a call is given up well before, and the rest is for dialling and asking anew.
+	WatchFor  = 20 * time.Second       // that a watch waits for something new at most
+	WatchPart = 0.5                    // of that at least, by the seed: else a fleet whose watches fell silent together asks together
+	AnswerFor = 500 * time.Millisecond // that an answer may take beyond what the call may wait: three quarters of the 2 s are left
+	PlainFor  = 4 * time.Second        // the same for a call that does not wait: a third of the 6 s is left
+	ListRest  = 1 * time.Second        // between two pieces of an answer that has begun: one that stalls is silent too
+	DialFor   = 1 * time.Second        // that the connection may take to come up
+	PushPart  = 0.4                    // of the drain grace that a relay with no watch lets pass between tries, where lists are pushed
+	LeastOff  = 20 * time.Millisecond  // that it does let pass, however short the grace
+	FirstList = 1 * time.Second        // that clients wait at the start for the list of an agent that has told it all along
 
 	// The platform.
 	CallFor    = 1 * time.Second        // that an answer may take where the settings name no limit
--- /dev/null
+++ b/internal/roster/drain_test.go
@@ -0,0 +1,359 @@
+package roster
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"lichenroad/policy"
+	"lichenroad/relay"
+)
+
+// This file plays one relay in virtual time: the real module and the real keeper of the watch against a made-up
+// discovery, with units that drain, watches that fall silent, calls that fail, an outage, and connections that come up
+// late. Rule 3 is checked apart from both, by the bench page's clauses on what counts as told.
+
+// faults is what is left out of the defences, to show that the check sees it.
+type faults struct {
+	late  bool // a silent watch is given up 2 s after its wait, and asked for again as after any failure
+	holds bool // a leg that waits for a connection outlives the news of its unit
+	deaf  bool // pushed lists are not asked for
+}
+
+type day struct {
+	*rand.Rand
+	pushed  bool
+	grace   relay.Seconds
+	connect relay.Seconds
+	faults  faults
+	now     relay.Seconds
+
+	// Discovery.
+	version  int
+	units    []relay.UnitEntry
+	changed  []int           // version of each unit's last change
+	left     []relay.Seconds // when it last stopped being ready; 0: it is ready
+	told     []relay.Seconds // when the relay counts as told of that
+	silentAt relay.Seconds
+	downAt   relay.Seconds
+	upAt     relay.Seconds
+
+	// The relay.
+	module *policy.Policy
+	keeper *keeper
+	call   *dayCall
+	askAt  relay.Seconds // when the next call is made; infinite: on order
+	last   relay.Seconds // start of the last call
+	failed bool          // whether it failed
+	wakes  []relay.Wake
+	learn  []relay.Event
+	legs   []*dayLeg
+	broken string
+	sent   int
+}
+
+type dayCall struct {
+	request
+	at, writes, arrives, fails relay.Seconds
+	after                      int
+	silent                     bool
+	list                       List
+}
+
+type dayLeg struct {
+	order relay.SendLeg
+	up    relay.Seconds // when its connection is
+	ends  relay.Seconds
+	no    relay.LegNo
+	sent  bool
+}
+
+const (
+	dayLength = 60.0
+	dayStep   = 0.005
+	askEvery  = 10.0
+)
+
+func never() relay.Seconds { return math.Inf(1) }
+
+func newDay(seed int64, pushed bool, f faults) *day {
+	r := rand.New(rand.NewSource(seed))
+	d := &day{Rand: r, pushed: pushed, faults: f, grace: []float64{0.25, 1, 2}[r.Intn(3)],
+		connect: []float64{0.25, 1}[r.Intn(2)], askAt: never(), last: -askEvery, silentAt: 2 + 40*r.Float64(),
+		downAt: 2 + 40*r.Float64()}
+	d.upAt = d.downAt + 8*r.Float64()
+	for i := range 12 {
+		d.units = append(d.units, relay.UnitEntry{Unit: relay.UnitID(i + 1), Build: 1, Weight: 1, State: relay.Ready})
+	}
+	d.changed, d.left, d.told = make([]int, 12), make([]relay.Seconds, 12), make([]relay.Seconds, 12)
+	set := relay.Settings{Relays: 1, RosterOnAsk: !pushed, Categories: []relay.CategoryTerms{{DueTime: 0.4, Patience: 2, Value: 1}},
+		Rules:  relay.Rules{DrainGrace: d.grace, AskEvery: askEvery, FallMultiple: 2.5, FallTime: 3, ColdFrom: 0.5},
+		Limits: relay.Limits{MaxLegs: 3, ConnectTimeout: d.connect, SecondCopies: true}}
+	d.module = policy.New(set, seed)
+	w := usual(pushed, d.grace)
+	if f.late {
+		w.answer = 2 * time.Second
+	}
+	d.keeper = newKeeper(seed, w)
+	d.keeper.version = 0
+	d.learn = append(d.learn, relay.Roster{Form: relay.RosterCached, Units: append([]relay.UnitEntry(nil), d.units...)},
+		relay.StageNews{Valid: true, Build: 1, Phase: relay.Released, Cap: 1})
+	if pushed && !f.deaf {
+		d.askAt = 0
+	}
+	return d
+}
+
+// tells notes that the relay counts as told of what has changed after a version, at a time.
+func (d *day) tells(after int, at relay.Seconds) {
+	for i, v := range d.changed {
+		if d.left[i] > 0 && v > after {
+			d.told[i] = math.Min(d.told[i], at)
+		}
+	}
+}
+
+// change lets a unit drain, go or come back.
+func (d *day) change() {
+	i := d.Intn(len(d.units))
+	d.version++
+	d.changed[i] = d.version
+	if u := &d.units[i]; u.State != relay.Ready {
+		u.State, d.left[i] = relay.Ready, 0
+	} else if u.State = relay.UnitState(d.Intn(2)); true { // draining or gone
+		d.left[i], d.told[i] = d.now, never()
+	}
+	down := d.now >= d.downAt && d.now < d.upAt
+	silent := d.call != nil && d.call.silent
+	switch {
+	case d.left[i] == 0:
+	case silent: // told 6 s after it fell silent, or 2 s after the wait of the call if that is later
+		by := math.Max(d.silentAt, d.call.at) + 6
+		if w := d.call.wait.Seconds(); w > 0 {
+			by = math.Max(by, d.call.at+w+2)
+		}
+		if d.told[i] = by; by >= d.downAt && by < d.upAt { // nobody can learn of it then; the time counts anew at the return
+			if d.told[i] = d.upAt; !d.pushed {
+				d.told[i] += askEvery
+			}
+		}
+	case d.pushed && down: // what the agent gets at the return counts at once
+		d.told[i] = d.upAt
+	case d.pushed:
+		d.told[i] = d.now
+	case d.call == nil: // with no watch: for the time that the settings give for asking
+		for every := askEvery; ; every *= 4 {
+			if by := math.Max(d.last, d.now) + every; !d.failed || every > askEvery {
+				d.told[i] = by
+				break
+			}
+		}
+	}
+}
+
+func (d *day) ask() {
+	d.askAt = never()
+	r := d.keeper.next()
+	c := &dayCall{request: r, at: d.now, after: int(d.keeper.version), writes: never(), arrives: never(), fails: never()}
+	d.call, d.last, d.failed = c, d.now, false
+	if d.now >= d.downAt && d.now < d.upAt {
+		c.fails = d.now + 0.001
+	} else if !d.pushed && d.Intn(6) == 0 { // discovery is overbooked
+		c.fails = d.now + d.Float64()
+	}
+}
+
+// discovery goes on with the open call.
+func (d *day) discovery() {
+	c := d.call
+	if c == nil {
+		return
+	}
+	// All calls that are open at one moment fall silent, whether or not an answer is on its way.
+	if c.at < d.silentAt && d.now >= d.silentAt && c.writes > d.silentAt {
+		c.silent, c.fails, c.writes, c.arrives = true, never(), never(), never()
+	}
+	if d.now >= d.downAt && d.now < d.upAt && c.at < d.downAt && !c.silent && c.writes > d.now {
+		c.fails = math.Min(c.fails, d.now) // its connection is reset
+	}
+	due := c.at + c.wait.Seconds()
+	if c.fails == never() && c.writes == never() && !c.silent && (d.version > c.after || c.wait == 0 || d.now >= due) {
+		c.writes = d.now
+		c.arrives = d.now + 0.03*d.Float64()
+		c.list = List{Generation: int64(d.version)}
+		for i, u := range d.units {
+			if d.changed[i] > c.after {
+				c.list.Lines = append(c.list.Lines, Line{UnitEntry: u})
+			}
+		}
+		d.tells(c.after, d.now)
+	}
+}
+
+// watch goes on with the watch as the relay keeps it.
+func (d *day) watch() {
+	if d.now >= d.askAt {
+		d.ask()
+		return
+	}
+	c := d.call
+	switch {
+	case c == nil:
+	case d.now >= c.arrives:
+		d.call = nil
+		list, form, news := d.keeper.took(c.list, true, false)
+		r := relay.Roster{Form: form}
+		for _, line := range list.Lines {
+			r.Units = append(r.Units, line.UnitEntry)
+			if line.State != relay.Ready && !d.faults.holds {
+				d.release(line.Unit)
+			}
+		}
+		if news {
+			d.learn = append(d.learn, r)
+		}
+		d.ask()
+	case d.now >= c.fails, d.now >= c.at+c.limit.Seconds():
+		silent := d.now < c.fails
+		d.call, d.failed = nil, !silent
+		again, after := d.keeper.failed(silent)
+		switch {
+		case again:
+			d.askAt = d.now + after.Seconds()
+		case silent && !d.faults.late:
+			d.learn = append(d.learn, relay.Roster{Form: relay.RosterSilent})
+		default:
+			d.learn = append(d.learn, relay.Roster{Form: relay.RosterFailed})
+		}
+	}
+}
+
+// release ends the legs that wait for a connection to a unit, as the pool does at the news.
+func (d *day) release(id relay.UnitID) {
+	for _, l := range d.legs {
+		if l.order.Unit == id && !l.sent {
+			l.up, l.ends = never(), d.now
+		}
+	}
+}
+
+func (d *day) serve() {
+	kept := d.legs[:0]
+	for _, l := range d.legs {
+		if !l.sent && d.now >= l.up {
+			l.sent, l.ends = true, d.now+0.02+0.2*d.Float64()
+			d.sent++
+			i := int(l.order.Unit) - 1
+			if by := d.told[i] + d.grace + 0.05; d.left[i] > 0 && d.now > by && d.broken == "" {
+				d.broken = fmt.Sprintf("%.3f: a leg went to unit %d, which left at %.3f and counts as told at %.3f, grace %v",
+					d.now, l.order.Unit, d.left[i], d.told[i], d.grace)
+			}
+		}
+		if d.now < l.ends {
+			kept = append(kept, l)
+			continue
+		}
+		how := relay.Honoured
+		if !l.sent {
+			how = relay.NotSent
+		}
+		d.learn = append(d.learn, relay.LegEnded{Query: l.order.Query, Leg: l.no, Unit: l.order.Unit, How: how,
+			Took: 0.1, Over: how == relay.Honoured})
+	}
+	d.legs = kept
+}
+
+// play runs the day and returns the first breach of rule 3.
+func (d *day) play() string {
+	legsOf, next, changes := map[relay.QueryID]relay.LegNo{}, relay.QueryID(0), 0.5
+	for ; d.now < dayLength; d.now += dayStep {
+		if d.now >= changes {
+			d.change()
+			changes += d.Float64()
+		}
+		d.discovery()
+		d.watch()
+		d.serve()
+		if d.Float64() < 20*dayStep {
+			next++
+			d.learn = append(d.learn, relay.Query{ID: next, Until: d.now + 2})
+		}
+		for i := 0; i < len(d.wakes); i++ {
+			if w := d.wakes[i]; d.now >= w.At {
+				d.learn = append(d.learn, relay.Woken{ID: w.ID})
+				d.wakes = append(d.wakes[:i], d.wakes[i+1:]...)
+				i--
+			}
+		}
+		if len(d.learn) == 0 {
+			continue
+		}
+		events := d.learn
+		d.learn = nil
+		for _, o := range d.module.Step(d.now, events) {
+			switch o := o.(type) {
+			case relay.Wake:
+				d.wakes = append(d.wakes, o)
+			case relay.Watch:
+				if d.call == nil && d.askAt == never() && o.On {
+					d.askAt = d.now
+				}
+			case relay.SendLeg:
+				l := &dayLeg{order: o, no: legsOf[o.Query], up: d.now, ends: d.now + d.connect}
+				legsOf[o.Query]++
+				if d.Intn(3) == 0 {
+					l.up = d.now + d.Float64() // a new connection, some of which never come up in time
+				}
+				if l.up > l.ends {
+					l.up = never()
+				}
+				d.legs = append(d.legs, l)
+			}
+		}
+	}
+	return d.broken
+}
+
+const days = 40
+
+// TestNothingNewToUnitsToldAsLeaving plays days by their seeds, in ask and in pushed mode.
+func TestNothingNewToUnitsToldAsLeaving(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		sent := 0
+		for seed := range int64(days) {
+			d := newDay(seed, pushed, faults{})
+			if broken := d.play(); broken != "" {
+				t.Errorf("pushed %v, seed %d: %s", pushed, seed, broken)
+			}
+			sent += d.sent
+		}
+		if sent < days*dayLength*10 {
+			t.Errorf("pushed %v: only %d legs sent", pushed, sent)
+		}
+	}
+}
+
+// TestTheCheckFindsWhatIsLeftOut takes one defence away at a time: the same days break the rule then.
+func TestTheCheckFindsWhatIsLeftOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		pushed bool
+		faults faults
+	}{
+		"a silent watch noticed late":     {false, faults{late: true}},
+		"a leg that outlives the news":    {false, faults{holds: true}},
+		"pushed lists that nobody awaits": {true, faults{deaf: true}},
+	} {
+		found := 0
+		for seed := range int64(days) {
+			if newDay(seed, c.pushed, c.faults).play() != "" {
+				found++
+			}
+		}
+		t.Logf("%s: %d of %d days", name, found, days)
+		if found == 0 {
+			t.Error("not found:", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/keeper.go
@@ -0,0 +1,91 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"lichenroad/internal/limits"
+	"lichenroad/relay"
+)
+
+// target is the path of the list.
+const target = "/api/targets"
+
+// request is one call to discovery.
+type request struct {
+	path  string
+	wait  time.Duration // that the call may wait for something new
+	limit time.Duration // after which it is given up as silent
+}
+
+// keeper keeps the watch on one address: what it asks next, what of an answer is news, and when it asks again. It has
+// no clock, no goroutine and no socket, so that a test can play it in virtual time.
+type keeper struct {
+	chance  *rand.Rand
+	version int64 // of the list that stands; -1: none
+	waits   waits
+	off     time.Duration
+}
+
+// waits are how long things may take, and how a list comes to be told.
+type waits struct {
+	watch  time.Duration // a watch's longest wait
+	answer time.Duration // an answer beyond that
+	plain  time.Duration // an answer to a call that does not wait
+	rest   time.Duration // the next piece of an answer that has begun
+	first  time.Duration // clients, at the start, for a list that is pushed
+	pushed bool          // the module orders no watch: one that ends is opened again from here
+	most   time.Duration // between two tries to open it then: what the agent has counts as told all the same
+}
+
+// usual are the waits of a site. Where lists are pushed what comes while no watch stands has to be in hand before the
+// drain grace is over, so a relay tries again within a part of it.
+func usual(pushed bool, grace relay.Seconds) waits {
+	most := time.Duration(limits.PushPart * grace * float64(time.Second))
+	return waits{limits.WatchFor, limits.AnswerFor, limits.PlainFor, limits.ListRest, limits.FirstList, pushed,
+		max(limits.LeastOff, min(most, limits.MostOff))}
+}
+
+func newKeeper(seed int64, w waits) *keeper {
+	return &keeper{chance: rand.New(rand.NewSource(seed)), waits: w, version: -1, off: min(limits.BackOff, w.most)}
+}
+
+// next is the watch's next call. Where a list is known the first waits too, as it is answered at once if there is
+// anything newer: a call before it that only asks for that would be one more for each relay at a discovery which works
+// through calls in turn and fails those that wait too long. How long a call waits is drawn, so that relays whose
+// watches fell silent together don't find out together and all ask anew at one moment.
+func (k *keeper) next() request {
+	if k.version < 0 {
+		return k.whole()
+	}
+	wait := time.Duration((limits.WatchPart + (1-limits.WatchPart)*k.chance.Float64()) * float64(k.waits.watch))
+	return request{fmt.Sprintf("%s?after=%d&wait_ms=%d", target, k.version, wait.Milliseconds()), wait, wait + k.waits.answer}
+}
+
+// whole is a call for the whole list, which does not wait.
+func (k *keeper) whole() request { return request{target, 0, k.waits.plain} }
+
+// took takes an answer, to the watch or to a call for the whole list, and says what of it the module is to be told;
+// an answer to an order always, else only news.
+func (k *keeper) took(list List, ordered, fetched bool) (List, relay.RosterForm, bool) {
+	if fetched && list.Generation < k.version {
+		list = List{Generation: k.version} // the watch has told more meanwhile; this brings nothing new
+	}
+	k.version, k.off = list.Generation, min(limits.BackOff, k.waits.most)
+	form := relay.RosterDelta
+	if list.Whole {
+		form = relay.RosterFull
+	}
+	return list, form, ordered || list.Whole || len(list.Lines) > 0 || list.Bad > 0
+}
+
+// failed says whether the watch is opened again from here, and after how long: longer from time to time, but at once
+// after silence, as what was missed is about to count as told.
+func (k *keeper) failed(silent bool) (again bool, after time.Duration) {
+	if k.waits.pushed && !silent {
+		after = time.Duration((1 + k.chance.Float64()) / 2 * float64(k.off))
+		k.off = min(2*k.off, k.waits.most)
+	}
+	return k.waits.pushed, after
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,9 +2,9 @@
 package roster
 
 import (
+	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,9 +18,6 @@
 	"lichenroad/relay"
 )
 
-// target is the path of the list.
-const target = "/api/targets"
-
 // Units are told of a list before the module is, on the loop: where each unit is, and which want nothing new.
 type Units interface {
 	Listed(id relay.UnitID, name, address string)
@@ -33,25 +30,34 @@
 	loop   *stage.Loop
 	reader *Reader
 	units  Units
+	seed   int64
 	at     *place
-	on     bool // the module wants the watch
+	on     bool // the watch is wanted
+	waits  waits
 }
 
-// New returns an asker; units are told of each list.
-func New(l *stage.Loop, address string, r *Reader, units Units) *Asker {
-	a := &Asker{loop: l, reader: r, units: units}
+// New returns an asker; units are told of each list. The seed spreads the calls of relays that run alike.
+func New(l *stage.Loop, address string, r *Reader, units Units, seed int64) *Asker {
+	a := &Asker{loop: l, reader: r, units: units, seed: seed, waits: usual(false, l.Site.Rules.DrainGrace)}
 	a.at = a.place(address)
 	return a
 }
 
 // Known hands over the list that the relay had last.
 func (a *Asker) Known(list List) {
-	a.at.version.Store(list.Generation)
+	a.at.keeper.version = list.Generation
 	a.loop.Post(told{a.at, list, relay.RosterCached})
 }
 
-// Start serves the module's orders until the program ends.
-func (a *Asker) Start() { a.at.start() }
+// Start serves the module's orders until the program ends. What an agent that pushes has counts as told from the
+// first moment, so clients wait a moment for it rather than be served by the list as last held.
+func (a *Asker) Start() {
+	a.at.start()
+	if a.waits.pushed {
+		a.Watch(true) // before the loop runs
+		a.loop.Post(stage.Call(func(l *stage.Loop) { l.At(l.Clock.Now()+a.waits.first.Seconds(), l.Open) }))
+	}
+}
 
 // Move goes over to another address, on the loop. What waits at the old one ends unsaid, and the list is asked
 // for whole: the generations there need not be those known here.
@@ -94,17 +100,17 @@
 	address string
 	watch   chan bool
 	fetch   chan struct{}
-	version atomic.Int64 // of the list that stands; -1: none
 	left    chan struct{}
 
-	mu   sync.Mutex
-	open map[netpoll.Connection]struct{}
+	mu     sync.Mutex
+	keeper *keeper
+	open   map[netpoll.Connection]struct{}
 }
 
 func (a *Asker) place(address string) *place {
 	p := &place{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
-		left: make(chan struct{}), open: map[netpoll.Connection]struct{}{}}
-	p.version.Store(-1)
+		left: make(chan struct{}), open: map[netpoll.Connection]struct{}{},
+		keeper: newKeeper(a.seed, a.waits)}
 	return p
 }
 
@@ -161,56 +167,75 @@
 
 // Take tells the connections to units, then the module.
 func (t told) Take(l *stage.Loop) {
-	if t.from != t.from.a.at {
+	a, failed := t.from.a, t.form == relay.RosterFailed || t.form == relay.RosterSilent
+	if t.from != a.at {
 		return // it crossed a move
 	}
+	if failed {
+		if a.waits.pushed {
+			l.Open() // an agent that is down tells nothing: the list as last held is all there is
+			return
+		}
+		l.Learn(relay.Roster{Form: t.form})
+		return
+	}
 	r := relay.Roster{Form: t.form}
-	listed, units := map[relay.UnitID]bool{}, t.from.a.units
+	listed := map[relay.UnitID]bool{}
 	for _, line := range t.list.Lines {
 		listed[line.Unit] = true
-		if line.State != relay.Gone {
-			units.Listed(line.Unit, line.Name, line.Address)
+		if line.State != relay.Gone && line.Address != "" {
+			a.units.Listed(line.Unit, line.Name, line.Address)
 		}
 		if line.State != relay.Ready {
-			units.Leaving(line.Unit, line.State == relay.Gone)
+			a.units.Leaving(line.Unit, line.State == relay.Gone)
 		}
 		r.Units = append(r.Units, line.UnitEntry)
 	}
-	if t.form == relay.RosterCached || t.form == relay.RosterFull {
-		units.Whole(func(id relay.UnitID) bool { return listed[id] })
+	if t.form != relay.RosterDelta {
+		a.units.Whole(func(id relay.UnitID) bool { return listed[id] })
 	}
 	if t.list.Bad > 0 {
 		l.Stats.Add(stats.BadInput, int64(t.list.Bad))
-		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": t.list.Bad}).Warn("entries left out")
+		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": t.list.Bad}).Warn("entries that can't be read")
+	}
+	l.Learn(r)
+	if !a.waits.pushed || t.form != relay.RosterCached {
+		l.Open()
 	}
-	l.Listed(r)
 }
 
 func (p *place) failed(why stats.Reason, err error) {
 	if p.isLeft() {
 		return
 	}
-	l := p.a.loop
+	l, form := p.a.loop, relay.RosterFailed
 	l.Stats.Add(stats.RosterFailed, 1)
+	if why == stats.ByLateAnswer {
+		form = relay.RosterSilent
+		l.Stats.Add(stats.RosterSilent, 1)
+	}
 	l.Log.WithFields(logrus.Fields{"peer": "roster", "reason": string(why)}).WithError(err).Warn("call failed")
-	l.Post(told{from: p, form: relay.RosterFailed})
+	l.Post(told{from: p, form: form})
 }
 
-// got passes a list on; a watch that brought nothing is not worth an event unless it answers an order.
-func (p *place) got(list List, answers bool) {
-	p.version.Store(list.Generation)
-	form := relay.RosterDelta
-	if list.Whole {
-		form = relay.RosterFull
-	}
-	if answers || list.Whole || len(list.Lines) > 0 || list.Bad > 0 {
+// got passes an answer on. Lists are handed over in the order of their versions, under one lock: a whole list that
+// crosses a watch's answer would else undo what that told.
+func (p *place) got(list List, ordered, fetched bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list, form, news := p.keeper.took(list, ordered, fetched); news {
 		p.a.loop.Post(told{p, list, form})
 	}
 }
 
-// watching makes one call after the other while the watch is on. Where a list is known the first waits too, as it
-// is answered at once if there is anything newer: a call before it that only asks for that would be one more for each
-// relay at a discovery which works through calls in turn and fails those that wait too long.
+// ask draws up the watch's next call.
+func (p *place) ask() request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keeper.next()
+}
+
+// watching makes one call after the other while the watch is on.
 func (p *place) watching() {
 	for {
 		var on bool
@@ -221,18 +246,14 @@
 		}
 		c := &call{p: p}
 		for first := true; on; first = false {
-			wait, path := time.Duration(0), target
-			if v := p.version.Load(); v >= 0 {
-				wait = limits.WatchFor
-				path = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, v, wait.Milliseconds())
-			}
-			list, why, err := c.get(path, wait)
+			list, why, err := c.get(p.ask())
 			if err != nil {
 				c.end(why)
 				p.failed(why, err)
-				break
+				on = p.again(why)
+				continue
 			}
-			p.got(list, first)
+			p.got(list, first, false)
 			select {
 			case on = <-p.watch:
 				first = on
@@ -243,6 +264,22 @@
 	}
 }
 
+// again says whether the watch goes on after a failure, when it is time to.
+func (p *place) again(why stats.Reason) bool {
+	p.mu.Lock()
+	again, after := p.keeper.failed(why == stats.ByLateAnswer)
+	p.mu.Unlock()
+	if !again {
+		return false
+	}
+	select {
+	case <-time.After(after):
+		return true
+	case <-p.left:
+		return false
+	}
+}
+
 func (p *place) fetching() {
 	for {
 		select {
@@ -251,16 +288,13 @@
 			return
 		}
 		c := &call{p: p}
-		list, why, err := c.get(target, 0)
+		list, why, err := c.get(p.keeper.whole())
 		if err != nil {
 			c.end(why)
 			p.failed(why, err)
 			continue
 		}
-		if list.Generation < p.version.Load() {
-			list = List{Generation: p.version.Load()} // the watch has told more meanwhile; this brings nothing new
-		}
-		p.got(list, true)
+		p.got(list, true, true)
 		c.end(stats.ByOrder)
 	}
 }
@@ -287,7 +321,7 @@
 }
 
 // get makes one call, on the connection that stands or on a new one. It is made once, whatever comes of it.
-func (c *call) get(path string, wait time.Duration) (List, stats.Reason, error) {
+func (c *call) get(r request) (List, stats.Reason, error) {
 	c.p.a.loop.Stats.Add(stats.RosterCalls, 1)
 	if c.net != nil && !c.net.IsActive() {
 		c.end(stats.ByPeer)
@@ -302,14 +336,10 @@
 		c.p.holds(n, true)
 	}
 	c.calls++
-	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, path))); err != nil {
+	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, r.path))); err != nil {
 		return List{}, stats.ByPeer, err
 	}
-	limit := limits.PlainFor
-	if wait > 0 {
-		limit = wait + limits.AnswerFor
-	}
-	resp, why, err := c.answer(time.Now().Add(limit))
+	resp, why, err := c.answer(time.Now().Add(r.limit))
 	if err != nil {
 		return List{}, why, err
 	}
@@ -335,9 +365,12 @@
 		if left <= 0 {
 			return resp, stats.ByLateAnswer, fmt.Errorf("no answer in time")
 		}
+		if resp.Begun() {
+			left = min(left, c.p.a.waits.rest) // one that stalls is as silent as one that never begins
+		}
 		c.net.SetReadTimeout(left)
 		if _, err := r.Peek(1); err != nil {
-			if time.Until(until) <= 0 {
+			if errors.Is(err, netpoll.ErrReadTimeout) {
 				return resp, stats.ByLateAnswer, err
 			}
 			if e := resp.End(); e != nil {
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,199 @@
+package roster
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+const (
+	patience = 10 * time.Second // that a test waits for what should come at once
+	short    = 20 * time.Millisecond
+)
+
+// service is a stand-in for discovery that hands each call over.
+type service struct {
+	t     *testing.T
+	ln    net.Listener
+	calls chan asked
+}
+
+// asked is a call that waits for its answer; each connection is numbered.
+type asked struct {
+	net.Conn
+	no   int
+	path string
+}
+
+func newService(t *testing.T) *service {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &service{t, ln, make(chan asked, 100)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for no := 0; ; no++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					s.calls <- asked{c, no, req.URL.String()}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *service) next() asked {
+	s.t.Helper()
+	select {
+	case c := <-s.calls:
+		return c
+	case <-time.After(patience):
+		s.t.Fatal("no call")
+		return asked{}
+	}
+}
+
+func (c asked) answer(body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func (c asked) fail() { io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") }
+
+func entry(lifecycle string) string {
+	return `{"instanceId":"s-1","hostPort":"127.0.0.1:9","lifecycle":"` + lifecycle + `"}`
+}
+
+func body(generation int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, generation, whole, strings.Join(entries, ","))
+}
+
+// heard is what reaches the module's side of an asker, and the connections to units.
+type heard struct {
+	t       *testing.T
+	loop    *stage.Loop
+	asker   *Asker
+	leaving int
+	open    bool
+	events  []relay.Roster
+}
+
+func (h *heard) Listed(relay.UnitID, string, string) {}
+func (h *heard) Leaving(relay.UnitID, bool)          { h.leaving++ }
+func (h *heard) Whole(func(relay.UnitID) bool)       {}
+
+func newHeard(t *testing.T, address string, pushed bool) *heard {
+	site := settings.Site{}
+	site.Settings.RosterOnAsk = !pushed
+	site.Settings.Relays = 1
+	site.Settings.Categories = make([]relay.CategoryTerms, 1)
+	site.Settings.Rules.DrainGrace = 0.25
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
+	h := &heard{t: t, loop: l}
+	h.asker = New(l, address, NewReader(nil, nil, func(s float64) relay.Seconds { return s }), h, 1)
+	l.WhenListed(func() { h.open = true })
+	return h
+}
+
+// brief shortens the waits, so that silence shows soon.
+func (h *heard) brief() *heard {
+	h.asker.waits.watch, h.asker.waits.answer, h.asker.waits.plain, h.asker.waits.rest = short, short, short, short
+	h.asker.at.keeper.waits = h.asker.waits
+	return h
+}
+
+// begin starts the asker with a list as last held.
+func (h *heard) begin() {
+	known, err := h.asker.reader.Parse([]byte(body(1, true, entry("SERVING"))))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.asker.Known(known)
+	h.asker.Start()
+	if !h.asker.waits.pushed {
+		h.asker.Watch(true)
+	}
+}
+
+// until takes what is posted up to a form of news, which it returns.
+func (h *heard) until(form relay.RosterForm) relay.Roster {
+	h.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, e := range h.loop.Pending() {
+			e.Take(h.loop)
+		}
+		for _, e := range h.loop.Learned() {
+			if r, ok := e.(relay.Roster); ok {
+				h.events = append(h.events, r)
+			}
+		}
+		for i, r := range h.events {
+			if r.Form == form {
+				h.events = h.events[i+1:]
+				return r
+			}
+		}
+	}
+	h.t.Fatalf("no news of form %d", form)
+	return relay.Roster{}
+}
+
+// TestSilentWatchIsOpenedAnew falls silent before an answer and within one, while a unit drains: the watch is given up,
+// and the next one, on a connection of its own, tells the drain.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	for _, pushed := range []bool{false} {
+		for name, silence := range map[string]string{"before": "", "within": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"gener"} {
+			t.Run(fmt.Sprint(name, " pushed ", pushed), func(t *testing.T) {
+				s := newService(t)
+				h := newHeard(t, s.ln.Addr().String(), pushed).brief()
+				h.begin()
+				first := s.next()
+				if !strings.Contains(first.path, "after=1&wait_ms=") {
+					t.Error(first.path)
+				}
+				io.WriteString(first, silence)
+				if !pushed {
+					h.until(relay.RosterSilent)
+					h.asker.Watch(true)
+				}
+				again := s.next()
+				if again.no == first.no || !strings.Contains(again.path, "after=1&") {
+					t.Errorf("asked again on connection %d, after %d: %s", again.no, first.no, again.path)
+				}
+				again.answer(body(2, false, entry("DRAINING")))
+				r := h.until(relay.RosterDelta)
+				if len(r.Units) != 1 || r.Units[0].State != relay.Draining || h.leaving == 0 {
+					t.Errorf("%+v, %d told to the connections", r, h.leaving)
+				}
+				if n := h.loop.Stats.Get(stats.RosterSilent); n == 0 {
+					t.Error("not counted")
+				}
+			})
+		}
+	}
+}
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -150,10 +150,9 @@
 	l.onList = append(l.onList, f)
 }
 
-// Listed hands a list to the module. Only on the loop.
-func (l *Loop) Listed(r relay.Roster) {
-	l.Learn(r)
-	if r.Form == relay.RosterFailed || l.listed {
+// Open begins service: a list of units stands that may be served by. Only on the loop.
+func (l *Loop) Open() {
+	if l.listed {
 		return
 	}
 	l.listed = true
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -178,11 +178,11 @@
 	l, _ := newLoop(t)
 	in := 0
 	l.WhenListed(func() { in++ })
-	l.Listed(relay.Roster{Form: relay.RosterFailed})
 	if in != 0 {
 		t.Error("let in without a list")
 	}
-	l.Listed(relay.Roster{Form: relay.RosterCached})
+	l.Open()
+	l.Open()
 	l.WhenListed(func() { in++ })
 	if in != 2 {
 		t.Errorf("let in %d times", in)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -46,6 +46,7 @@
 	MemosDropped
 	RosterCalls
 	RosterFailed
+	RosterSilent
 	BadInput
 	BoundConns
 	BoundBuffers
@@ -65,7 +66,7 @@
 	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", LegsReleased: "legs_released", Probes: "probes", Votes: "votes",
 	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMoot: "votes_moot", VotesMaybe: "votes_maybe_counted",
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
-	RosterCalls: "roster_calls", RosterFailed: "roster_failed", BadInput: "bad_input",
+	RosterCalls: "roster_calls", RosterFailed: "roster_failed", RosterSilent: "roster_silent", BadInput: "bad_input",
 	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
 	Reloads: "reloads", ReloadsRefused: "reloads_refused",
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -109,9 +109,10 @@
 	overShare  = 1.15 // times its share of traffic at which a customer counts as beyond it
 	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
-	watchRetry = 1.0  // s before a failed watch is asked for again, with as much jitter on top
-	forgetGone = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
-	watchWait  = 4.0  // s without any answer after which a call to the roster is made again
+	watchRetry  = 1.0  // s before a failed watch is asked for again, with as much jitter on top
+	silentRetry = 0.4  // s up to that while a watch that fell silent is not replaced: a fifth of its 2 s
+	forgetGone  = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
+	watchWait   = 4.0  // s without any answer after which a call to the roster is made again
 )
 
 // New returns the module of one relay, ready for its first Step.
@@ -144,13 +145,16 @@
 			r.ask()
 		}
 	case relay.Roster:
-		if n.Form == relay.RosterFailed {
-			// The notice doesn't say which call failed or whether the watch stands: ask again.
-			r.watched = false
-			r.askAt = r.p.now + watchRetry*(1+r.p.rng.Float64())
+		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
+			// A notice of failure doesn't say which call failed or whether the watch stands: ask again. What a
+			// silent watch missed, drains too, is about to count as told: ask at once, until an answer comes.
+			r.watched, r.silent = false, r.silent || n.Form == relay.RosterSilent
+			if r.askAt = r.p.now + watchRetry*(1+r.p.rng.Float64()); r.silent {
+				r.askAt = r.p.now + silentRetry*r.p.rng.Float64()
+			}
 			return
 		}
-		r.watched = r.watched || n.Form != relay.RosterCached
+		r.watched, r.silent = r.watched || n.Form != relay.RosterCached, false
 		r.merge(n)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -51,8 +51,8 @@
 					es[k].StartedAt = w.now - rapid.Float64Range(0, 6).Draw(t, "age")
 				}
 				form := rapid.SampledFrom([]relay.RosterForm{relay.RosterDelta, relay.RosterDelta, relay.RosterFull,
-					relay.RosterFailed}).Draw(t, "form")
-				if form == relay.RosterFailed {
+					relay.RosterFailed, relay.RosterSilent}).Draw(t, "form")
+				if form == relay.RosterFailed || form == relay.RosterSilent {
 					es = nil
 				}
 				events = append(events, relay.Roster{Form: form, Units: es})
@@ -796,3 +796,37 @@
 		}
 	}
 }
+
+// TestSilentWatchIsAskedForAtOnce tells of a silent watch, whose 2 s are nearly over, and has the calls behind it fail:
+// each is made anew within half a second. After any list a failure waits its second again.
+func TestSilentWatchIsAskedForAtOnce(t *testing.T) {
+	for seed := range int64(50) {
+		set := plainSettings()
+		set.RosterOnAsk = true
+		p, now := New(set, seed), relay.Seconds(0)
+		asks := func(events ...relay.Event) bool {
+			for _, o := range p.Step(now, events) {
+				if w, ok := o.(relay.Watch); ok && w.On {
+					return true
+				}
+			}
+			return false
+		}
+		after := func(form relay.RosterForm) (wait relay.Seconds) {
+			for asked := asks(relay.Roster{Form: form}); !asked; asked = asks(relay.Woken{ID: 1}) {
+				now, wait = now+tick, wait+tick
+			}
+			return wait
+		}
+		asks(relay.Roster{Form: relay.RosterFull, Units: entries(3, 1, 1)})
+		for _, form := range []relay.RosterForm{relay.RosterSilent, relay.RosterFailed, relay.RosterFailed} {
+			if wait := after(form); wait > 0.5 {
+				t.Errorf("seed %d: asked %v after news of form %d", seed, wait, form)
+			}
+		}
+		asks(relay.Roster{Form: relay.RosterDelta})
+		if wait := after(relay.RosterFailed); wait < watchRetry {
+			t.Errorf("seed %d: an overloaded discovery was asked again after %v", seed, wait)
+		}
+	}
+}
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -178,7 +178,7 @@
 		}
 	}
 	for id, u := range w.units {
-		if r.Form != relay.RosterDelta && r.Form != relay.RosterFailed && !listed[id] {
+		if (r.Form == relay.RosterCached || r.Form == relay.RosterFull) && !listed[id] {
 			if u.State == relay.Ready {
 				u.told = w.now
 			}
