Pushed lists are asked for by the relay itself, and clients wait for the first one

Cause: the settings' discovery may be automatic. The module is then promised changes that come by themselves and orders no watch (RosterOnAsk is false), while on sockets a list comes only to a relay that asks: such a relay never learned of a drain, a new unit or a new build, and served from its known list for good.

Change: the host keeps the promise. internal/roster opens the watch at the start and again whenever it ends: at once after silence, else within 0.4 of the drain grace, since what the agent has counts as told meanwhile. The module hears of no failure that it did not ask for. What the agent has counts from the first moment of a process, so clients wait for its first list, its first refusal or 1 s, whichever comes first, before they are taken in.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,12 +33,14 @@
 	seed   int64
 	at     *place
 	on     bool // the watch is wanted
-	waits  waits
+	// Where lists are pushed the module is promised changes that come by themselves, and orders no watch. On sockets
+	// a list comes to a watch alone, so the watch is this package's to keep.
+	waits waits
 }
 
 // New returns an asker; units are told of each list. The seed spreads the calls of relays that run alike.
 func New(l *stage.Loop, address string, r *Reader, units Units, seed int64) *Asker {
-	a := &Asker{loop: l, reader: r, units: units, seed: seed, waits: usual(false, l.Site.Rules.DrainGrace)}
+	a := &Asker{loop: l, reader: r, units: units, seed: seed, waits: usual(!l.Site.RosterOnAsk, l.Site.Rules.DrainGrace)}
 	a.at = a.place(address)
 	return a
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -164,13 +164,17 @@
 }
 
 // TestSilentWatchIsOpenedAnew falls silent before an answer and within one, while a unit drains: the watch is given up,
-// and the next one, on a connection of its own, tells the drain.
+// and the next one, on a connection of its own, tells the drain. Where lists are pushed nobody orders that.
 func TestSilentWatchIsOpenedAnew(t *testing.T) {
-	for _, pushed := range []bool{false} {
+	for _, pushed := range []bool{false, true} {
 		for name, silence := range map[string]string{"before": "", "within": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"gener"} {
 			t.Run(fmt.Sprint(name, " pushed ", pushed), func(t *testing.T) {
 				s := newService(t)
 				h := newHeard(t, s.ln.Addr().String(), pushed).brief()
+				if silence != "" {
+					h.asker.waits.watch = 3 * patience // one that stalls is not waited for to the end
+					h.asker.at.keeper.waits = h.asker.waits
+				}
 				h.begin()
 				first := s.next()
 				if !strings.Contains(first.path, "after=1&wait_ms=") {
@@ -197,3 +201,59 @@
 		}
 	}
 }
+
+// TestPushedListsComeUnordered starts where lists are pushed: the watch stands without an order, it outlives refusals
+// and a lost connection, none of which the module hears of, and clients wait for the first list.
+func TestPushedListsComeUnordered(t *testing.T) {
+	s := newService(t)
+	h := newHeard(t, s.ln.Addr().String(), true)
+	h.asker.waits.first = patience
+	h.begin()
+	first := s.next()
+	h.until(relay.RosterCached)
+	if h.open {
+		t.Error("served by the list as last held, though the agent has a newer one")
+	}
+	first.answer(body(2, false, entry("DRAINING")))
+	if h.until(relay.RosterDelta); !h.open {
+		t.Error("not served by the agent's list")
+	}
+	s.next().fail()
+	s.next().Close()
+	s.next().answer(body(3, false, entry("SERVING")))
+	if r := h.until(relay.RosterDelta); r.Units[0].State != relay.Ready {
+		t.Errorf("%+v", r)
+	}
+	for _, r := range h.events {
+		if r.Form == relay.RosterFailed || r.Form == relay.RosterSilent {
+			t.Error("the module, which asked nothing, was told of a failure")
+		}
+	}
+}
+
+// TestClientsDoNotWaitForAnAgentThatIsDown lets them in at its first refusal, and where it says nothing, after a moment.
+func TestClientsDoNotWaitForAnAgentThatIsDown(t *testing.T) {
+	for name, silent := range map[string]bool{"refuses": false, "says nothing": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t)
+			h := newHeard(t, s.ln.Addr().String(), true)
+			h.asker.waits.first = patience
+			if silent {
+				h.asker.waits.first = short
+			}
+			h.begin()
+			c := s.next()
+			if !silent {
+				c.fail()
+			}
+			stop := make(chan struct{})
+			h.loop.WhenListed(func() { close(stop) })
+			go h.loop.Run(stop)
+			select {
+			case <-stop:
+			case <-time.After(patience):
+				t.Error("clients wait on")
+			}
+		})
+	}
+}
