At a move of discovery the old watch goes on until the new address has told something

Need: at SIGHUP the watch at the old address was ended at once and what it had told but not been taken was dropped (told.Take, 'it crossed a move'), though a change counts as told when it is written. Whole lists for a fleet take discovery seconds at such a moment, in which the relay heard nothing; the old address keeps its open connections for 1.5 s.

Change: the place before a move is kept until the first list of the new one: its lists are taken, its end is no failure, and it is left then. Lists are asked for whole at the new address, as before.

Checked: TestMoveKeepsTheOldWatchUntilTheNewOneAnswers, in ask and in pushed mode, fails without it.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,7 +32,8 @@
 	units  Units
 	seed   int64
 	at     *place
-	on     bool // the watch is wanted
+	before *place // the address before a move, up to the first list of the new one; nil: none
+	on     bool   // the watch is wanted
 	// Where lists are pushed the module is promised changes that come by themselves, and orders no watch. On sockets
 	// a list comes to a watch alone, so the watch is this package's to keep.
 	waits waits
@@ -61,14 +62,17 @@
 	}
 }
 
-// Move goes over to another address, on the loop. What waits at the old one ends unsaid, and the list is asked
-// for whole: the generations there need not be those known here.
+// Move goes over to another address, on the loop. The list is asked for whole there, as the generations need not be
+// those known here. Up to its first answer the watch at the old address goes on: what is written there is told. It
+// ends unsaid.
 func (a *Asker) Move(address string) {
 	if a.at.address == address {
 		return
 	}
-	a.at.leave()
-	a.at = a.place(address)
+	if a.before != nil {
+		a.before.leave()
+	}
+	a.before, a.at = a.at, a.place(address)
 	a.at.start()
 	if a.on {
 		a.Watch(true)
@@ -77,6 +81,14 @@
 	}
 }
 
+// moved ends what is left at the address before a move.
+func (a *Asker) moved() {
+	if a.before != nil {
+		a.before.leave()
+		a.before = nil
+	}
+}
+
 // Watch orders the watch on or off; the last order holds.
 func (a *Asker) Watch(on bool) {
 	a.on = on
@@ -170,8 +182,17 @@
 // Take tells the connections to units, then the module.
 func (t told) Take(l *stage.Loop) {
 	a, failed := t.from.a, t.form == relay.RosterFailed || t.form == relay.RosterSilent
-	if t.from != a.at {
-		return // it crossed a move
+	switch {
+	case t.from == a.at:
+		if !failed {
+			a.moved()
+		}
+	case t.from == a.before && !failed: // the new address has told nothing yet, so this still holds
+	case t.from == a.before:
+		a.moved()
+		return
+	default:
+		return // it crossed a move, and the new address has told more
 	}
 	if failed {
 		if a.waits.pushed {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -257,3 +257,39 @@
 		})
 	}
 }
+
+// TestMoveKeepsTheOldWatchUntilTheNewOneAnswers moves discovery: what the old address writes meanwhile is told, what it
+// writes after the new one's first answer is not, and its end is no failure.
+func TestMoveKeepsTheOldWatchUntilTheNewOneAnswers(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		t.Run(fmt.Sprint("pushed ", pushed), func(t *testing.T) {
+			old, fresh := newService(t), newService(t)
+			h := newHeard(t, old.ln.Addr().String(), pushed)
+			h.begin()
+			watch := old.next()
+			h.until(relay.RosterCached)
+			h.asker.Move(fresh.ln.Addr().String())
+			whole := fresh.next()
+			if whole.path != target {
+				t.Error("not asked for whole:", whole.path)
+			}
+			watch.answer(body(2, false, entry("DRAINING")))
+			if r := h.until(relay.RosterDelta); r.Units[0].State != relay.Draining {
+				t.Errorf("%+v", r)
+			}
+			watch = old.next()
+			whole.answer(body(40, true, entry("DELETED")))
+			h.until(relay.RosterFull)
+			watch.SetReadDeadline(time.Now().Add(patience))
+			if _, err := watch.Read(make([]byte, 1)); err != io.EOF {
+				t.Error("the old watch is kept:", err)
+			}
+			next := fresh.next()
+			next.answer(body(41, false, entry("SERVING")))
+			h.until(relay.RosterDelta)
+			if len(h.events) != 0 || h.loop.Stats.Get(stats.RosterFailed) != 0 {
+				t.Errorf("%+v, %d failures", h.events, h.loop.Stats.Get(stats.RosterFailed))
+			}
+		})
+	}
+}
