A list of over a megabyte is read, and a thousand relays and units fit the smallest limits

Need: no cap below 1,024 entries on lists of relays or units. A body of discovery could have 1 MiB, which 1,024 indented entries with names of 800 characters exceed: the call failed for good and the relay served nobody. Of two units with one mark (24 bits of the id; 3 in 100 fleets of 1,024 have such a pair) the second stayed unknown to memos after the first was forgotten.

Change: httpwire.MaxBody is 4 MiB, 4 KB an entry; a mark that falls vacant goes to the other unit that has it.

--- /dev/null
+++ b/cmd/lichenroad/size_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"lichenroad/internal/config"
+	"lichenroad/internal/stats"
+)
+
+// TestThousandRelaysAndUnits starts a relay with 1,024 peers and an indented list of 1,024 units with long names, of
+// over a megabyte, within the smallest limits, and has it serve. A delta that drains half of the units holds at once:
+// neither idle connections nor new ones carry another query there.
+func TestThousandRelaysAndUnits(t *testing.T) {
+	const count, stood = 1024, 8
+	var units []*unit
+	for range stood {
+		units = append(units, newUnit(t, always(honour)))
+	}
+	list := func(generation int, whole bool, lifecycle string, from, to int) []byte {
+		var entries []map[string]any
+		for i := from; i < to; i++ {
+			entries = append(entries, map[string]any{"instanceId": fmt.Sprintf("s-%d-%s", i, strings.Repeat("x", 800)),
+				"hostPort": units[i*stood/count].address(), "zone": "a", "machineType": "m1", "cell": i % 8,
+				"lifecycle": lifecycle, "weight": 1, "startedAtMs": 0, "build": 1})
+		}
+		raw, err := json.MarshalIndent(map[string]any{"generation": generation, "reset": whole, "instances": entries}, "", "    ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	whole := list(1, true, "SERVING", 0, count)
+	if len(whole) < 1<<20 {
+		t.Fatalf("a list of %d bytes", len(whole))
+	}
+	drain := make(chan struct{})
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.FormValue("after") {
+		case "":
+			w.Write(whole)
+			return
+		case "1":
+			select {
+			case <-drain:
+				w.Write(list(2, false, "DRAINING", 0, count/2))
+				return
+			case <-r.Context().Done():
+			}
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	f := &fleet{srv: discovery}
+	p := running(t, f, func(c *config.Config) {
+		c.Known, c.MemoryMB, c.Sockets, c.PeerListen = nil, 32, 256, "127.0.0.1:0"
+		for i := range count {
+			c.Peers = append(c.Peers, fmt.Sprintf("127.0.%d.%d:9", 1+i/256, i%256))
+		}
+		c.PeersAll, c.Site.Settings.Relays, c.Site.Settings.Limits.Messages = "127.0.9.9:9", count, true
+	})
+	c := dialClient(t, p)
+	c.until('Z')
+	ask := func(queries int) {
+		for range queries {
+			c.send(read("look", 1500))
+			if v, code := c.answer(); v == "" {
+				t.Fatalf("not served: %s", code)
+			}
+		}
+	}
+	ask(200)
+	asked := func(from, to int) (n int) {
+		for _, u := range units[from:to] {
+			k, _ := u.count()
+			n += k
+		}
+		return n
+	}
+	if asked(0, stood/2) == 0 || asked(stood/2, stood) == 0 {
+		t.Error("half of the fleet got nothing")
+	}
+	close(drain)
+	settled(t, p, stats.RosterCalls, 3) // the next call of the watch follows the delta
+	c.send(";")                         // and this answer follows what the loop had then
+	for range 2 {
+		c.until('Z')
+		c.send(";")
+	}
+	c.until('Z')
+	before := asked(0, stood/2)
+	ask(200)
+	if after := asked(0, stood/2); after != before {
+		t.Errorf("%d queries went to units told as draining", after-before)
+	}
+	sums(t, p)
+}
+
+// TestThousandPeersInTheFile reads a configuration with as many peers and known units as a large fleet has.
+func TestThousandPeersInTheFile(t *testing.T) {
+	var peers []string
+	for i := range 1024 {
+		peers = append(peers, fmt.Sprintf("10.3.%d.%d:7946", i/256, i%256))
+	}
+	raw, _ := json.Marshal(peers)
+	c, err := config.Parse([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","peers":%s,"settings":%s}`,
+		raw, testSettings)), func(string) string { return "" })
+	if err != nil || len(c.Peers) != 1024 {
+		t.Errorf("%d peers: %v", len(c.Peers), err)
+	}
+}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -12,7 +12,7 @@
 // Bounds of an answer, in bytes.
 const (
 	MaxHead = 16 << 10 // status line and header fields, also of trailers
-	MaxBody = 1 << 20  // a list of some thousand units
+	MaxBody = 4 << 20  // a list of a thousand units at 4 KB each, indented and with long names
 )
 
 // Complaints about an answer.
--- /dev/null
+++ b/policy/size_test.go
@@ -0,0 +1,120 @@
+package policy
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+// large is a relay of a large fleet under load: one that fuses, and so hears of the legs of all others, while a build
+// stands beside the earlier one. It returns what lets it go on for so long.
+func large(t interface{ Fatalf(string, ...any) }, units, relays int) (w *world, goOn func(relay.Seconds)) {
+	set := plainSettings()
+	set.Relays = relays
+	w = newWorld(t, set)
+	w.ended = func(_ *wQuery, l *wLeg) relay.Outcome {
+		l.end = w.now + 0.15
+		return relay.Honoured
+	}
+	es := append(entries(units/2, 1, 1), entries(units-units/2, 2, 1+units/2)...)
+	w.step(relay.Roster{Form: relay.RosterFull, Units: es},
+		relay.StageNews{Valid: true, Build: 2, Stage: 1, Phase: relay.OnTrial, Cap: 0.4})
+	no := 0
+	return w, func(span relay.Seconds) {
+		w.run(span, func() (out []relay.Event) { // 30 queries a second, and every relay's memo once a second
+			if no%3 == 0 {
+				out = append(out, w.query(relay.Category(no%2), 0))
+			}
+			for i := no % 100; i < relays; i += 100 {
+				m := memo{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
+				for k := range 4 {
+					m.seen = append(m.seen, sighting{unit: markOf(es[(i*7+no+k*units/3)%units].Unit), how: relay.Honoured,
+						newest: k%2 == 0, pace: 1})
+				}
+				if i != int(set.Self) {
+					out = append(out, relay.Heard{From: relay.RelayNo(i), Body: m.encode()})
+				}
+			}
+			no++
+			return out
+		})
+	}
+}
+
+// TestLargeFleetFitsTheMemory holds the module of the busiest relay, a fuser, to a third of the smallest limit's heap.
+func TestLargeFleetFitsTheMemory(t *testing.T) {
+	const most = 8 << 20 // bytes: of 32 MB, a quarter is buffers and 10 MB the program itself
+	for _, n := range []int{150, 350, 1024} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		w, goOn := large(t, n, n)
+		goOn(15)
+		w.queries, w.sent, w.taken, w.onTrial = nil, nil, nil, nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		got := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+		t.Logf("%d units, %d relays: %.1f MB", n, n, float64(got)/(1<<20))
+		if got > most {
+			t.Errorf("%d units and relays: %d bytes", n, got)
+		}
+		runtime.KeepAlive(w.mod)
+	}
+}
+
+// BenchmarkLargeFleet is the cost of one second of a fuser's life: 30 queries, a memo from each relay, 20 ticks.
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, n := range []int{10, 60, 150, 350, 1024} {
+		b.Run(fmt.Sprintf("units=%d", n), func(b *testing.B) {
+			_, goOn := large(b, n, n)
+			goOn(12)
+			b.ResetTimer()
+			b.ReportAllocs()
+			for range b.N {
+				goOn(1)
+			}
+		})
+	}
+}
+
+// TestMarksThatAreAlike gives two units one mark, as may be in a large fleet: what others tell goes to the first that
+// stands, and to the second when the first is forgotten.
+func TestMarksThatAreAlike(t *testing.T) {
+	first, second := relay.UnitID(1), relay.UnitID(0)
+	seen := map[mark]relay.UnitID{}
+	for id := relay.UnitID(1); second == 0; id++ {
+		if other, twice := seen[markOf(id)]; twice {
+			first, second = other, id
+		}
+		seen[markOf(id)] = id
+	}
+	p := New(plainSettings(), 1)
+	es := entries(2, 1, 1)
+	es[0].Unit, es[1].Unit = first, second
+	p.Step(0, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es}})
+	if u := p.roster.byMark[markOf(second)]; u == nil || u.id != first {
+		t.Fatalf("%+v", u)
+	}
+	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es[1:]}})
+	p.Step(2+forgetGone, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es[1:]}})
+	if u := p.roster.byMark[markOf(second)]; len(p.roster.units) != 1 || u == nil || u.id != second {
+		t.Errorf("%d units, mark at %+v", len(p.roster.units), u)
+	}
+}
+
+// TestBareEntryKeepsWhatIsKnown drains a unit by an entry of which nothing but that could be read.
+func TestBareEntryKeepsWhatIsKnown(t *testing.T) {
+	p := New(plainSettings(), 1)
+	es := entries(2, 7, 1)
+	p.Step(0, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es}})
+	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterDelta, Units: []relay.UnitEntry{
+		{Unit: 2, State: relay.Draining, Bare: true}, {Unit: 3, State: relay.Draining, Bare: true}}}})
+	if u := p.roster.byID[2]; u.State != relay.Draining || u.Build != 7 || u.Zone != es[1].Zone {
+		t.Errorf("%+v", u.UnitEntry)
+	}
+	if p.roster.byID[1].State != relay.Ready || p.roster.byID[3].State != relay.Draining {
+		t.Error("another unit's entry was touched, or an unknown one's lost")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 
 	"lichenroad/relay"
@@ -402,12 +403,13 @@
 // forget drops units that have been gone for long and hold nothing: with releases every day, machines come and go
 // for as long as a relay lives.
 func (r *roster) forget() {
-	kept := r.units[:0]
+	kept, vacant := r.units[:0], []mark(nil)
 	for _, u := range r.units {
 		if u.met && u.State == relay.Gone && u.open == 0 && r.p.now-u.goneAt > forgetGone {
 			delete(r.byID, u.id)
 			if m := markOf(u.id); r.byMark[m] == u {
 				delete(r.byMark, m)
+				vacant = append(vacant, m)
 			}
 			continue
 		}
@@ -415,6 +417,11 @@
 	}
 	clear(r.units[len(kept):])
 	r.units = kept
+	for _, m := range vacant { // another unit may have the same mark, and has been behind this one so far
+		if i := slices.IndexFunc(kept, func(u *unit) bool { return markOf(u.id) == m }); i >= 0 {
+			r.byMark[m] = kept[i]
+		}
+	}
 }
 
 // limit returns the exposure kept for a build, started when the build is first met.
