A stage whose units nobody lists casts doubt on the watch, which is opened anew

Change: the module knows from the platform that a stage began. Where its units are not listed 3 s later (listedLag), it orders the watch anew once, each tick by chance, so that a fleet's calls spread over some seconds; the roster gives the waiting call up and makes another on a new connection.

Checked: TestStageNobodyListsCastsDoubtOnTheWatch, TestWatchIsOpenedAnewByOrder, TestSilentWatchIsAskedForAtOnce.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,7 +57,7 @@
 func (a *Asker) Start() {
 	a.at.start()
 	if a.waits.pushed {
-		a.Watch(true) // before the loop runs
+		a.Watch(true, false) // before the loop runs
 		a.loop.Post(stage.Call(func(l *stage.Loop) { l.At(l.Clock.Now()+a.waits.first.Seconds(), l.Open) }))
 	}
 }
@@ -75,7 +75,7 @@
 	a.before, a.at = a.at, a.place(address)
 	a.at.start()
 	if a.on {
-		a.Watch(true)
+		a.Watch(true, false)
 	} else {
 		a.Fetch()
 	}
@@ -89,9 +89,13 @@
 	}
 }
 
-// Watch orders the watch on or off; the last order holds.
-func (a *Asker) Watch(on bool) {
-	a.on = on
+// Watch orders the watch on or off; the last order holds. Anew, a call that waits is given up for a new one, as it may
+// have fallen silent; where none waits the next one is new anyway.
+func (a *Asker) Watch(on, anew bool) {
+	if a.on = on; anew && on {
+		a.at.renew()
+		return
+	}
 	select {
 	case <-a.at.watch:
 	default:
@@ -116,9 +120,11 @@
 	fetch   chan struct{}
 	left    chan struct{}
 
-	mu     sync.Mutex
-	keeper *keeper
-	open   map[netpoll.Connection]struct{}
+	mu      sync.Mutex
+	waiting netpoll.Connection // of the watch, while its call waits
+	anew    bool               // that call is given up by order
+	keeper  *keeper
+	open    map[netpoll.Connection]struct{}
 }
 
 func (a *Asker) place(address string) *place {
@@ -251,6 +257,25 @@
 	}
 }
 
+// renew gives up the call of the watch that waits.
+func (p *place) renew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, stands := p.open[p.waiting]; stands && !p.anew {
+		p.anew = true
+		shut(p.waiting)
+	}
+}
+
+// waits notes the connection on which the watch's call waits, or that it does no longer; it says whether the call was
+// given up by order.
+func (p *place) waits(n netpoll.Connection) (anew bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	anew, p.waiting, p.anew = p.anew, n, false
+	return anew
+}
+
 // ask draws up the watch's next call.
 func (p *place) ask() request {
 	p.mu.Lock()
@@ -267,9 +292,13 @@
 		case <-p.left:
 			return
 		}
-		c := &call{p: p}
+		c := &call{p: p, waits: p.waits}
 		for first := true; on; first = false {
 			list, why, err := c.get(p.ask())
+			if p.waits(nil) && err != nil {
+				c.end(stats.ByNewer)
+				continue
+			}
 			if err != nil {
 				c.end(why)
 				p.failed(why, err)
@@ -328,6 +357,7 @@
 	net   netpoll.Connection
 	begun time.Time
 	calls int
+	waits func(netpoll.Connection) bool // told of the connection when a call goes out on it; may be nil
 }
 
 func (c *call) end(why stats.Reason) {
@@ -359,6 +389,9 @@
 		c.p.holds(n, true)
 	}
 	c.calls++
+	if c.waits != nil {
+		c.waits(c.net)
+	}
 	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, r.path))); err != nil {
 		return List{}, stats.ByPeer, err
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -136,7 +136,7 @@
 	h.asker.Known(known)
 	h.asker.Start()
 	if !h.asker.waits.pushed {
-		h.asker.Watch(true)
+		h.asker.Watch(true, false)
 	}
 }
 
@@ -183,7 +183,7 @@
 				io.WriteString(first, silence)
 				if !pushed {
 					h.until(relay.RosterSilent)
-					h.asker.Watch(true)
+					h.asker.Watch(true, false)
 				}
 				again := s.next()
 				if again.no == first.no || !strings.Contains(again.path, "after=1&") {
@@ -293,3 +293,26 @@
 		})
 	}
 }
+
+// TestWatchIsOpenedAnewByOrder has the module doubt a watch that stands: another call goes out at once, on a connection
+// of its own, and the end of the first is no failure.
+func TestWatchIsOpenedAnewByOrder(t *testing.T) {
+	s := newService(t)
+	h := newHeard(t, s.ln.Addr().String(), false)
+	h.begin()
+	first := s.next()
+	h.asker.Watch(true, true)
+	again := s.next()
+	if again.no == first.no || !strings.Contains(again.path, "after=1&") {
+		t.Errorf("connection %d after %d: %s", again.no, first.no, again.path)
+	}
+	again.answer(body(2, false, entry("DRAINING")))
+	h.until(relay.RosterDelta)
+	s.next()
+	h.asker.Watch(true, true)
+	s.next().Close() // this one was not given up
+	h.until(relay.RosterFailed)
+	if n := h.loop.Stats.Get(stats.RosterFailed); n != 1 {
+		t.Errorf("%d failures", n)
+	}
+}
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -44,7 +44,7 @@
 		CloseIdle(relay.UnitID)
 	}
 	Roster interface {
-		Watch(on bool)
+		Watch(on, anew bool) // anew: a watch that stands is given up for a new one
 		Fetch()
 	}
 	Platform interface{ Vote(relay.Vote) }
@@ -249,7 +249,7 @@
 			l.Platform.Vote(o)
 		}
 	case relay.Watch:
-		l.Roster.Watch(o.On)
+		l.Roster.Watch(o.On, o.Anew)
 	case relay.Fetch:
 		l.Roster.Fetch()
 	case relay.Log:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,9 +110,11 @@
 	fullDenial = 0.8  // part of the limit from which a query turned away by a full unit is not sent on
 
 	watchRetry  = 1.0  // s before a failed watch is asked for again, with as much jitter on top
+	askPart     = 0.25 // of the time to which a relay with no watch is held, at most the same
 	silentRetry = 0.4  // s up to that while a watch that fell silent is not replaced: a fifth of its 2 s
 	forgetGone  = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
 	watchWait   = 4.0  // s without any answer after which a call to the roster is made again
+	doubtSpread = 2.0  // s on average in which the relays of a fleet open anew a watch that they doubt
 )
 
 // New returns the module of one relay, ready for its first Step.
@@ -133,28 +135,36 @@
 }
 
 func (r *roster) ask() {
-	r.asked, r.askAt = r.p.now, 0
+	r.askAt = r.p.now + watchWait
 	r.p.do(relay.Watch{On: true})
 }
 
 func (r *roster) take(n note) {
 	switch n := n.(type) {
 	case noteTick:
-		late := !r.watched && r.askAt == 0 && r.p.now-r.asked > watchWait
-		if r.p.set.RosterOnAsk && (late || r.askAt > 0 && r.p.now >= r.askAt) {
+		t := &r.p.trial
+		if r.p.set.RosterOnAsk && r.p.now >= r.askAt {
 			r.ask()
+		} else if r.askAt == never && t.known && !t.doubted && t.listedAt == 0 && t.news.Phase == relay.OnTrial &&
+			r.p.now-t.since > listedLag && r.p.rng.Float64() < tick/doubtSpread {
+			// A stage whose units nobody lists: a silent watch shows in nothing else until its wait is over.
+			t.doubted = true
+			r.p.do(relay.Watch{On: true, Anew: true})
 		}
 	case relay.Roster:
 		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
 			// A notice of failure doesn't say which call failed or whether the watch stands: ask again. What a
 			// silent watch missed, drains too, is about to count as told: ask at once, until an answer comes.
-			r.watched, r.silent = false, r.silent || n.Form == relay.RosterSilent
-			if r.askAt = r.p.now + watchRetry*(1+r.p.rng.Float64()); r.silent {
+			r.silent = r.silent || n.Form == relay.RosterSilent
+			wait := math.Min(watchRetry, askPart*r.p.set.Rules.AskEvery)
+			if r.askAt = r.p.now + wait*(1+r.p.rng.Float64()); r.silent {
 				r.askAt = r.p.now + silentRetry*r.p.rng.Float64()
 			}
 			return
 		}
-		r.watched, r.silent = r.watched || n.Form != relay.RosterCached, false
+		if n.Form != relay.RosterCached {
+			r.askAt, r.silent = never, false
+		}
 		r.merge(n)
 	}
 }
@@ -572,7 +582,7 @@
 
 func (t *trial) hear(n relay.StageNews) {
 	if !t.known || n.Build != t.news.Build || n.Stage != t.news.Stage || n.Phase != t.news.Phase {
-		t.listedAt = 0
+		t.listedAt, t.doubted = 0, false
 		if t.p.set.Self == 0 {
 			t.p.do(relay.Log{Line: fmt.Sprintf("build %d stage %d phase %d", n.Build, n.Stage, n.Phase)})
 		}
@@ -605,12 +615,10 @@
 // name yet counts as in the first stage.
 func (t *trial) capOf(b relay.Build) (cap float64, stage relay.Stage, onTrial bool) {
 	switch {
-	case !t.known || b < t.news.Build:
+	case !t.known || b < t.news.Build || b == t.news.Build && t.news.Phase == relay.Released:
 		return 1, 0, false
 	case b > t.news.Build:
 		return t.limit(b).cap, 0, true
-	case t.news.Phase == relay.Released:
-		return 1, 0, false
 	}
 	return t.news.Cap, t.news.Stage, true
 }
@@ -855,12 +863,9 @@
 // Slowness is held against what the earlier machines showed in the same moments: an hour that turns slow
 // while more and more legs go to the newest build is not the build's fault.
 func flagged(newer, before counts, pooled bool) bool {
-	if pooled {
-		if worse(newer, before, figFailed, poolPoints, poolOutcomes, true) {
-			return true
-		}
-	} else if worse(newer, before, figFailed, flagPoints, flagOutcomes, false) ||
-		worse(newer, before, figLate, flagPoints, flagOutcomes, false) {
+	if pooled && worse(newer, before, figFailed, poolPoints, poolOutcomes, true) ||
+		!pooled && (worse(newer, before, figFailed, flagPoints, flagOutcomes, false) ||
+			worse(newer, before, figLate, flagPoints, flagOutcomes, false)) {
 		return true
 	}
 	m, err := newer.mean(figMatched)
@@ -926,10 +931,7 @@
 // find, and by its own legs where it hears none. A fuser tells every relay.
 func (f *fuser) look() {
 	t := &f.p.trial
-	f.fusing = false
-	for _, no := range f.set() {
-		f.fusing = f.fusing || no == f.p.set.Self
-	}
+	f.fusing = slices.Contains(f.set(), f.p.set.Self)
 	want := relay.Vote{Build: t.news.Build, Stage: t.news.Stage}
 	votes, found := f.count(want)
 	if f.fusing || found == 0 {
@@ -1042,9 +1044,8 @@
 	case r.Control == relay.Clock && (pooled < leastCount || late) &&
 		f.p.now-t.since < r.StepTime+extraWait:
 		return relay.VoteHold
-	case r.Control == relay.Clock || t.listedAt == 0 || late:
-		return relay.NoVote
-	case t.ripe() && (age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount):
+	case r.Control != relay.Clock && t.listedAt != 0 && !late && t.ripe() &&
+		(age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount):
 		return relay.VoteOn
 	}
 	return relay.NoVote
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -828,5 +828,45 @@
 		if wait := after(relay.RosterFailed); wait < watchRetry {
 			t.Errorf("seed %d: an overloaded discovery was asked again after %v", seed, wait)
 		}
+		asks(relay.Roster{Form: relay.RosterDelta})
+		p.set.Rules.AskEvery = 0.5 // what a relay with no watch is held to is half a second old at most
+		if wait := after(relay.RosterFailed); wait > 0.4 {
+			t.Errorf("seed %d: held to a list of half a second, asked again after %v", seed, wait)
+		}
+	}
+}
+
+// TestStageNobodyListsCastsDoubtOnTheWatch tells of a stage whose units are not listed: relays open their watches anew,
+// once each and not together, and none does where they are.
+func TestStageNobodyListsCastsDoubtOnTheWatch(t *testing.T) {
+	const relays = 100
+	for _, listed := range []bool{false, true} {
+		anew, at := 0, map[int]int{}
+		for seed := range int64(relays) {
+			p := New(plainSettings(), seed)
+			p.Step(0, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: entries(20, 1, 1)},
+				relay.StageNews{Valid: true, Build: 2, Phase: relay.OnTrial, Cap: 0.1}})
+			for now := relay.Seconds(0); now < 15; now += tick {
+				events := []relay.Event{relay.Woken{ID: 1}}
+				if listed && now > 2 {
+					events = append(events, relay.Roster{Form: relay.RosterDelta, Units: entries(5, 2, 21)})
+				}
+				for _, o := range p.Step(now, events) {
+					if w, ok := o.(relay.Watch); ok && w.Anew {
+						anew++
+						at[int(now)]++
+					}
+				}
+			}
+		}
+		most := 0
+		for second, n := range at {
+			if most = max(most, n); second < int(listedLag) {
+				t.Error("doubted before its units could be listed")
+			}
+		}
+		if listed && anew > 0 || !listed && (anew < relays*9/10 || anew > relays || most > relays/2) {
+			t.Errorf("listed %v: %d times, %d in one second", listed, anew, most)
+		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -253,16 +253,17 @@
 
 // roster keeps the list of units and the watch on it.
 type roster struct {
-	p       *Policy
-	byID    map[relay.UnitID]*unit
-	byMark  map[mark]*unit
-	units   []*unit // all ever listed, by id
-	watched bool
-	silent  bool // the last watch fell silent, and nothing has come since
-	asked   relay.Seconds
-	askAt   relay.Seconds // when to ask again after a failure; 0: no need
+	p      *Policy
+	byID   map[relay.UnitID]*unit
+	byMark map[mark]*unit
+	units  []*unit       // all ever listed, by id
+	silent bool          // the last watch fell silent, and nothing has come since
+	askAt  relay.Seconds // when to ask again; never: an answer has come, so the watch stands
 }
 
+// never is a time that does not come.
+const never = relay.Seconds(math.MaxFloat64)
+
 // unit is one server as this relay sees it.
 type unit struct {
 	p  *Policy
@@ -326,6 +327,7 @@
 	offered  relay.Seconds // when the newest build was first heard of; 0: before this relay began
 	cycle    relay.Seconds // from the build before to that
 	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
+	doubted  bool          // the watch was opened anew as they were not
 	limits   []*exposure
 	scope    relay.Scope
 	scoped   bool                      // a scope was told
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -372,7 +372,7 @@
 			{Repeat: relay.AtMostOnce, DueTime: 1, Patience: 4, Value: 3}},
 		Limits: relay.Limits{MaxLegs: 3, Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 1,
 			Messages: true},
-		Rules: relay.Rules{AnswerSlack: 0.02, DrainGrace: 0.25, ColdFrom: 0.4, WarmUp: 4, FallMultiple: 2.5, FallTime: 2},
+		Rules: relay.Rules{AnswerSlack: 0.02, DrainGrace: 0.25, AskEvery: 10, ColdFrom: 0.4, WarmUp: 4, FallMultiple: 2.5, FallTime: 2},
 		Rollout: relay.Rollout{Caps: []float64{0.1, 0.4, 1, 1}, StageShares: []float64{0.05, 0.2, 0.5, 1},
 			Uncounted: 1, Window: 2, VotesOn: 1, VotesBack: 1, VoteLife: 10, CallTimeout: 1, VotesPerSec: 50,
 			LeastTime: 2}}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,7 +103,7 @@
 type Rules struct {
 	AnswerSlack  Seconds
 	DrainGrace   Seconds
-	AskEvery     Seconds
+	AskEvery     Seconds // to which a relay with no watch is held; infinite: no such time
 	ColdFrom     float64
 	WarmUp       Seconds
 	FallMultiple float64
@@ -335,7 +335,8 @@
 		Stage   Stage
 		Verdict Verdict
 	}
-	Watch struct{ On bool }
+	// Watch orders the roster's changes, or no more of them; Anew, that a watch which stands is given up for a new one.
+	Watch struct{ On, Anew bool }
 	Fetch struct{}
 	Log   struct{ Line string }
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"lichenroad/relay"
 )
@@ -105,6 +106,14 @@
 	MostHeld   int           // queries held at a time
 }
 
+// unless is a time that the settings may leave out, and then never comes.
+func unless(ns float64) float64 {
+	if ns <= 0 {
+		return math.Inf(1)
+	}
+	return ns
+}
+
 // Parse reads the start-up settings of one instance.
 func Parse(raw []byte) (Site, error) {
 	var w wireSettings
@@ -118,7 +127,7 @@
 			Messages: w.Limits.Messages, SecondCopies: w.Limits.Copies, RetryAfter: w.Limits.RetryAfter,
 			MaxRetryAfter: w.Limits.MaxRetry / perSecond, ConnectTimeout: w.Limits.Connect / perSecond},
 		Rules: relay.Rules{AnswerSlack: w.Rules.Slack / perSecond, DrainGrace: w.Rules.Drain / perSecond,
-			AskEvery: w.Rules.Ask / perSecond, ColdFrom: w.Rules.ColdFrom, WarmUp: w.Rules.WarmUp / perSecond,
+			AskEvery: unless(w.Rules.Ask) / perSecond, ColdFrom: w.Rules.ColdFrom, WarmUp: w.Rules.WarmUp / perSecond,
 			FallMultiple: w.Rules.Multiple, FallTime: w.Rules.Fall / perSecond},
 		Rollout: relay.Rollout{InPlace: w.Family.Swap == "replace", Caps: w.Family.Caps,
 			StageShares: w.Family.Waves, Uncounted: w.Family.Free, Window: w.Family.Span / perSecond,
