A list that comes after a failed call no longer cancels the call that is due

Change: a failure stands until a call is made behind it.

Checked: TestNewsOfAnotherCallKeepsTheRetry fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -135,7 +135,7 @@
 }
 
 func (r *roster) ask() {
-	r.askAt = r.p.now + watchWait
+	r.askAt, r.failed = r.p.now+watchWait, false
 	r.p.do(relay.Watch{On: true})
 }
 
@@ -155,14 +155,14 @@
 		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
 			// A notice of failure doesn't say which call failed or whether the watch stands: ask again. What a
 			// silent watch missed, drains too, is about to count as told: ask at once, until an answer comes.
-			r.silent = r.silent || n.Form == relay.RosterSilent
+			r.failed, r.silent = true, r.silent || n.Form == relay.RosterSilent
 			wait := math.Min(watchRetry, askPart*r.p.set.Rules.AskEvery)
 			if r.askAt = r.p.now + wait*(1+r.p.rng.Float64()); r.silent {
 				r.askAt = r.p.now + silentRetry*r.p.rng.Float64()
 			}
 			return
 		}
-		if n.Form != relay.RosterCached {
+		if n.Form != relay.RosterCached && !r.failed { // else it may be of another call than the one that failed
 			r.askAt, r.silent = never, false
 		}
 		r.merge(n)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -870,3 +870,30 @@
 		}
 	}
 }
+
+// TestNewsOfAnotherCallKeepsTheRetry has a call fail and a list come all the same, as when discovery moves and the old
+// watch still tells something: the watch is asked for again, or the relay would hear nothing more.
+func TestNewsOfAnotherCallKeepsTheRetry(t *testing.T) {
+	for _, form := range []relay.RosterForm{relay.RosterFailed, relay.RosterSilent} {
+		p, now, asked := New(plainSettings(), 1), relay.Seconds(0), false
+		p.Step(0, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: entries(3, 1, 1)}})
+		p.Step(1, []relay.Event{relay.Roster{Form: form}, relay.Roster{Form: relay.RosterDelta, Units: entries(1, 1, 1)}})
+		for now = 1; now < 4; now += tick {
+			for _, o := range p.Step(now, []relay.Event{relay.Woken{ID: 1}}) {
+				w, ok := o.(relay.Watch)
+				asked = asked || ok && w.On
+			}
+		}
+		if !asked {
+			t.Errorf("after news of form %d and a list: not asked again", form)
+		}
+		p.Step(now, []relay.Event{relay.Roster{Form: relay.RosterDelta}})
+		for ; now < 10; now += tick {
+			for _, o := range p.Step(now, []relay.Event{relay.Woken{ID: 1}}) {
+				if w, ok := o.(relay.Watch); ok {
+					t.Errorf("asked at %v, though the call behind the failure was answered: %+v", now, w)
+				}
+			}
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -257,6 +257,7 @@
 	byID   map[relay.UnitID]*unit
 	byMark map[mark]*unit
 	units  []*unit       // all ever listed, by id
+	failed bool          // a call failed, and none was made since
 	silent bool          // the last watch fell silent, and nothing has come since
 	askAt  relay.Seconds // when to ask again; never: an answer has come, so the watch stands
 }
