A drain on its way from the old address at a move is heard, though the new one has answered

The old place was left at that moment, its connection shut, and its news dropped as older (told.Take). The next call to the new address brings the drain, unless discovery refuses it, which costs 1 to 2 s.

Change: the place before a move is left 0.5 s behind the first list of the new one (limits.PartFor). What it tells in that time counts only where it says that a unit leaves: the rest may be older than the new list.

Checked: TestMoveKeepsTheOldWatchUntilTheNewOneAnswers fails without it.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -57,6 +57,7 @@
 	AnswerFor = 500 * time.Millisecond // that an answer may take beyond what the call may wait: three quarters of the 2 s are left
 	PlainFor  = 4 * time.Second        // the same for a call that does not wait: a third of the 6 s is left
 	ListRest  = 1 * time.Second        // between two pieces of an answer that has begun: one that stalls is silent too
+	PartFor   = 500 * time.Millisecond // behind a move, in which drains that were on their way from the old address are heard
 	DialFor   = 1 * time.Second        // that the connection may take to come up
 	PushPart  = 0.4                    // of the drain grace that a relay with no watch lets pass between tries, where lists are pushed
 	LeastOff  = 20 * time.Millisecond  // that it does let pass, however short the grace
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,7 +32,8 @@
 	units  Units
 	seed   int64
 	at     *place
-	before *place // the address before a move, up to the first list of the new one; nil: none
+	before *place // the address before a move, up to a moment behind the first list of the new one; nil: none
+	parts  bool   // the new one has told a list
 	on     bool   // the watch is wanted
 	// Where lists are pushed the module is promised changes that come by themselves, and orders no watch. On sockets
 	// a list comes to a watch alone, so the watch is this package's to keep.
@@ -72,7 +73,7 @@
 	if a.before != nil {
 		a.before.leave()
 	}
-	a.before, a.at = a.at, a.place(address)
+	a.before, a.parts, a.at = a.at, false, a.place(address)
 	a.at.start()
 	if a.on {
 		a.Watch(true, false)
@@ -89,6 +90,31 @@
 	}
 }
 
+// part lets the address before a move go. A drain that it wrote may still be on its way, and counts as told though the
+// new address' list, written before that, does not have it.
+func (a *Asker) part() {
+	if a.before == nil || a.parts {
+		return
+	}
+	a.parts = true
+	old := a.before
+	a.loop.At(a.loop.Clock.Now()+limits.PartFor.Seconds(), func() {
+		if a.before == old {
+			a.moved()
+		}
+	})
+}
+
+// leaving are the entries of a list that tell of units that leave.
+func (l List) leaving() (out List) {
+	for _, line := range l.Lines {
+		if line.State != relay.Ready {
+			out.Lines = append(out.Lines, line)
+		}
+	}
+	return out
+}
+
 // Watch orders the watch on or off; the last order holds. Anew, a call that waits is given up for a new one, as it may
 // have fallen silent; where none waits the next one is new anyway.
 func (a *Asker) Watch(on, anew bool) {
@@ -191,9 +217,13 @@
 	switch {
 	case t.from == a.at:
 		if !failed {
-			a.moved()
+			a.part()
+		}
+	case t.from == a.before && !failed && !a.parts: // the new address has told nothing yet, so this still holds
+	case t.from == a.before && !failed:
+		if t.list, t.form = t.list.leaving(), relay.RosterDelta; len(t.list.Lines) == 0 {
+			return
 		}
-	case t.from == a.before && !failed: // the new address has told nothing yet, so this still holds
 	case t.from == a.before:
 		a.moved()
 		return
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -258,8 +258,8 @@
 	}
 }
 
-// TestMoveKeepsTheOldWatchUntilTheNewOneAnswers moves discovery: what the old address writes meanwhile is told, what it
-// writes after the new one's first answer is not, and its end is no failure.
+// TestMoveKeepsTheOldWatchUntilTheNewOneAnswers moves discovery: what the old address writes meanwhile is told, of what
+// it writes after the new one's first answer only that units leave, and its end is no failure.
 func TestMoveKeepsTheOldWatchUntilTheNewOneAnswers(t *testing.T) {
 	for _, pushed := range []bool{false, true} {
 		t.Run(fmt.Sprint("pushed ", pushed), func(t *testing.T) {
@@ -280,9 +280,10 @@
 			watch = old.next()
 			whole.answer(body(40, true, entry("DELETED")))
 			h.until(relay.RosterFull)
-			watch.SetReadDeadline(time.Now().Add(patience))
-			if _, err := watch.Read(make([]byte, 1)); err != io.EOF {
-				t.Error("the old watch is kept:", err)
+			watch.answer(body(3, false, entry("SERVING")))
+			old.next().answer(body(4, false, entry("DRAINING"), strings.Replace(entry("SERVING"), "s-1", "s-2", 1)))
+			if r := h.until(relay.RosterDelta); len(r.Units) != 1 || r.Units[0].State != relay.Draining {
+				t.Errorf("%+v", r)
 			}
 			next := fresh.next()
 			next.answer(body(41, false, entry("SERVING")))
@@ -290,6 +291,14 @@
 			if len(h.events) != 0 || h.loop.Stats.Get(stats.RosterFailed) != 0 {
 				t.Errorf("%+v, %d failures", h.events, h.loop.Stats.Get(stats.RosterFailed))
 			}
+			stop := make(chan struct{})
+			defer close(stop)
+			go h.loop.Run(stop)
+			watch = old.next()
+			watch.SetReadDeadline(time.Now().Add(patience))
+			if _, err := watch.Read(make([]byte, 1)); err != io.EOF {
+				t.Error("the old watch is kept:", err)
+			}
 		})
 	}
 }
