--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,7 +114,7 @@
 	silentRetry = 0.2  // s, with as much on top, while a call behind a silence fails: a tenth of the 2 s left
 	forgetGone  = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
 	watchWait   = 4.0  // s without any answer after which a call to the roster is made again
-	doubtSpread = 2.0  // s on average in which the relays of a fleet open anew a watch that they doubt
+	doubtSpread = 2.0  // s past listedLag before a watch is doubted, and on average until it is: a fleet not together
 )
 
 // New returns the module of one relay, ready for its first Step.
@@ -146,7 +146,7 @@
 		if r.p.set.RosterOnAsk && r.p.now >= r.askAt {
 			r.ask()
 		} else if r.askAt == never && t.known && !t.doubted && t.listedAt == 0 && t.news.Phase == relay.OnTrial &&
-			r.p.now-t.since > listedLag && r.p.rng.Float64() < tick/doubtSpread {
+			r.p.now-t.since > listedLag+doubtSpread && r.p.rng.Float64() < tick/doubtSpread {
 			// A stage whose units nobody lists: a silent watch shows in nothing else until its wait is over.
 			t.doubted = true
 			r.p.do(relay.Watch{On: true, Anew: true})
