lab ledger adds up what the relays of a fleet logged, by kind, relays and busiest second

Change: lab/ledger reads logrus lines, with a recorder's stamp in seconds or their own date, into kinds (text without figures, peer and reason), within bounds; `lichenroad lab ledger DIR [--from S] [--to S]` prints the table. Not in relays' own build.

--- a/cmd/lichenroad/lab.go
+++ b/cmd/lichenroad/lab.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -15,12 +16,13 @@
 
 	"lichenroad/lab"
 	"lichenroad/lab/demo"
+	"lichenroad/lab/ledger"
 	"lichenroad/lab/standin"
 )
 
 func (t *tool) labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Stand-ins on loopback, and a demonstration with them", RunE: needsVerb}
-	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare(), t.labShape())
+	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare(), t.labShape(), t.labLedger())
 	return c
 }
 
@@ -52,6 +54,38 @@
 	return c
 }
 
+func (t *tool) labLedger() *cobra.Command {
+	c := &cobra.Command{Use: "ledger DIR", Short: "Add up what the relays of a fleet logged, a file *.log each: kinds of lines, relays, busiest second",
+		Args: cobra.ExactArgs(1)}
+	l := ledger.New()
+	c.Flags().Float64Var(&l.From, "from", 0, "s; earlier lines are left out")
+	c.Flags().Float64Var(&l.To, "to", 0, "s; lines from then on are left out; 0: none")
+	c.RunE = func(_ *cobra.Command, args []string) error {
+		files, err := filepath.Glob(filepath.Join(args[0], "*.log"))
+		if err != nil || len(files) == 0 {
+			return failed(fmt.Errorf("%s: no *.log", args[0]))
+		}
+		for _, name := range files {
+			f, err := os.Open(name)
+			if err != nil {
+				return failed(err)
+			}
+			err = l.Read(filepath.Base(name), f)
+			f.Close()
+			if err != nil {
+				return failed(err)
+			}
+		}
+		fmt.Fprintf(t.out, "%d relays, %d lines that are none of a relay's\n%8s %7s %9s %9s %9s %6s  %s\n", l.Relays(), l.Unread,
+			"lines", "relays", "first s", "last s", "busiest", "in it", "kind")
+		for _, r := range l.Rows() {
+			fmt.Fprintf(t.out, "%8d %7d %9.3f %9.3f %9.0f %6d  %s\n", r.Lines, r.Relays, r.First, r.Last, r.Busiest, r.Most, r.Kind)
+		}
+		return nil
+	}
+	return c
+}
+
 func (t *tool) labShape() *cobra.Command {
 	var names []string
 	for _, s := range lab.Shapes {
--- a/cmd/lichenroad/tools_test.go
+++ b/cmd/lichenroad/tools_test.go
@@ -52,6 +52,8 @@
 		{"plan simulate ../../deploy/plan.xml --days 99", 2, "", "days", 1},
 		{"plan simulate " + bad, 1, "", "bad.xml:", 5},
 		{"desk status --state " + dir, 1, "", "no desk runs", 1},
+		{"lab ledger " + dir, 1, "", "no *.log", 1},
+		{"lab ledger", 2, "", "arg", 1},
 		{"desk status", 2, "", "state", 1},
 		{"desk back a --state " + dir, 2, "", "why", 1},
 		{"desk offer a x --why y --state " + dir, 2, "", "no build", 1},
