The roster's watch says things once: back-off, the end of a move, bare entries

On a last reading of the work on drains: the first back-off was worked out in two places, Move ended the earlier place in its own words beside moved, Parse asked again what line had just decided of a bare entry, merge copied a unit's entry in another state twice (unit.as now), and 'waits' named a type, three fields and a method (a call knows that it is the watch's).

--- a/internal/roster/keeper.go
+++ b/internal/roster/keeper.go
@@ -25,7 +25,7 @@
 	chance  *rand.Rand
 	version int64 // of the list that stands; -1: none
 	waits   waits
-	off     time.Duration
+	off     time.Duration // that was last let pass between two tries; 0: none failed since an answer
 }
 
 // waits are how long things may take, and how a list comes to be told.
@@ -48,7 +48,7 @@
 }
 
 func newKeeper(seed int64, w waits) *keeper {
-	return &keeper{chance: rand.New(rand.NewSource(seed)), waits: w, version: -1, off: min(limits.BackOff, w.most)}
+	return &keeper{chance: rand.New(rand.NewSource(seed)), waits: w, version: -1}
 }
 
 // next is the watch's next call. Where a list is known the first waits too, as it is answered at once if there is
@@ -72,7 +72,7 @@
 	if fetched && list.Generation < k.version {
 		list = List{Generation: k.version} // the watch has told more meanwhile; this brings nothing new
 	}
-	k.version, k.off = list.Generation, min(limits.BackOff, k.waits.most)
+	k.version, k.off = list.Generation, 0
 	form := relay.RosterDelta
 	if list.Whole {
 		form = relay.RosterFull
@@ -84,8 +84,8 @@
 // after silence, as what was missed is about to count as told.
 func (k *keeper) failed(silent bool) (again bool, after time.Duration) {
 	if k.waits.pushed && !silent {
+		k.off = min(max(2*k.off, limits.BackOff), k.waits.most)
 		after = time.Duration((1 + k.chance.Float64()) / 2 * float64(k.off))
-		k.off = min(2*k.off, k.waits.most)
 	}
 	return k.waits.pushed, after
 }
--- a/internal/roster/list.go
+++ b/internal/roster/list.go
@@ -112,7 +112,7 @@
 		line, err := r.line(raw)
 		if err != nil {
 			l.Bad++
-			if !line.Bare || line.State == relay.Ready {
+			if !line.Bare {
 				continue
 			}
 		}
@@ -147,6 +147,9 @@
 	if _, err := netip.ParseAddrPort(w.HostPort); err != nil && fault == nil && state != relay.Gone {
 		fault = fmt.Errorf("%w: address %.40q", errList, w.HostPort)
 	}
+	if fault != nil && state == relay.Ready {
+		return Line{}, fault
+	}
 	if fault != nil {
 		return Line{UnitEntry: relay.UnitEntry{Unit: idOf(w.ID), State: state, Bare: true}, Name: w.ID}, fault
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster asks discovery for the list of units, when the module orders it.
+// Package roster asks discovery for the list of units, when the module orders it, and by itself where lists are pushed.
 package roster
 
 import (
@@ -70,9 +70,7 @@
 	if a.at.address == address {
 		return
 	}
-	if a.before != nil {
-		a.before.leave()
-	}
+	a.moved()
 	a.before, a.parts, a.at = a.at, false, a.place(address)
 	a.at.start()
 	if a.on {
@@ -154,10 +152,9 @@
 }
 
 func (a *Asker) place(address string) *place {
-	p := &place{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
+	return &place{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
 		left: make(chan struct{}), open: map[netpoll.Connection]struct{}{},
 		keeper: newKeeper(a.seed, a.waits)}
-	return p
 }
 
 func (p *place) start() {
@@ -297,9 +294,9 @@
 	}
 }
 
-// waits notes the connection on which the watch's call waits, or that it does no longer; it says whether the call was
+// calls notes the connection on which the watch's call waits, or that it does no longer; it says whether the call was
 // given up by order.
-func (p *place) waits(n netpoll.Connection) (anew bool) {
+func (p *place) calls(n netpoll.Connection) (anew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	anew, p.waiting, p.anew = p.anew, n, false
@@ -322,10 +319,10 @@
 		case <-p.left:
 			return
 		}
-		c := &call{p: p, waits: p.waits}
+		c := &call{p: p, watch: true}
 		for first := true; on; first = false {
 			list, why, err := c.get(p.ask())
-			if p.waits(nil) && err != nil {
+			if p.calls(nil) && err != nil {
 				c.end(stats.ByNewer)
 				continue
 			}
@@ -387,7 +384,7 @@
 	net   netpoll.Connection
 	begun time.Time
 	calls int
-	waits func(netpoll.Connection) bool // told of the connection when a call goes out on it; may be nil
+	watch bool // its calls are the watch's
 }
 
 func (c *call) end(why stats.Reason) {
@@ -419,8 +416,8 @@
 		c.p.holds(n, true)
 	}
 	c.calls++
-	if c.waits != nil {
-		c.waits(c.net)
+	if c.watch {
+		c.p.calls(c.net)
 	}
 	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, r.path))); err != nil {
 		return List{}, stats.ByPeer, err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,7 +114,7 @@
 	silentRetry = 0.2  // s, with as much on top, while a call behind a silence fails: a tenth of the 2 s left
 	forgetGone  = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
 	watchWait   = 4.0  // s without any answer after which a call to the roster is made again
-	doubtSpread = 2.0  // s past listedLag before a watch is doubted, and on average until it is: a fleet not together
+	doubtSpread = 2.0  // s past listedLag before a watch is doubted, and on average until then
 )
 
 // New returns the module of one relay, ready for its first Step.
--- a/policy/state.go
+++ b/policy/state.go
@@ -365,6 +365,13 @@
 	pending bool
 }
 
+// as is what is known of the unit, in another state.
+func (u *unit) as(state relay.UnitState) relay.UnitEntry {
+	e := u.UnitEntry
+	e.State = state
+	return e
+}
+
 // merge applies a list of the roster: units listed are told their line, and those that a whole list leaves
 // out that they are gone.
 func (r *roster) merge(n relay.Roster) {
@@ -387,17 +394,13 @@
 			r.units[at] = u
 		}
 		if e.Bare && u.met {
-			state := e.State
-			e = u.UnitEntry
-			e.State = state
+			e = u.as(e.State)
 		}
 		r.p.post(u, e)
 	}
 	for _, u := range r.units {
 		if n.Form != relay.RosterDelta && !listed[u.id] && u.State != relay.Gone {
-			gone := u.UnitEntry
-			gone.State = relay.Gone
-			r.p.post(u, gone)
+			r.p.post(u, u.as(relay.Gone))
 		}
 	}
 	r.forget()
