A leg that waits for its connection is not sent past its window, cap or process

Cause, found by reading: the window of a numbered query and the trial's cap were judged when the leg was ordered (policy may, trial.hear); a leg that waits for a connection (up to the connect time-out, 1 s on some sites) was written whenever that came up (units.serve), so a repeat could run after its window, and a leg could reach a build whose cap had fallen to 0 or whose machine had another build by then.

Change: the order to send carries the time by which the last byte is written; a lower cap takes back legs that have not gone (Recall); a unit listed with another build or start releases those that wait for it. Whoever writes a leg looks once more before the last byte. A last byte that the kernel refused (EPIPE, ECONNRESET) never ran.

Tested: each without its mend fails (order without the time, no Recall, see policy/world_test.go; units/late_test.go).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,7 +20,7 @@
 
 // Units are told of a list before the module is, on the loop: where each unit is, and which want nothing new.
 type Units interface {
-	Listed(id relay.UnitID, name, address string)
+	Listed(e relay.UnitEntry, name, address string)
 	Leaving(id relay.UnitID, gone bool)
 	Whole(listed func(relay.UnitID) bool) // a whole list stands: units that it leaves out are gone
 }
@@ -240,7 +240,7 @@
 	for _, line := range t.list.Lines {
 		listed[line.Unit] = true
 		if line.State != relay.Gone && line.Address != "" {
-			a.units.Listed(line.Unit, line.Name, line.Address)
+			a.units.Listed(line.UnitEntry, line.Name, line.Address)
 		}
 		if line.State != relay.Ready {
 			a.units.Leaving(line.Unit, line.State == relay.Gone)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -101,9 +101,9 @@
 	events  []relay.Roster
 }
 
-func (h *heard) Listed(relay.UnitID, string, string) {}
-func (h *heard) Leaving(relay.UnitID, bool)          { h.leaving++ }
-func (h *heard) Whole(func(relay.UnitID) bool)       {}
+func (h *heard) Listed(relay.UnitEntry, string, string) {}
+func (h *heard) Leaving(relay.UnitID, bool)             { h.leaving++ }
+func (h *heard) Whole(func(relay.UnitID) bool)          {}
 
 func newHeard(t *testing.T, address string, pushed bool) *heard {
 	site := settings.Site{}
--- a/internal/stage/loop.go
+++ b/internal/stage/loop.go
@@ -40,6 +40,7 @@
 	Units interface {
 		Send(*Leg)
 		Drop(*Leg) (sent bool) // give the leg up; says whether its last byte may have gone out
+		Recall(*Leg)           // the leg is late from now on: it ends as not sent, unless its last byte is out
 		Probe(relay.UnitID)
 		CloseIdle(relay.UnitID)
 	}
@@ -226,6 +227,8 @@
 	switch o := o.(type) {
 	case relay.SendLeg:
 		l.route(o)
+	case relay.Recall:
+		l.recall(o)
 	case relay.CancelLeg:
 		l.cancel(o)
 	case relay.Deny:
--- a/internal/stage/query.go
+++ b/internal/stage/query.go
@@ -1,6 +1,9 @@
 package stage
 
 import (
+	"math"
+	"sync/atomic"
+
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/pgwire"
 	"lichenroad/relay"
@@ -49,6 +52,24 @@
 	Until relay.Seconds // when it is given up
 	Ended bool
 	Conn  any // where it was sent, for the connections' own use
+
+	by atomic.Uint64 // bits of the time by which its last byte is written, or else never; 0: no such time
+}
+
+// SendBy sets the time by which the leg's last byte is to be written. A leg waits for its connection, or is being
+// written, while what it was ordered on comes to an end. Only on the loop.
+func (leg *Leg) SendBy(at relay.Seconds) { leg.by.Store(math.Float64bits(at)) }
+
+// By is that time, if there is one.
+func (leg *Leg) By() (at relay.Seconds, ok bool) {
+	at = math.Float64frombits(leg.by.Load())
+	return at, at != 0
+}
+
+// Late says that the leg may not go any more. Also for whoever writes it.
+func (leg *Leg) Late(now relay.Seconds) bool {
+	by, ok := leg.By()
+	return ok && now >= by
 }
 
 // Void says that the leg's query is over, so that nothing of it should be sent any more.
--- a/internal/stage/route.go
+++ b/internal/stage/route.go
@@ -18,11 +18,23 @@
 	if o.Wait > 0 {
 		leg.Until = math.Min(leg.Until, now+o.Wait)
 	}
+	if o.By > 0 {
+		leg.SendBy(o.By)
+	}
 	q.Legs = append(q.Legs, leg)
 	q.open++
 	l.send(leg)
 }
 
+func (l *Loop) recall(o relay.Recall) {
+	if q := l.queries[o.Query]; q != nil && o.Leg >= 0 && int(o.Leg) < len(q.Legs) {
+		if leg := q.Legs[o.Leg]; !leg.Ended {
+			leg.SendBy(l.Clock.Now())
+			l.Units.Recall(leg)
+		}
+	}
+}
+
 func (l *Loop) cancel(o relay.CancelLeg) {
 	if q := l.queries[o.Query]; q != nil && o.Leg >= 0 && int(o.Leg) < len(q.Legs) {
 		if leg := q.Legs[o.Leg]; !leg.Ended {
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -17,14 +17,16 @@
 
 // outside stands for all parts that carry out orders, and for the client.
 type outside struct {
-	sent    []*Leg
-	dropped []*Leg
-	answers []string
-	left    bool // legs that are dropped had been sent
+	sent     []*Leg
+	dropped  []*Leg
+	recalled []*Leg
+	answers  []string
+	left     bool // legs that are dropped had been sent
 }
 
 func (o *outside) Send(leg *Leg)          { o.sent = append(o.sent, leg) }
 func (o *outside) Drop(leg *Leg) bool     { o.dropped = append(o.dropped, leg); return o.left }
+func (o *outside) Recall(leg *Leg)        { o.recalled = append(o.recalled, leg) }
 func (o *outside) Probe(relay.UnitID)     {}
 func (o *outside) CloseIdle(relay.UnitID) {}
 func (o *outside) Answer(a *buffer.Chain) {
@@ -224,3 +226,20 @@
 		t.Error(order)
 	}
 }
+
+// TestLegCarriesItsTime has an order name the time by which a leg is out, and another take the leg back.
+func TestLegCarriesItsTime(t *testing.T) {
+	l, o := newLoop(t)
+	q := begun(t, l, o)
+	now := l.Clock.Now()
+	l.order(relay.SendLeg{Query: q.ID, Unit: 1})
+	l.order(relay.SendLeg{Query: q.ID, Unit: 2, By: now + 60})
+	if o.sent[0].Late(now+60) || o.sent[1].Late(now+59) || !o.sent[1].Late(now+60) {
+		t.Error("late at another time than the order says")
+	}
+	l.order(relay.Recall{Query: q.ID, Leg: 0})
+	l.order(relay.Recall{Query: q.ID, Leg: 7})
+	if len(o.recalled) != 1 || !o.sent[0].Late(l.Clock.Now()) {
+		t.Errorf("%d recalled", len(o.recalled))
+	}
+}
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -153,17 +153,17 @@
 	}
 	if out.Len() <= inlineSize {
 		c.net.SetWriteTimeout(limits.InlineWait)
-		c.write(out)
+		c.write(leg, out)
 		return
 	}
 	c.net.SetWriteTimeout(0) // the leg's own time-out closes the connection
-	go c.write(out)
+	go c.write(leg, out)
 }
 
 // write sends a message in two steps, all but the last byte and then that: as long as the first has not
 // succeeded, the unit has surely not begun. It uses the connection's own Write alone, which holds it against
-// being closed meanwhile; netpoll's Writer does not.
-func (c *conn) write(out *buffer.Chain) {
+// being closed meanwhile; netpoll's Writer does not. A leg that has become late by then stops short of its last byte.
+func (c *conn) write(leg *stage.Leg, out *buffer.Chain) {
 	defer out.Free()
 	left := out.Len()
 	err := out.Each(func(b []byte) error {
@@ -177,11 +177,27 @@
 				return err
 			}
 		}
-		c.sentAt.Store(int64(c.pool.loop.Clock.Now() * 1e9))
+		now := c.pool.loop.Clock.Now()
+		if leg.Late(now) {
+			return errLate
+		}
+		c.sentAt.Store(int64(now * 1e9))
 		_, err := c.net.Write(last)
+		if errors.Is(err, unix.EPIPE) || errors.Is(err, unix.ECONNRESET) {
+			c.sentAt.Store(0) // the kernel took nothing of it; after any other error it may have gone, or may yet
+		}
 		return err
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, errLate):
+		c.pool.loop.Post(stage.Call(func(l *stage.Loop) {
+			if c.leg == leg {
+				c.close(stats.ByGivenUp)
+				l.Stats.Add(stats.LegsReleased, 1)
+				l.End(leg, stage.Ending{How: relay.NotSent})
+			}
+		}))
+	case err != nil:
 		c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.close(stats.ByWrite) }))
 	}
 }
@@ -232,6 +248,7 @@
 	errState   = errors.New("message out of place")
 	errUnasked = errors.New("more than was asked for")
 	errCut     = errors.New("an answer without its end")
+	errLate    = errors.New("too late to be sent")
 )
 
 // take reads one message of the unit.
--- a/internal/units/conn_test.go
+++ b/internal/units/conn_test.go
@@ -23,10 +23,18 @@
 	takes  int
 	got    []byte
 	closed int
+	before func(b []byte) // a write
+	fault  error          // that it fails with
 }
 
 func (p *pipe) Write(b []byte) (int, error) {
+	if p.before != nil {
+		p.before(b)
+	}
 	if p.takes < len(b) {
+		if p.fault != nil {
+			return 0, p.fault
+		}
 		return 0, errors.New("broken")
 	}
 	p.takes -= len(b)
@@ -59,7 +67,7 @@
 	l := stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
 	p := New(l, 4)
 	l.Units = p
-	p.Listed(1, "s-1", "127.0.0.1:1")
+	p.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:1")
 	return bench{l, p, p.units[1]}
 }
 
@@ -245,7 +253,7 @@
 	b.conn(third)
 	b.pool.CloseIdle(1)
 	b.conn(fourth)
-	b.pool.Listed(1, "s-1", "127.0.0.1:2")
+	b.pool.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:2")
 	if third.closed == 0 || fourth.closed == 0 {
 		t.Error("ordered closed, or moved, and kept")
 	}
@@ -257,7 +265,7 @@
 	c := b.conn(n)
 	leg := b.leg()
 	b.pool.Send(leg)
-	b.pool.Listed(1, "s-1", "127.0.0.1:2")
+	b.pool.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:2")
 	answered{c: c, how: relay.Errored, code: "XX000"}.Take(b.Loop)
 	ready{c}.Take(b.Loop)
 	if n.closed == 0 || len(b.unit.idle) != 0 {
@@ -270,7 +278,7 @@
 	b.pool.most = 1
 	idle := &pipe{takes: 1 << 20}
 	b.conn(idle)
-	b.pool.Listed(2, "s-2", "127.0.0.1:1")
+	b.pool.Listed(relay.UnitEntry{Unit: 2}, "s-2", "127.0.0.1:1")
 	leg := b.leg()
 	leg.Unit = 2
 	b.pool.Send(leg)
@@ -305,7 +313,7 @@
 	address := ln.Addr().String()
 	ln.Close()
 	b := newBench(t, nil)
-	b.pool.Listed(1, "s-1", address)
+	b.pool.Listed(relay.UnitEntry{Unit: 1}, "s-1", address)
 	b.pool.Send(b.leg())
 	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		if ends := b.told(); len(ends) == 1 {
--- /dev/null
+++ b/internal/units/late_test.go
@@ -0,0 +1,106 @@
+package units
+
+import (
+	"errors"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"lichenroad/internal/stage"
+	"lichenroad/relay"
+)
+
+// TestLegThatIsLateForItsWindow has the connection come up, or the last byte about to be written, when the time by
+// which the leg had to be out is over or was taken back: the unit gets no whole query, and the leg never ran.
+func TestLegThatIsLateForItsWindow(t *testing.T) {
+	for name, late := range map[string]func(b bench, leg *stage.Leg){
+		"its window ends": func(b bench, leg *stage.Leg) { leg.SendBy(b.Clock.Now()) },
+		"it is recalled":  func(b bench, leg *stage.Leg) { b.recall(leg) },
+	} {
+		t.Run(name+" while it waits", func(t *testing.T) {
+			b := newBench(t, nil)
+			n := &pipe{takes: 1 << 20}
+			c, leg := b.coming(n), b.leg()
+			b.pool.Send(leg)
+			late(b, leg)
+			ready{c}.Take(b.Loop)
+			if ends := b.told(); len(ends) != 1 || ends[0].How != relay.NotSent || len(n.got) != 0 {
+				t.Errorf("%+v, %q", ends, n.got)
+			}
+		})
+		t.Run(name+" before its last byte", func(t *testing.T) {
+			b := newBench(t, nil)
+			n := &pipe{takes: 1 << 20}
+			leg := b.leg()
+			n.before = func(p []byte) {
+				if len(n.got) == 0 && len(p) > 1 { // all but the last byte
+					late(b, leg)
+				}
+			}
+			b.conn(n)
+			b.pool.Send(leg)
+			if ends := b.told(); len(ends) != 1 || ends[0].How != relay.NotSent || n.got[len(n.got)-1] == 0 || n.closed == 0 {
+				t.Errorf("%+v, %q", ends, n.got)
+			}
+		})
+	}
+	b := newBench(t, nil)
+	n := &pipe{takes: 1 << 20}
+	leg := b.leg()
+	b.conn(n)
+	b.pool.Send(leg)
+	b.recall(leg)
+	if ends := b.told(); len(ends) != 0 || n.closed != 0 {
+		t.Errorf("taken back though its last byte was out: %+v", ends)
+	}
+}
+
+// recall does what the loop does with that order.
+func (b bench) recall(leg *stage.Leg) {
+	leg.SendBy(b.Clock.Now())
+	b.pool.Recall(leg)
+}
+
+// TestLegForAnotherProcess lists the unit with another build, or a fresh start, under the same id and address while a
+// leg waits for its connection: it was ordered for what no longer runs there.
+func TestLegForAnotherProcess(t *testing.T) {
+	for name, e := range map[string]relay.UnitEntry{
+		"another build": {Unit: 1, Build: 2},
+		"a fresh start": {Unit: 1, Started: true, StartedAt: 3},
+	} {
+		b := newBench(t, nil)
+		n := &pipe{takes: 1 << 20}
+		c := b.coming(n)
+		b.pool.Send(b.leg())
+		b.pool.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:1")
+		if ends := b.told(); len(ends) != 0 {
+			t.Errorf("the same once more: %+v", ends)
+		}
+		b.pool.Listed(e, "s-1", "127.0.0.1:1")
+		ends := b.told()
+		ready{c}.Take(b.Loop)
+		if len(ends) != 1 || ends[0].How != relay.NotSent || len(n.got) != 0 {
+			t.Errorf("%s: %+v, %q", name, ends, n.got)
+		}
+	}
+}
+
+// TestLastByteThatTheKernelRefused tells a last byte that surely never left from one that may have.
+func TestLastByteThatTheKernelRefused(t *testing.T) {
+	for fault, want := range map[error]relay.Outcome{
+		unix.EPIPE: relay.NoConnect, unix.ECONNRESET: relay.NoConnect, errors.New("timed out"): relay.Broken,
+	} {
+		b := newBench(t, nil)
+		n := &pipe{takes: 1 << 20}
+		n.before = func(p []byte) {
+			if len(p) == 1 {
+				n.takes, n.fault = 0, fault
+			}
+		}
+		b.conn(n)
+		b.pool.Send(b.leg())
+		if ends := b.told(); len(ends) != 1 || ends[0].How != want {
+			t.Errorf("%v: %+v", fault, ends)
+		}
+	}
+}
--- a/internal/units/leaving_test.go
+++ b/internal/units/leaving_test.go
@@ -23,10 +23,10 @@
 		"drains":                func(p *Pool) { p.Leaving(1, false) },
 		"is gone":               func(p *Pool) { p.Leaving(1, true) },
 		"left out of the list":  func(p *Pool) { p.Whole(func(id relay.UnitID) bool { return id != 1 }) },
-		"is at another address": func(p *Pool) { p.Listed(1, "s-1", "127.0.0.1:2") },
+		"is at another address": func(p *Pool) { p.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:2") },
 		"goes, and comes back elsewhere": func(p *Pool) {
 			p.Leaving(1, true)
-			p.Listed(1, "s-1", "127.0.0.1:2")
+			p.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:2")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -77,7 +77,7 @@
 	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.Errored || n.closed == 0 || len(n.got) != sent {
 		t.Errorf("%+v, closed %d times", ends, n.closed)
 	}
-	b.pool.Listed(1, "s-1", "127.0.0.1:1") // it stays after all
+	b.pool.Listed(relay.UnitEntry{Unit: 1}, "s-1", "127.0.0.1:1") // it stays after all
 	again := &pipe{takes: 1 << 20}
 	b.conn(again)
 	b.pool.Send(b.leg())
@@ -90,7 +90,7 @@
 func TestUnitsThatAreGoneAreForgotten(t *testing.T) {
 	b := newBench(t, nil)
 	for id := relay.UnitID(2); id < 1026; id++ {
-		b.pool.Listed(id, "s", "127.0.0.1:1")
+		b.pool.Listed(relay.UnitEntry{Unit: id}, "s", "127.0.0.1:1")
 	}
 	b.pool.units[2].open++ // one that still holds a connection
 	b.pool.Whole(func(id relay.UnitID) bool { return id == 1 })
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -29,6 +29,7 @@
 	id      relay.UnitID
 	name    string
 	address string
+	process process
 	leaving bool         // told as draining or gone: nothing new goes to it
 	gone    bool         // told as gone: forgotten when nothing holds it any more
 	open    int          // connections, those coming up included
@@ -37,6 +38,13 @@
 	waiting []*stage.Leg // legs without a connection, the oldest first
 }
 
+// process tells one process of a unit from the next: a unit keeps its id, and may keep its address, over a restart and
+// with another build.
+type process struct {
+	build   relay.Build
+	started relay.Seconds // where it is known
+}
+
 // New returns a pool that holds at most so many connections.
 func New(l *stage.Loop, most int) *Pool {
 	p := &Pool{loop: l, units: map[relay.UnitID]*unit{}, most: most, connect: l.Site.Limits.ConnectTimeout,
@@ -55,12 +63,14 @@
 }
 
 // Listed tells that a unit is listed at an address, before the module is told of it. A unit that is at another address
-// now is another process: connections to the old one are of no use, and legs that wait for one were not meant for it.
-func (p *Pool) Listed(id relay.UnitID, name, address string) {
-	u := p.units[id]
+// now, has started anew or runs another build is another process: connections to the old one are of no use, and legs
+// that wait for one were not meant for it. With another build such a leg would count against a cap that it was not
+// ordered under.
+func (p *Pool) Listed(e relay.UnitEntry, name, address string) {
+	u := p.units[e.Unit]
 	if u == nil {
-		u = &unit{id: id, name: name, address: address}
-		p.units[id] = u
+		u = &unit{id: e.Unit, name: name, address: address, process: process{e.Build, e.StartedAt}}
+		p.units[e.Unit] = u
 	}
 	u.leaving, u.gone = false, false
 	if u.address != address {
@@ -68,6 +78,13 @@
 		p.closeIdle(u, stats.ByMove)
 		p.release(u)
 	}
+	if e.Build != u.process.build || e.Started && e.StartedAt != u.process.started {
+		p.release(u)
+	}
+	u.process.build = e.Build
+	if e.Started {
+		u.process.started = e.StartedAt
+	}
 }
 
 // Leaving tells that a unit drains or is gone, before the module is told of it. A leg that still waits for a connection
@@ -128,6 +145,18 @@
 			p.loop.End(leg, stage.Ending{How: relay.NoConnect, Took: p.loop.Clock.Now() - leg.Asked})
 		}
 	})
+	if by, ok := leg.By(); ok {
+		p.loop.At(by, func() { p.Recall(leg) })
+	}
+}
+
+// Recall ends a leg that is late as never sent, if it still waits for a connection. One that is being written is given
+// up before its last byte, by whoever writes it.
+func (p *Pool) Recall(leg *stage.Leg) {
+	if u := p.units[leg.Unit]; u != nil && !leg.Ended && u.leave(leg) {
+		p.loop.Stats.Add(stats.LegsReleased, 1)
+		p.loop.End(leg, stage.Ending{How: relay.NotSent})
+	}
 }
 
 // Probe asks a unit how it is. It takes a connection as a leg does.
@@ -180,7 +209,7 @@
 func (p *Pool) serve(u *unit) {
 	for len(u.waiting) > 0 && len(u.idle) > 0 {
 		leg := u.waiting[0]
-		if leg.Void() {
+		if leg.Void() || leg.Late(p.loop.Clock.Now()) {
 			u.waiting = u.waiting[1:]
 			p.loop.End(leg, stage.Ending{How: relay.NotSent})
 			continue
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,13 +2,11 @@
 //
 // How to call it: New(settings, seed) once, then Step(now, events) whenever something has happened; the
 // orders it returns are to be carried out in their order, and the slice is good until the next Step.
-// Settings, events and orders are the types of package relay. The module reads no clock, does no I/O,
-// starts no goroutine and keeps no global.
+// Their types are package relay's. The module has no clock, no I/O, no goroutine and no global.
 //
-// Inside, each part is a small actor: the roster, a unit for every server, the desk (queries, legs, final
-// answers), the gate (denials), the trial (exposure, evidence, verdicts) and the fuser (votes). Parts
-// change each other only by notes, which one loop takes from the inboxes; they may read each other's
-// figures. state.go has the types, measure.go sums over buckets of time, memo.go turns verdicts into bytes.
+// Inside, each part is a small actor: the roster, a unit for every server, the desk (queries, legs, answers),
+// the gate (denials), the trial (exposure, evidence, verdicts) and the fuser (votes). Parts change each other
+// only by notes. state.go has the types, measure.go buckets of time, memo.go bytes.
 package policy
 
 import (
@@ -153,8 +151,8 @@
 		}
 	case relay.Roster:
 		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
-			// A notice of failure doesn't say which call failed or whether the watch stands: ask again. What a
-			// silent watch missed, drains too, is about to count as told: ask at once, and soon until one answers.
+			// A notice of failure doesn't say which call failed: ask again. What a silent watch missed, drains
+			// too, is about to count as told: ask at once, and soon until one answers.
 			r.failed, r.silent = true, r.silent || n.Form == relay.RosterSilent
 			wait := math.Min(watchRetry, askPart*r.p.set.Rules.AskEvery)
 			if n.Form == relay.RosterSilent {
@@ -259,9 +257,8 @@
 	return c
 }
 
-// coldLeft is the budget of legs for a cold unit by now. A unit's even part of this relay's answers stands
-// for what it can do when warm, so all relays together keep rule 4 however unlike they are, even if they had
-// no other unit. (Legs sent would not do: what is left of a fleet gets more than it can do.)
+// coldLeft is the budget of legs for a cold unit by now. Its even part of this relay's answers stands for
+// what it can do when warm, so all relays together keep rule 4. (Legs sent won't do: a lone unit gets more.)
 func (u *unit) coldLeft() float64 {
 	r := &u.p.set.Rules
 	rate := u.p.desk.evenFlow * u.warmth() * r.FallMultiple * coldPart
@@ -269,8 +266,7 @@
 }
 
 // spared says that the unit is too cold for one more leg of this relay. By its budget alone a small relay
-// would leave a cold unit alone for its whole youth; so while there are warm units to choose from, most
-// relays may send one leg at once. That ends with the choice: a build going back leaves only cold units.
+// would leave it alone for its whole youth; while there are warm units, most relays may send one at once.
 func (u *unit) spared() bool {
 	r := &u.p.set.Rules
 	return u.warmth() < 1 && u.coldLeft() < 1 &&
@@ -403,9 +399,8 @@
 	}
 }
 
-// pick chooses the unit for a query's next leg: two random choices among the earlier units, two among
-// those of the build on trial while its share of the cap lasts, and the cheaper of the winners; a crossing
-// doesn't count there, as it costs far less than what is kept from the newest build.
+// pick chooses the unit for a query's next leg: two random choices among the earlier units, two among those
+// of the build on trial while its share lasts, and the cheaper of the winners; a crossing costs far less.
 func (d *desk) pick(q *query) *unit {
 	var earlier, onTrial []*unit
 	for _, u := range d.p.roster.units {
@@ -494,7 +489,7 @@
 		case relay.Numbered:
 			same := q.row.group == relay.GroupAll || q.row.group == relay.GroupZone && u.Zone == l.zone ||
 				q.row.group == relay.GroupCell && u.Cell == l.cell
-			if !same || p.now-l.at >= q.row.window {
+			if !same || p.now >= q.repeatBy() {
 				return false
 			}
 		}
@@ -504,7 +499,7 @@
 
 // send is where every leg goes out.
 func (d *desk) send(q *query, u *unit) {
-	p := d.p
+	p, by := d.p, q.repeatBy()
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
 		age: p.now - u.started, open: true, mayRan: true, depth: u.open})
 	if u.warmth() < 1 {
@@ -512,7 +507,18 @@
 	}
 	p.trial.spend(q, u.Build)
 	p.post(u, noteSent{})
-	p.do(relay.SendLeg{Query: q.ID, Unit: u.id})
+	p.do(relay.SendLeg{Query: q.ID, Unit: u.id, By: by})
+}
+
+// repeatBy is when the window of a numbered query that may have run ends, by its first such leg: a repeat's
+// last byte has to be written before that, however long it waits for its connection. 0: no such time.
+func (q *query) repeatBy() relay.Seconds {
+	for i := range q.legs {
+		if q.row.repeat == relay.Numbered && q.legs[i].mayRan {
+			return q.legs[i].at + q.row.window
+		}
+	}
+	return 0
 }
 
 // finish is the one place of final answers that are not an honoured leg: a denial where it is true that
@@ -540,14 +546,13 @@
 	}
 }
 
-// limit is how many queries may be open: by Little's law, the rate of answers times the time that they
-// may take, so that it falls with capacity and grows as fast as answers quicken.
+// limit is how many queries may be open: by Little's law, the rate of answers times the time that they may
+// take.
 func (g *gate) limit() float64 {
 	if g.p.now < flowWidth*flowCount {
 		return math.Inf(1) // no pace is known yet
 	}
-	// After a quiet time the mean tells what was asked, not what can be answered: a burst would be turned
-	// away from idle units. The pace of the last second counts where it is higher.
+	// After a quiet time the mean tells what was asked, not what can be answered: the last second's pace counts.
 	lately := flowWidth*(gateLately-1) + math.Mod(g.p.now, flowWidth)
 	return gateSpare + gateWait*math.Max(g.answers.all(g.p.now, 0)/(flowWidth*flowCount),
 		g.answers.sum(g.p.now, 0, 0, gateLately)/lately)
@@ -610,6 +615,7 @@
 		clear(x.hard)
 		clear(x.soft)
 		clear(x.parts)
+		t.p.desk.recall(n.Build) // a lower cap binds legs that still wait for a connection, too
 	}
 	x.cap = n.Cap
 }
@@ -627,8 +633,7 @@
 }
 
 // took adds a query's part to the rule's budgets, which hold no more than its uncounted legs at any time.
-// Where a scope holds, only queries that may meet the build add to them, each to its group's too: a group's
-// legs must not be made up for by another's queries.
+// Where a scope holds, only queries that may meet the build add to them, each to its group's too.
 func (t *trial) took(q *query) {
 	g, open := t.group(q.Customer)
 	for k := 0; open && k < len(t.limits); k++ {
@@ -670,8 +675,8 @@
 	return x.soft[x.slot(q.Category)] >= 1-1e-9
 }
 
-// spend takes a leg off the budgets. The design's share is one of the legs sent: in an overload far more
-// queries are taken than sent on, and a share of these would push the build's few units over.
+// spend takes a leg off the budgets. The design's share is one of the legs sent: a share of all that is taken
+// in an overload would push the build's few units over.
 func (t *trial) spend(q *query, b relay.Build) {
 	g, open := t.group(q.Customer)
 	for k := 0; open && k < len(t.limits); k++ { // else it could not have gone there
@@ -803,10 +808,9 @@
 	return newer, before
 }
 
-// gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of
-// a build do is not the build's: a unit that failed most legs or broke one of late is left out, unless more
-// than a part of the build's units did; the slowest quarter is left out of slowness; a single unit shows no
-// faults. With it comes the part of the units that failed so.
+// gather sums the evidence of the newest build's units, or of the earlier ones. What only some machines of a
+// build do is not the build's: a unit that failed most legs or broke one of late is left out, unless more
+// than a part (given too) did; the slowest quarter is left out of slowness; a single unit shows no faults.
 func (t *trial) gather(pooled bool, c int, newest bool, from, to int, spare float64,
 	age relay.Seconds) (sound counts, ill float64) {
 	var seen, off []counts
@@ -858,10 +862,9 @@
 }
 
 // flagged is the design's test of one build's shares against another's. Pooled counts need fewer points for
-// failures but more of them, and their standard error is that of two equal shares, so that some failures
-// against hardly any count for what they are; lateness is left to the slowness, which knows the machines.
-// Slowness is held against what the earlier machines showed in the same moments: an hour that turns slow
-// while more and more legs go to the newest build is not the build's fault.
+// failures but more of them, and their standard error is that of two equal shares, so that some against
+// hardly any count; lateness is left to the slowness, which knows the machines and is held against what the
+// earlier ones showed in the same moments: an hour that turns slow is not the newest build's fault.
 func flagged(newer, before counts, pooled bool) bool {
 	if pooled && worse(newer, before, figFailed, poolPoints, poolOutcomes, true) ||
 		!pooled && (worse(newer, before, figFailed, flagPoints, flagOutcomes, false) ||
@@ -928,7 +931,7 @@
 }
 
 // look renews what this relay wants to vote: as a fuser by all that it was told, else by what most fusers
-// find, and by its own legs where it hears none. A fuser tells every relay.
+// find, and by its own legs where it hears none.
 func (f *fuser) look() {
 	t := &f.p.trial
 	f.fusing = slices.Contains(f.set(), f.p.set.Self)
@@ -963,10 +966,9 @@
 	return math.Log((1 - pd) / (1 - pf))
 }
 
-// fused sums the log likelihood ratios of the present stage's verdicts. A relay with too few outcomes to
-// flag says nothing: hundreds of such verdicts would drown the others. All relays' legs, pooled by unit, make
-// a verdict of their own, one a category and one for all: where each relay alone has too few outcomes to
-// flag, they have them together. It stands for the relays in it, so it needs no second flagger.
+// fused sums the log likelihood ratios of the present stage's verdicts. A relay with too few outcomes to flag
+// says nothing: hundreds of such verdicts would drown the others. All relays' legs, pooled by unit, make a
+// verdict of their own, a category and for all: they have enough together, and need no second flagger.
 func (f *fuser) fused() (back, late bool, pooled float64) {
 	t := &f.p.trial
 	cats := len(f.p.rows)
@@ -1051,9 +1053,8 @@
 	return relay.NoVote
 }
 
-// ripe says that the build's first machines are so old that a build which turns bad with age has shown it: by
-// their legs beyond the age, where all relays together have enough, or else by some seconds more. Only the
-// last stage waits for that: after a release there are no earlier machines to go back to.
+// ripe says that a build which turns bad with age has shown it: by its first machines' legs beyond the age,
+// where all relays have enough, or by some seconds more. Only the last stage waits: none is left to go back.
 func (t *trial) ripe() bool {
 	due := t.cycle > 0 && t.p.now-t.offered > ripePart*t.cycle
 	if int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge {
@@ -1063,8 +1064,8 @@
 	return shown[figMatched] >= leastSlow
 }
 
-// turn is how long this relay lets others vote first. As many relays as are needed vote at once, a few more
-// for those that are lost; the rest only when that has not been enough, no faster than votes are taken.
+// turn is how long this relay lets others vote first: as many as are needed, and a few for those that are
+// lost, vote at once; the rest only when that has not been enough, no faster than votes are taken.
 func (f *fuser) turn(v relay.Verdict) relay.Seconds {
 	r := &f.p.set.Rollout
 	need := [...]int{relay.VoteOn: r.VotesOn, relay.VoteHold: r.VotesHold, relay.VoteBack: r.VotesBack}[v]
--- a/policy/state.go
+++ b/policy/state.go
@@ -251,6 +251,17 @@
 	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
 }
 
+// recall takes back the legs to a build that have not gone yet.
+func (d *desk) recall(b relay.Build) {
+	for _, q := range d.open {
+		for i := range q.legs {
+			if q.legs[i].open && q.legs[i].build == b {
+				d.p.do(relay.Recall{Query: q.ID, Leg: relay.LegNo(i)})
+			}
+		}
+	}
+}
+
 // roster keeps the list of units and the watch on it.
 type roster struct {
 	p      *Policy
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -64,6 +64,7 @@
 	how       relay.Outcome
 	done      bool
 	cancelled bool
+	recalled  bool
 }
 
 type wQuery struct {
@@ -122,6 +123,8 @@
 			}
 		case relay.WriteOff:
 			w.final(o.Query)
+		case relay.Recall:
+			w.queries[o.Query].legs[o.Leg].recalled = true
 		case relay.Wake:
 			w.wakes = append(w.wakes, o)
 		case relay.CancelLeg:
@@ -142,6 +145,17 @@
 			w.votes = append(w.votes, o)
 		}
 	}
+	for _, e := range events { // the newest build's cap fell: legs that have not gone yet are under it too
+		n, ok := e.(relay.StageNews)
+		for _, q := range w.queries {
+			for _, l := range q.legs {
+				if ok && n.Valid && n.Cap == 0 && n.Build == w.news.Build && l.unit.Build == n.Build && l.at < w.now &&
+					w.capAt == w.now && !l.done && !l.recalled {
+					w.t.Fatalf("%v: a leg to build %d may still go after its cap fell", w.now, n.Build)
+				}
+			}
+		}
+	}
 	for _, q := range told {
 		q.over = true
 	}
@@ -226,6 +240,9 @@
 		if c.Repeat == relay.AtMostOnce || !same || w.now > l.at+c.RepeatWindow {
 			w.t.Fatalf("%v: query %d may run twice", w.now, q.ID)
 		}
+		if o.By <= 0 || o.By > l.at+c.RepeatWindow { // it may wait for a connection until then, and be written later
+			w.t.Fatalf("%v: query %d may be written until %v, its window ends at %v", w.now, q.ID, o.By, l.at+c.RepeatWindow)
+		}
 	}
 	if len(q.legs) >= w.set.Limits.MaxLegs {
 		w.t.Fatalf("%v: too many legs", w.now)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -310,6 +310,13 @@
 		Query QueryID
 		Unit  UnitID
 		Wait  Seconds // 0: until the client gives up
+		By    Seconds // the time by which its last byte is written, or else it ends as NotSent; 0: no such time
+	}
+	// Recall takes a leg back that may have been ordered on what no longer holds: it ends as NotSent if its last byte is
+	// not written yet, and goes on otherwise.
+	Recall struct {
+		Query QueryID
+		Leg   LegNo
 	}
 	CancelLeg struct {
 		Query QueryID
