A client's connection is closed only when nothing on it is owed an answer

Cause, found by reading: the loop closed the sending half of an idle connection (Server.makeRoom, conn.rest) while a query was already read and waited in the loop's queue (item.Take dropped it: shutting), lay in the library's or the kernel's buffer, or was half read: what the relay has read and does not answer is lost. At SIGTERM a connection accepted just before was closed before its first query (accept: stopping), and the listener was shut with accepted connections in its backlog (deafen). Over the bound a connection was cut without a word (accept), and silent ones held their place for 2 s under pressure and 10 s without.

Change: evict looks at all four places and closes the whole connection, so that what comes later stays unread and the client sends it elsewhere; what is read between the look and the close is refused (57P03) on the descriptor, which is still open then. New connections get 0.3 s for a first query at the end, the backlog is emptied first, queries behind SIGTERM end before the earliest SIGKILL. Over the bound: 53300 with a time to come back.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -9,13 +9,16 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
+	"lichenroad/relay"
 )
 
 // Server accepts clients.
@@ -31,9 +34,13 @@
 
 	// Of the loop.
 	conns    map[*conn]struct{}
-	idle     list.List // of *conn with no open query, the one idle for longest first
+	silent   list.List     // of *conn that have said no startup yet, the eldest first
+	idle     list.List     // of the others with no open query, the one idle for longest first
+	lastWord relay.Seconds // by which queries that come after SIGTERM have their final answer; 0: no SIGTERM yet
 	stopping bool
 	stopped  func()
+
+	reading atomic.Pointer[func()] // a test's: called before what has come is looked at
 }
 
 // New returns a server for at most so many connections, and so many over that which are told that it is full.
@@ -80,7 +87,10 @@
 	n.SetWriteTimeout(limits.AnswerWait)
 	n.AddCloseCallback(c.closed)
 	if open > s.most+s.over {
+		// The first query may have come already, so the client is told that nothing was done with it: a close alone
+		// says that, too, but not that trying again at once is no use.
 		s.loop.Stats.Add(stats.BoundConns, 1)
+		n.Write(pgwire.ErrorAnswer(pgwire.Fatal, pgwire.CodeFull, errFull.Error(), s.loop.ComeBack()))
 		c.end(stats.ByBound)
 		return context.Background()
 	}
@@ -94,34 +104,41 @@
 		if s.stopping {
 			c.rest() // it came in just before the listener went
 		}
-		l.At(now+limits.StartupWait.Seconds(), func() {
-			if !c.started.Load() {
-				c.shut(stats.ByLateConnect)
-			}
-		})
+		l.At(now+limits.StartupWait.Seconds(), c.late)
 	}))
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
-// makeRoom closes the connection that has been idle for longest, if that was long enough. Clients keep
-// connections that they may never use again. On the loop.
+// makeRoom closes the connection that has been silent or idle for longest, if that was long enough. Clients keep
+// connections that they may never use again, and some connect by the hundred and say nothing. On the loop.
 func (s *Server) makeRoom() bool {
-	front := s.idle.Front()
-	if front == nil {
-		return false
-	}
-	c := front.Value.(*conn)
-	if s.loop.Clock.Now()-c.idleAt < limits.IdleLeast.Seconds() {
-		return false
+	for _, of := range [...]struct {
+		list  *list.List
+		least time.Duration
+	}{{&s.silent, limits.SilentLeast}, {&s.idle, limits.IdleLeast}} {
+		for at := of.list.Front(); at != nil; at = at.Next() {
+			c := at.Value.(*conn)
+			if s.loop.Clock.Now()-c.idleAt < of.least.Seconds() {
+				break
+			}
+			if c.evict(stats.ByIdle) {
+				return true
+			}
+		}
 	}
-	c.shut(stats.ByIdle)
-	return true
+	return false
 }
 
 // Stop ends service: for a little while new connections still come and are served, then the listener goes,
 // and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
 func (s *Server) Stop(then func()) {
-	s.loop.At(s.loop.Clock.Now()+limits.StillComing.Seconds(), func() {
+	now := s.loop.Clock.Now()
+	longest := 0.0
+	for _, t := range s.loop.Site.Settings.Categories {
+		longest = max(longest, t.Patience)
+	}
+	s.lastWord = now + min(longest, limits.LongestWait) + limits.KillAfter - limits.WordBefore
+	s.loop.At(now+limits.StillComing.Seconds(), func() {
 		s.stopping, s.stopped = true, then
 		s.deafen()
 		for c := range s.conns {
@@ -131,19 +148,42 @@
 	})
 }
 
+// pending says that connections wait to be accepted.
+func (s *Server) pending() (is bool) {
+	if t, ok := s.ln.(*net.TCPListener); ok {
+		if raw, err := t.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { is = readable(int(fd)) })
+		}
+	}
+	return is
+}
+
+// readable says that something has come on a socket: bytes, an end, or a connection.
+func readable(fd int) bool {
+	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, _ := unix.Poll(fds[:], 0)
+	return n > 0
+}
+
 // deafen takes the listening socket out of service without closing it: its number can't be taken by another
-// socket while the poller still knows it.
+// socket while the poller still knows it. What the kernel has accepted is taken out of its backlog first, as it would
+// be reset there, with a first query that may have come.
 func (s *Server) deafen() {
+	if s.pending() && s.loop.Clock.Now() < s.lastWord {
+		s.loop.At(s.loop.Clock.Now()+limits.LookAgain.Seconds(), s.deafen)
+		return
+	}
 	s.deaf.Store(true)
 	if t, ok := s.ln.(*net.TCPListener); ok {
 		if raw, err := t.SyscallConn(); err == nil {
 			raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
 		}
 	}
+	s.check()
 }
 
 func (s *Server) check() {
-	if s.stopping && len(s.conns) == 0 && s.stopped != nil {
+	if s.stopping && s.deaf.Load() && len(s.conns) == 0 && s.open.Load() == 0 && s.stopped != nil {
 		s.stopped()
 		s.stopped = nil
 	}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/limits"
@@ -34,11 +35,15 @@
 	current  *item
 	waiting  []*item
 	idleAt   relay.Seconds // when the last answer was written
-	idle     *list.Element // its place among the idle ones, if it has no open query
-	full     bool          // over the bound
+	place    *list.Element // its place among the silent or idle ones, if it has no open query
+	among    *list.List
+	full     bool // over the bound
 	shutting bool
 
 	started atomic.Bool
+	greeted atomic.Bool  // the startup is answered
+	partial atomic.Int64 // ns of the loop's clock when a message was last seen to be not whole yet; 0: none is
+	evicted atomic.Bool  // closed as nothing was open on it
 	deaf    atomic.Bool  // nothing more is taken in
 	ahead   atomic.Int64 // queries taken in and not yet answered
 	queries atomic.Int64
@@ -73,6 +78,9 @@
 	}
 	why, fault := c.reason, c.fault
 	c.mu.Unlock()
+	if c.evicted.Load() {
+		c.lastWords()
+	}
 	c.split.Free()
 	s := c.server
 	s.open.Add(-1)
@@ -127,24 +135,98 @@
 
 // rests notes whether the connection is idle. On the loop.
 func (c *conn) rests(is bool) {
-	if c.idle != nil {
-		c.server.idle.Remove(c.idle)
-		c.idle = nil
+	if c.place != nil {
+		c.among.Remove(c.place)
+		c.place = nil
 	}
 	if is && !c.shutting {
-		c.idle = c.server.idle.PushBack(c)
+		if c.among = &c.server.silent; c.started.Load() {
+			c.among = &c.server.idle
+		}
+		c.place = c.among.PushBack(c)
+	}
+}
+
+// quiet says that nothing has come on the connection that is still to be answered: not read and on its way to the
+// loop, not half read, and not in the socket's buffer. On the loop.
+func (c *conn) quiet() bool {
+	if c.current != nil || len(c.waiting) > 0 || c.ahead.Load() > 0 || c.started.Load() != c.greeted.Load() ||
+		c.net.Reader().Len() > 0 {
+		return false
+	}
+	if p := c.partial.Load(); p > 0 && c.server.loop.Clock.Now()-float64(p)/1e9 < limits.QueryRest.Seconds() {
+		return false
+	}
+	c.mu.Lock() // while it is held the descriptor is this connection's own
+	defer c.mu.Unlock()
+	n, ok := c.net.(netpoll.Conn)
+	return c.gone || !ok || !readable(n.Fd())
+}
+
+// evict closes the connection if it is quiet, and says whether it was. What comes from now on is not read, so that the
+// client knows that it did not count and sends it once more elsewhere; what is read between the look and the close
+// gets lastWords. On the loop.
+func (c *conn) evict(why stats.Reason) bool {
+	if c.shutting || !c.quiet() {
+		return false
+	}
+	c.because(why)
+	c.evicted.Store(true)
+	c.shutting = true
+	c.rests(false)
+	c.net.Close()
+	return true
+}
+
+// lastWords refuses queries that were read as the connection was closed for being idle: a query that was read has to
+// get an answer. The library no longer writes, but the descriptor is open until closed returns, and nothing else uses it.
+func (c *conn) lastWords() {
+	if c.net.Reader().Len() > 0 {
+		c.read()
+	}
+	owed := c.ahead.Load()
+	if owed == 0 && c.started.Load() && !c.greeted.Load() {
+		owed = 1 // a startup, with a query behind it or about to come
+	}
+	n, ok := c.net.(netpoll.Conn)
+	if !ok || owed == 0 {
+		return
+	}
+	l := c.server.loop
+	l.Stats.Add(stats.LateRefused, owed)
+	answer := pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, pgwire.CodeEnding, textEnding, l.ComeBack()))
+	for range owed {
+		unix.SendmsgN(n.Fd(), answer, nil, nil, unix.MSG_NOSIGNAL)
 	}
 }
 
-// rest closes the connection if it is between queries. On the loop.
+// rest closes the connection if it is between queries, or else looks again when what has come is read; a new one gets
+// a moment for its first query. On the loop.
 func (c *conn) rest() {
-	if c.current == nil && len(c.waiting) == 0 {
-		c.shut(stats.ByShutdown)
+	if c.current != nil || len(c.waiting) > 0 || c.shutting {
+		return // the answer's end comes back here
+	}
+	l := c.server.loop
+	now := l.Clock.Now()
+	if first := c.begun + limits.FirstQuery.Seconds(); c.queries.Load() == 0 && now < first {
+		l.At(first, c.rest)
+	} else if !c.evict(stats.ByShutdown) {
+		l.At(now+limits.LookAgain.Seconds(), c.rest)
+	}
+}
+
+// late ends a connection that has said no startup in time.
+func (c *conn) late() {
+	if !c.started.Load() && !c.shutting && !c.evict(stats.ByLateConnect) {
+		c.shut(stats.ByLateConnect) // half of a startup has come
 	}
 }
 
 // read takes in what has come, on the goroutine of the connection.
 func (c *conn) read() error {
+	if hold := c.server.reading.Load(); hold != nil {
+		(*hold)()
+	}
 	at := c.server.loop.Clock.Now()
 	r := c.net.Reader()
 	for r.Len() > 0 {
@@ -158,10 +240,15 @@
 		if err := c.split.Feed(b, func(m pgwire.Message) error { return c.take(m, at) }); err != nil {
 			c.reject(err)
 		}
+		if c.partial.Store(0); c.split.Partial() && !c.deaf.Load() {
+			c.partial.Store(max(1, int64(at*1e9)))
+		}
 	}
 	return r.Release()
 }
 
+const textEnding = "this relay is ending, nothing was done"
+
 // Complaints that are answered with a code of their own.
 var (
 	errNotOffered = errors.New("only simple queries are offered")
@@ -197,7 +284,11 @@
 	c.mu.Lock()
 	c.fault = err
 	c.mu.Unlock()
-	c.send(c.server.loop.Pool.Filled(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), "")), func() {
+	later := ""
+	if code == pgwire.CodeFull {
+		later = c.server.loop.ComeBack()
+	}
+	c.send(c.server.loop.Pool.Filled(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), later)), func() {
 		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
 	})
 }
@@ -300,6 +391,7 @@
 		if c.full {
 			c.complain(errFull)
 		} else {
+			c.greeted.Store(true)
 			it.Answer(l.Pool.Filled(pgwire.Welcome(c.server.last.Add(1))))
 		}
 		return
@@ -309,7 +401,11 @@
 		return
 	}
 	if it.q != nil {
-		l.Begin(it.q, math.Max(it.q.Arrived, c.idleAt))
+		from := math.Max(it.q.Arrived, c.idleAt)
+		if left := c.server.lastWord - from; c.server.lastWord > 0 { // the program may be killed behind that
+			it.q.Patience = min(it.q.Patience, int64(math.Max(left, 0)*1000))
+		}
+		l.Begin(it.q, from)
 		return
 	}
 	l.WhenListed(func() {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,6 +23,8 @@
 	ConfigFile    = 16 << 20    // bytes of a configuration: a list of units as long as one may be
 	LongestWait   = 3.0         // s of patience counted at the end where the settings' is shorter, as the platform does
 	LastWait      = 0.5         // s beyond that after which the program ends whatever is open
+	KillAfter     = 0.7         // s beyond the longest patience, up to LongestWait of it, that SIGKILL comes behind SIGTERM at the earliest
+	WordBefore    = 0.15        // s before that by which whatever came since has its answer: patience ends within 50 ms, the rest is the way
 	EventQueue    = 1 << 16     // events waiting for the loop: several for each descriptor; memos are dropped at it
 	EventsKept    = 1 << 12     // events whose space is kept for the next round: a busy moment's
 	LogAhead      = 1 << 12     // lines of the log waiting to be written, some 600 KB; more are dropped
@@ -30,14 +32,18 @@
 	HeldQueries   = 1 << 14     // open queries where the settings name no bound: far more than there are descriptors
 
 	// Clients.
-	Ahead       = 16                     // queries of a connection not yet answered: far more than a client has out
-	OverPart    = 0.5                    // of the spare descriptors, for clients over the bound that are told so; more are closed at once
-	TidyPart    = 0.75                   // of the clients' descriptors from which on a new connection has an idle one closed
-	IdleLeast   = 2 * time.Second        // that a connection stays idle before that: the protocol page allows it from then on
-	AnswerWait  = 5 * time.Second        // that a client may take to accept an answer: longer than it waits for one
-	StartupWait = 10 * time.Second       // that a client may take over its startup
-	StillComing = 500 * time.Millisecond // after SIGTERM in which new connections come: 0.4 s, and some more
-	CloseWait   = 1 * time.Second        // that a client gets to close its end when this end is shut
+	Ahead       = 16                      // queries of a connection not yet answered: far more than a client has out
+	OverPart    = 0.5                     // of the spare descriptors, for clients over the bound that are told so; more are closed at once
+	TidyPart    = 0.75                    // of the clients' descriptors from which on a new connection has an idle one closed
+	IdleLeast   = 2 * time.Second         // that a connection stays idle before that: the protocol page allows it from then on
+	SilentLeast = 500 * time.Millisecond  // the same without a startup, which a client writes as it connects: a round trip is milliseconds
+	FirstQuery  = 300 * time.Millisecond  // that a connection gets for its first query as the program ends: it comes right behind the startup
+	QueryRest   = 2 * time.Second         // that the rest of a message may take before its connection counts as idle: no longer than IdleLeast
+	LookAgain   = 10 * time.Millisecond   // until what has come is read, when a connection or the backlog was to be closed
+	AnswerWait  = 5 * time.Second         // that a client may take to accept an answer: longer than it waits for one
+	StartupWait = 2500 * time.Millisecond // that a client may take over its startup: one that says nothing is owed an end within 3 s
+	StillComing = 500 * time.Millisecond  // after SIGTERM in which new connections come: 0.4 s, and some more
+	CloseWait   = 1 * time.Second         // that a client gets to close its end when this end is shut
 
 	// Units.
 	IdlePart    = 0.8                    // of the settings' idle limit after which a connection is closed: before the unit does
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -196,6 +196,7 @@
 // Codes of ErrorResponses, from PostgreSQL's list.
 const (
 	CodeFull     = "53300" // too_many_connections: trying again is harmless
+	CodeEnding   = "57P03" // cannot_connect_now: the same
 	CodeFailed   = "58000" // system_error: no promise about what was done
 	CodeProtocol = "08P01" // protocol_violation
 	CodeSyntax   = "42601" // syntax_error
--- a/internal/stage/admit.go
+++ b/internal/stage/admit.go
@@ -26,7 +26,7 @@
 		q.NoRoom = textFull
 	}
 	if q.NoRoom != "" {
-		l.answerError(q, IsDenied, pgwire.CodeFull, q.NoRoom, "")
+		l.answerError(q, IsDenied, pgwire.CodeFull, q.NoRoom, l.ComeBack())
 		return
 	}
 	for l.lastID++; l.queries[l.lastID] != nil; l.lastID++ {
@@ -47,6 +47,15 @@
 	return relay.Key(h.Sum64())
 }
 
+// ComeBack is the detail of a denial at a bound, which the module does not see: the longest time to come back, where
+// the settings allow to name one. A client that comes again at once would find the same bound.
+func (l *Loop) ComeBack() string {
+	if set := l.Site.Limits; set.RetryAfter && set.MaxRetryAfter > 0 {
+		return pgwire.Later(int64(math.Ceil(set.MaxRetryAfter * 1000)))
+	}
+	return ""
+}
+
 func (l *Loop) deny(o relay.Deny) {
 	if q := l.queries[o.Query]; q != nil && q.Final == StillOpen {
 		detail := ""
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -34,6 +34,7 @@
 	LegCancelled
 	LegNotSent
 	LegsReleased
+	LateRefused
 	Probes
 	Votes
 	VotesCounted
@@ -63,7 +64,7 @@
 	WrittenOff: "written_off", Left: "left", Open: "open", LegsSent: "legs_sent", LegsOpen: "legs_open",
 	LegHonoured: "leg_honoured", LegErrored: "leg_errored", LegTurnedAway: "leg_turned_away",
 	LegTimedOut: "leg_timed_out", LegNoConnect: "leg_no_connect", LegBroken: "leg_broken",
-	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", LegsReleased: "legs_released", Probes: "probes", Votes: "votes",
+	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", LegsReleased: "legs_released", LateRefused: "late_refused", Probes: "probes", Votes: "votes",
 	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMoot: "votes_moot", VotesMaybe: "votes_maybe_counted",
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
 	RosterCalls: "roster_calls", RosterFailed: "roster_failed", RosterSilent: "roster_silent", BadInput: "bad_input",
