A connection carries its next query only when the write before has returned

Its counters had 36 of 426 legs without a connection, its log two unit connections with reason write_failed, one query on each, to units that accept everything. Cause: dial (units/conn.go) writes the startup on a goroutine of its own; the unit's welcome can be read, and the loop begin a query, before that Write has let go of the library's lock, and the library refuses a second one (ErrConcurrentAccess). The same holds for a query over one buffer, written off the loop. Three such legs in a row and a query is denied. Ruled out: refused dials (none in the log), the bound on connections (legs_not_sent 0), discovery (no call failed).

Change: a connection is idle only when its last write off the loop has returned.

--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -47,6 +47,8 @@
 	up      relay.Seconds
 	queries int
 	fault   error // what was wrong with what came
+	writing bool  // a write off the loop has not returned: up to then the library refuses another one
+	held    bool  // it would be idle but for that
 
 	split  pgwire.Splitter
 	answer *buffer.Chain
@@ -69,7 +71,7 @@
 		}))
 		return
 	}
-	c := &conn{pool: p, unit: u, address: address, net: n, up: begun,
+	c := &conn{pool: p, unit: u, address: address, net: n, up: begun, writing: true,
 		split: pgwire.Splitter{Pool: p.loop.Pool, Types: pgwire.FromUnits, Most: pgwire.MaxAnswer}}
 	n.SetWriteTimeout(span(p.connect))
 	n.AddCloseCallback(func(netpoll.Connection) error {
@@ -88,8 +90,20 @@
 		})
 	}))
 	_, err = n.Write(p.hello)
-	if err != nil || !n.IsActive() {
-		p.loop.Post(stage.Call(func(*stage.Loop) { c.close(stats.ByPeer) }))
+	p.loop.Post(stage.Call(func(*stage.Loop) {
+		if err != nil || !n.IsActive() {
+			c.close(stats.ByPeer)
+		}
+		c.wrote()
+	}))
+}
+
+// wrote tells that a write off the loop has returned. The unit's answer to it may have been read before that, and the
+// library refuses a write while another one has not returned: the next query would seem to have had no connection.
+func (c *conn) wrote() {
+	if c.writing = false; c.held && c.state != dead {
+		c.held = false
+		c.rest()
 	}
 }
 
@@ -157,7 +171,11 @@
 		return
 	}
 	c.net.SetWriteTimeout(0) // the leg's own time-out closes the connection
-	go c.write(leg, out)
+	c.writing = true
+	go func() {
+		c.write(leg, out)
+		c.pool.loop.Post(stage.Call(func(*stage.Loop) { c.wrote() }))
+	}()
 }
 
 // write sends a message in two steps, all but the last byte and then that: as long as the first has not
@@ -392,6 +410,10 @@
 
 // rest makes the connection an idle one, and gives it to whoever waits for one.
 func (c *conn) rest() {
+	if c.writing {
+		c.held = true
+		return
+	}
 	c.unit.coming--
 	c.state, c.since = idle, c.pool.loop.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
--- a/internal/units/late_test.go
+++ b/internal/units/late_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
 	"lichenroad/internal/stage"
@@ -104,3 +105,33 @@
 		}
 	}
 }
+
+// TestReadyBeforeAWriteHasReturned has the unit's welcome, or its answer to a long query, read while the write of what
+// it answers has not returned: the library refuses another write, so the next query waits, and does not end as one
+// without a connection.
+func TestReadyBeforeAWriteHasReturned(t *testing.T) {
+	for name, was := range map[string]state{"the startup": starting, "a long query": settling} {
+		b := newBench(t, nil)
+		n := &pipe{takes: 1 << 20}
+		c := b.coming(n)
+		c.writing = true
+		n.before = func([]byte) {
+			if c.writing {
+				n.takes, n.fault = 0, netpoll.ErrConcurrentAccess
+			}
+		}
+		b.pool.Send(b.leg())
+		if c.state = was; was == starting {
+			ready{c}.Take(b.Loop)
+		} else {
+			c.rest() // it has settled
+		}
+		if ends := b.told(); len(ends) != 0 || len(n.got) != 0 {
+			t.Fatalf("%s: %+v, %q", name, ends, n.got)
+		}
+		c.wrote()
+		if ends := b.told(); len(ends) != 0 || len(n.got) == 0 {
+			t.Errorf("%s: %+v, %q", name, ends, n.got)
+		}
+	}
+}
