A connection to a unit rests 20 ms behind an answer, and no half answer outlives it

Found by reading (units/conn.go): a row with an error behind it stayed as the beginning of an answer (take, 'E'), which a bare end could complete for the next query; an answer without ReadyForQuery kept its connection busy for good; a leg waited for a connection that settles.

Change: 20 ms of rest, five times what was seen; a leg that comes meanwhile gets a connection of its own unless there is no room. Weighed: a fence (an empty query) is answered at once, before an answer that is still to come, so it proves nothing; a shorter rest costs fewer connections once at the start, as they are kept. To be measured on real sockets.

Tested: units/late_test.go; without the two mends of answers their tests fail.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -47,7 +47,7 @@
 
 	// Units.
 	IdlePart    = 0.8                    // of the settings' idle limit after which a connection is closed: before the unit does
-	SettleFor   = 2 * time.Millisecond   // after an answer in which more of it may come, before the next query: ten times what was seen
+	SettleFor   = 20 * time.Millisecond  // after an answer in which more of it may come, before the next query: a second answer came up to 4 ms late
 	AnswerRest  = 250 * time.Millisecond // that the rest of an answer may take once it has begun: at most 64 KiB, sent in one go
 	SweepEvery  = 1 * time.Second        // between looks at idle connections: small beside any idle limit
 	ConnectWait = 1 * time.Second        // that a connection may take to come up where the settings name no limit
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -44,6 +44,7 @@
 	leg     *stage.Leg
 	partly  *stage.Leg    // whose answer has begun
 	since   relay.Seconds // idle since
+	last    relay.Seconds // when the last answer was read
 	up      relay.Seconds
 	queries int
 	fault   error // what was wrong with what came
@@ -109,7 +110,7 @@
 
 // missed ends the oldest leg that waits for a connection which did not come up, when no other is coming.
 func (p *Pool) missed(u *unit) {
-	for len(u.waiting) > u.coming {
+	for len(u.waiting) > u.coming+u.settling {
 		leg := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		p.loop.End(leg, stage.Ending{How: relay.NoConnect, Took: p.loop.Clock.Now() - leg.Asked})
@@ -131,7 +132,7 @@
 		c.unit.coming--
 		p.missed(c.unit)
 	case settling:
-		c.unit.coming--
+		c.unit.settling--
 		p.serve(c.unit)
 	case idle:
 		for i, d := range c.unit.idle {
@@ -305,6 +306,8 @@
 			return err
 		}
 	case 'E':
+		c.answer.Free() // of a row before it: nothing that comes later may complete that
+		c.answer = nil
 		_, code, text, err := pgwire.ParseError(m.Body.Bytes())
 		if err == nil {
 			c.pool.loop.Post(answered{c: c, at: at, how: outcome(code), code: code, text: text, report: c.report})
@@ -370,7 +373,12 @@
 	if e.code == pgwire.CodeProtocol {
 		l.Log.WithField("unit", c.unit.name).Error("a unit did not understand a query: " + e.text)
 	}
-	c.leg = nil
+	c.leg, c.last = nil, e.at
+	l.At(l.Clock.Now()+limits.AnswerRest.Seconds(), func() {
+		if c.state == busy && c.leg == nil && c.last == e.at {
+			spoilt{c, errCut}.Take(l) // it never said that it is ready, and would stay for good
+		}
+	})
 	l.End(leg, end)
 }
 
@@ -381,8 +389,11 @@
 }
 
 // Take ends the connection, and the leg on it as one that may have run if it was written whole.
-func (e spoilt) Take(*stage.Loop) {
+func (e spoilt) Take(l *stage.Loop) {
 	e.c.fault = e.why
+	if e.c.last > 0 && e.c.leg == nil {
+		e.c.fault = fmt.Errorf("%w, %.1f ms behind the last answer", e.why, (l.Clock.Now()-e.c.last)*1000)
+	}
 	e.c.close(stats.ByBadInput)
 }
 
@@ -397,7 +408,7 @@
 		c.rest()
 	case c.state == busy && c.leg == nil:
 		c.state = settling
-		c.unit.coming++
+		c.unit.settling++
 		l.At(l.Clock.Now()+limits.SettleFor.Seconds(), func() {
 			if c.state == settling {
 				c.rest()
@@ -414,7 +425,11 @@
 		c.held = true
 		return
 	}
-	c.unit.coming--
+	if c.state == settling {
+		c.unit.settling--
+	} else {
+		c.unit.coming--
+	}
 	c.state, c.since = idle, c.pool.loop.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
 	if c.address != c.unit.address {
--- a/internal/units/late_test.go
+++ b/internal/units/late_test.go
@@ -7,6 +7,8 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"lichenroad/internal/limits"
+	"lichenroad/internal/pgwire"
 	"lichenroad/internal/stage"
 	"lichenroad/relay"
 )
@@ -135,3 +137,80 @@
 		}
 	}
 }
+
+// feed has bytes come on a connection.
+func (b bench) feed(c *conn, p []byte) {
+	if err := c.split.Feed(p, func(m pgwire.Message) error { return c.take(m, b.Clock.Now()) }); err != nil {
+		b.Post(spoilt{c, err})
+	}
+}
+
+// TestRowBehindWhichAnErrorCame has a row, then an error in place of its end, and later the end alone as the answer to
+// the next query: the row is not served to that.
+func TestRowBehindWhichAnErrorCame(t *testing.T) {
+	b := newBench(t, nil)
+	n := &pipe{takes: 1 << 20}
+	c := b.coming(n)
+	c.split = pgwire.Splitter{Pool: b.Loop.Pool, Types: pgwire.FromUnits, Most: pgwire.MaxAnswer}
+	ready{c}.Take(b.Loop)
+	b.pool.Send(b.leg())
+	whole := append(pgwire.Header(nil, 'T', 25), "\x00\x01body\x00"...)
+	whole = append(whole, make([]byte, 18)...)
+	whole = append(pgwire.Header(whole, 'D', 9), "\x00\x01\x00\x00\x00\x03old"...)
+	end := len(whole)
+	whole = append(pgwire.Header(whole, 'C', 9), "SELECT 1\x00"...)
+	b.feed(c, whole[:end])
+	b.feed(c, pgwire.Ready(pgwire.ErrorAnswer(pgwire.Error, "XX000", "late", "")))
+	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.Errored {
+		t.Fatalf("%+v", ends)
+	}
+	c.rest() // settled
+	b.pool.Send(b.leg())
+	b.feed(c, whole[end:])
+	if ends := b.told(); len(ends) != 1 || ends[0].How != relay.Broken || n.closed == 0 {
+		t.Errorf("served from a row that was not its own: %+v", ends)
+	}
+}
+
+// TestAnswerWithoutReady has a whole answer behind which the unit never says that it is ready: the answer counts, and
+// the connection does not stay for good.
+func TestAnswerWithoutReady(t *testing.T) {
+	b := newBench(t, nil)
+	n := &pipe{takes: 1 << 20}
+	c := b.conn(n)
+	leg := b.leg()
+	leg.Query.Client = nobody{}
+	b.pool.Send(leg)
+	answered{c: c, at: b.Clock.Now(), how: relay.Honoured, answer: b.Loop.Pool.Chain()}.Take(b.Loop)
+	stop := make(chan struct{})
+	b.At(b.Clock.Now()+limits.AnswerRest.Seconds()+0.01, func() { close(stop) })
+	b.told()
+	b.Run(stop)
+	if n.closed == 0 || b.pool.open != 0 {
+		t.Errorf("closed %d times, %d open", n.closed, b.pool.open)
+	}
+}
+
+// TestLegsDontWaitForAConnectionToSettle has one query right behind another at a unit: it gets a connection of its own,
+// unless there is no room for one.
+func TestLegsDontWaitForAConnectionToSettle(t *testing.T) {
+	for _, most := range []int{4, 1} {
+		b := newBench(t, nil)
+		b.pool.most = most
+		n := &pipe{takes: 1 << 20}
+		c := b.conn(n)
+		b.pool.Send(b.leg())
+		answered{c: c, at: b.Clock.Now(), how: relay.Errored, code: "XX000"}.Take(b.Loop)
+		ready{c}.Take(b.Loop)
+		b.told()
+		sent := len(n.got)
+		b.pool.Send(b.leg())
+		if ends := b.told(); len(ends) != 0 || b.unit.coming != min(1, most-1) || len(n.got) != sent {
+			t.Errorf("at most %d: %+v, %d coming", most, ends, b.unit.coming)
+		}
+		c.rest()
+		if len(n.got) == sent {
+			t.Errorf("at most %d: settled, and not used", most)
+		}
+	}
+}
