--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -110,7 +110,7 @@
 
 // missed ends the oldest leg that waits for a connection which did not come up, when no other is coming.
 func (p *Pool) missed(u *unit) {
-	for len(u.waiting) > u.coming+u.settling {
+	for len(u.waiting) > u.coming {
 		leg := u.waiting[0]
 		u.waiting = u.waiting[1:]
 		p.loop.End(leg, stage.Ending{How: relay.NoConnect, Took: p.loop.Clock.Now() - leg.Asked})
@@ -132,7 +132,7 @@
 		c.unit.coming--
 		p.missed(c.unit)
 	case settling:
-		c.unit.settling--
+		c.unit.coming--
 		p.serve(c.unit)
 	case idle:
 		for i, d := range c.unit.idle {
@@ -408,7 +408,7 @@
 		c.rest()
 	case c.state == busy && c.leg == nil:
 		c.state = settling
-		c.unit.settling++
+		c.unit.coming++
 		l.At(l.Clock.Now()+limits.SettleFor.Seconds(), func() {
 			if c.state == settling {
 				c.rest()
@@ -425,11 +425,7 @@
 		c.held = true
 		return
 	}
-	if c.state == settling {
-		c.unit.settling--
-	} else {
-		c.unit.coming--
-	}
+	c.unit.coming--
 	c.state, c.since = idle, c.pool.loop.Clock.Now()
 	c.unit.idle = append(c.unit.idle, c)
 	if c.address != c.unit.address {
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -26,17 +26,16 @@
 
 // unit is one server as the pool sees it.
 type unit struct {
-	id       relay.UnitID
-	name     string
-	address  string
-	process  process
-	leaving  bool         // told as draining or gone: nothing new goes to it
-	gone     bool         // told as gone: forgotten when nothing holds it any more
-	open     int          // connections, those coming up included
-	idle     []*conn      // the one last used is last
-	coming   int          // connections coming up
-	settling int          // connections about to be idle again
-	waiting  []*stage.Leg // legs without a connection, the oldest first
+	id      relay.UnitID
+	name    string
+	address string
+	process process
+	leaving bool         // told as draining or gone: nothing new goes to it
+	gone    bool         // told as gone: forgotten when nothing holds it any more
+	open    int          // connections, those coming up included
+	idle    []*conn      // the one last used is last
+	coming  int          // connections coming up, or about to be idle again
+	waiting []*stage.Leg // legs without a connection, the oldest first
 }
 
 // process tells one process of a unit from the next: a unit keeps its id, and may keep its address, over a restart and
@@ -226,9 +225,6 @@
 	}
 	for u.coming < len(u.waiting) {
 		if p.open >= p.most && !p.spare() {
-			if len(u.waiting) <= u.coming+u.settling {
-				return // one that settles will do
-			}
 			p.loop.Stats.Add(stats.BoundConns, 1)
 			leg := u.waiting[len(u.waiting)-1]
 			u.waiting = u.waiting[:len(u.waiting)-1]
