Ready without a list, a call that crosses a closed connection made again, absent terms

Causes, found by reading. Readiness: a relay with no list, or an empty one that can't be read, at a discovery that is down answered nothing until a list came (stage.WhenListed), and one whose 'known' can't be read did not start (config.Parse), nor followed a move at SIGHUP. Discovery: a call written as the connection kept from the call before ended counted as failed and was backed off from by 1 to 2 s (roster.get). Settings: max_attempts absent meant no legs, target absent no time, ballot_ttl absent a vote every 0.4 s.

Change: clients are let in after 5 s without any list, and at SIGTERM; 'known' is read at the start alone, which says in one line that it starts without; a call on a kept connection that ends with no byte within 100 ms is made again, once, on a new one. Absent terms limit nothing.

Each new test fails without its mend.

--- /dev/null
+++ b/cmd/lichenroad/ready_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"lichenroad/internal/config"
+	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stats"
+)
+
+// TestReadyWhateverDiscoverySays starts with each kind of list as last held, at a discovery that refuses: ready in time,
+// serving what is known to be there, and denying where nothing is.
+func TestReadyWhateverDiscoverySays(t *testing.T) {
+	for name, c := range map[string]struct {
+		known  string // empty: the list as it stands
+		within time.Duration
+		code   string
+	}{
+		"a good list":            {"", time.Second, ""},
+		"an empty list":          {`{"generation":1,"reset":true,"instances":[]}`, time.Second, pgwire.CodeFull},
+		"none":                   {"null", 8 * time.Second, pgwire.CodeFull},
+		"one that can't be read": {`{"generation":"x"}`, 8 * time.Second, pgwire.CodeFull},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, newUnit(t, always(honour)))
+			f.down = true
+			begun := time.Now()
+			p := running(t, f, func(to *config.Config) {
+				if c.known != "" {
+					to.Known = json.RawMessage(c.known)
+				}
+			})
+			cl := dialClient(t, p, pgwire.QueryMessage("")...)
+			cl.until('Z')
+			cl.until('I')
+			cl.until('Z')
+			if took := time.Since(begun); took > c.within {
+				t.Errorf("ready after %v", took)
+			}
+			cl.send(read("look", 300))
+			if _, code := cl.answer(); code != c.code {
+				t.Errorf("%q", code)
+			}
+			sums(t, p)
+		})
+	}
+}
+
+// TestSigtermBeforeReady ends a relay that has no list yet: whoever waits hears so, and the program ends.
+func TestSigtermBeforeReady(t *testing.T) {
+	f := newFleet(t)
+	f.down = true
+	p := running(t, f, func(to *config.Config) { to.Known = nil })
+	cl := dialClient(t, p, pgwire.QueryMessage("")...)
+	cl.until('Z')
+	settled(t, p, stats.RosterFailed, 1)
+	p.endGently()
+	cl.until('I')
+	cl.until('Z')
+	if !cl.closed() {
+		t.Error("the connection stays")
+	}
+	select {
+	case <-p.stop:
+	case <-time.After(patience):
+		t.Error("the program does not end")
+	}
+}
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -110,7 +110,7 @@
 	if known, err := reader.Parse(c.Known); err == nil {
 		asker.Known(known)
 	} else {
-		log.WithField("peer", "roster").Warn("no list to start with")
+		log.WithField("peer", "roster").WithError(err).Warn("no list to start with")
 	}
 	loop.Post(stage.Call(func(l *stage.Loop) { l.Told(c.News) }))
 	asker.Start()
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -137,6 +137,7 @@
 	for _, t := range s.loop.Site.Settings.Categories {
 		longest = max(longest, t.Patience)
 	}
+	s.loop.Open() // whoever waits for a list hears that there is none
 	s.lastWord = now + min(longest, limits.LongestWait) + limits.KillAfter - limits.WordBefore
 	s.loop.At(now+limits.StillComing.Seconds(), func() {
 		s.stopping, s.stopped = true, then
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,7 +13,6 @@
 
 	"lichenroad/internal/limits"
 	"lichenroad/internal/linewire"
-	"lichenroad/internal/roster"
 	"lichenroad/relay"
 	"lichenroad/settings"
 )
@@ -174,12 +173,6 @@
 	if string(c.Known) == "null" {
 		c.Known = nil
 	}
-	if len(c.Known) > 0 {
-		probe := roster.NewReader(nil, nil, func(s float64) relay.Seconds { return s })
-		if _, err := probe.Parse(c.Known); err != nil {
-			fault("known: %w", err)
-		}
-	}
 	return c, errors.Join(faults...)
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -68,6 +68,8 @@
 	PushPart  = 0.4                    // of the drain grace that a relay with no watch lets pass between tries, where lists are pushed
 	LeastOff  = 20 * time.Millisecond  // that it does let pass, however short the grace
 	FirstList = 1 * time.Second        // that clients wait at the start for the list of an agent that has told it all along
+	NoList    = 5 * time.Second        // that they wait for any list where none is known: a relay has to be ready within 10 s
+	CrossFor  = 100 * time.Millisecond // behind a call on a kept connection in which its end crossed the call: a round trip is milliseconds
 
 	// The platform.
 	CallFor    = 1 * time.Second        // that an answer may take where the settings name no limit
--- a/internal/roster/keeper.go
+++ b/internal/roster/keeper.go
@@ -35,6 +35,7 @@
 	plain  time.Duration // an answer to a call that does not wait
 	rest   time.Duration // the next piece of an answer that has begun
 	first  time.Duration // clients, at the start, for a list that is pushed
+	none   time.Duration // clients, at the start, for any list where none is known
 	pushed bool          // the module orders no watch: one that ends is opened again from here
 	most   time.Duration // between two tries to open it then: what the agent has counts as told all the same
 }
@@ -43,7 +44,7 @@
 // drain grace is over, so a relay tries again within a part of it.
 func usual(pushed bool, grace relay.Seconds) waits {
 	most := time.Duration(limits.PushPart * grace * float64(time.Second))
-	return waits{limits.WatchFor, limits.AnswerFor, limits.PlainFor, limits.ListRest, limits.FirstList, pushed,
+	return waits{limits.WatchFor, limits.AnswerFor, limits.PlainFor, limits.ListRest, limits.FirstList, limits.NoList, pushed,
 		max(limits.LeastOff, min(most, limits.MostOff))}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -54,13 +54,16 @@
 }
 
 // Start serves the module's orders until the program ends. What an agent that pushes has counts as told from the
-// first moment, so clients wait a moment for it rather than be served by the list as last held.
+// first moment, so clients wait a moment for it rather than be served by the list as last held. Where there is no
+// list at all they are let in after a while, too: a denial with a time to come back is more than no answer.
 func (a *Asker) Start() {
 	a.at.start()
+	first := a.waits.none
 	if a.waits.pushed {
 		a.Watch(true, false) // before the loop runs
-		a.loop.Post(stage.Call(func(l *stage.Loop) { l.At(l.Clock.Now()+a.waits.first.Seconds(), l.Open) }))
+		first = a.waits.first
 	}
+	a.loop.Post(stage.Call(func(l *stage.Loop) { l.At(l.Clock.Now()+first.Seconds(), l.Open) }))
 }
 
 // Move goes over to another address, on the loop. The list is asked for whole there, as the generations need not be
@@ -400,9 +403,23 @@
 	stats.LogEnd(c.p.a.loop.Log, "roster", c.p.address, why, time.Since(c.begun).Seconds(), c.calls, nil)
 }
 
-// get makes one call, on the connection that stands or on a new one. It is made once, whatever comes of it.
+// get makes one call, on the connection that stands or on a new one. One that crosses the end of a connection which
+// discovery had kept from an earlier call has not reached it, and is made on a new one; any other is made once,
+// whatever comes of it.
 func (c *call) get(r request) (List, stats.Reason, error) {
 	c.p.a.loop.Stats.Add(stats.RosterCalls, 1)
+	list, why, err := c.make(r)
+	if errors.Is(err, errCrossed) {
+		c.end(stats.ByPeer)
+		list, why, err = c.make(r)
+	}
+	return list, why, err
+}
+
+// errCrossed is of a call that was written as the connection kept from the one before ended.
+var errCrossed = errors.New("the connection had ended")
+
+func (c *call) make(r request) (List, stats.Reason, error) {
 	if c.net != nil && !c.net.IsActive() {
 		c.end(stats.ByPeer)
 	}
@@ -419,10 +436,16 @@
 	if c.watch {
 		c.p.calls(c.net)
 	}
-	if _, err := c.net.Write([]byte(httpwire.Get(c.p.address, r.path))); err != nil {
-		return List{}, stats.ByPeer, err
+	written := time.Now()
+	_, err := c.net.Write([]byte(httpwire.Get(c.p.address, r.path)))
+	var resp httpwire.Response
+	why := stats.ByPeer
+	if err == nil {
+		resp, why, err = c.answer(written.Add(r.limit))
+	}
+	if err != nil && why == stats.ByPeer && c.calls > 1 && !resp.Begun() && time.Since(written) < limits.CrossFor {
+		err = fmt.Errorf("%w: %w", errCrossed, err)
 	}
-	resp, why, err := c.answer(time.Now().Add(r.limit))
 	if err != nil {
 		return List{}, why, err
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -325,3 +325,55 @@
 		t.Errorf("%d failures", n)
 	}
 }
+
+// TestCallThatCrossesTheEndOfAKeptConnection has discovery close the connection that the watch keeps just as the next
+// call comes: that one is made again on a new connection, and no failure is told, which would be backed off from. The
+// end of a new connection, or of a call that waited, is a failure.
+func TestCallThatCrossesTheEndOfAKeptConnection(t *testing.T) {
+	s := newService(t)
+	h := newHeard(t, s.ln.Addr().String(), false)
+	h.begin()
+	first := s.next()
+	first.answer(body(2, false, entry("SERVING")))
+	crossed := s.next()
+	crossed.Close()
+	again := s.next()
+	if crossed.no != first.no || again.no == first.no || !strings.HasPrefix(again.path, target+"?after=2&") {
+		t.Errorf("%+v, then %+v", crossed, again)
+	}
+	again.answer(body(3, false, entry("DRAINING")))
+	for r := h.until(relay.RosterDelta); r.Units[0].State != relay.Draining; r = h.until(relay.RosterDelta) {
+	}
+	if n := h.loop.Stats.Get(stats.RosterFailed); n != 0 || len(h.events) != 0 {
+		t.Errorf("%d failures, %+v", n, h.events)
+	}
+	s.next()
+	h.asker.Watch(true, true) // on a new connection, that ends at once
+	s.next().Close()
+	h.until(relay.RosterFailed)
+}
+
+// TestNobodyWaitsForAListForGood starts with no list at a discovery that has none to give: clients are let in after a
+// while, to hear a denial; and at once where the program ends before that.
+func TestNobodyWaitsForAListForGood(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		s := newService(t)
+		h := newHeard(t, s.ln.Addr().String(), pushed)
+		h.asker.waits.none, h.asker.waits.first = short, short
+		h.asker.Start()
+		if !pushed {
+			h.asker.Watch(true, false)
+		}
+		stop := make(chan struct{})
+		h.loop.WhenListed(func() { close(stop) })
+		go h.loop.Run(stop)
+		select {
+		case <-stop:
+		case <-time.After(patience):
+			t.Error("clients wait for good, pushed:", pushed)
+		}
+	}
+	if w := usual(false, 0.25); w.none >= 10*time.Second || w.first >= 10*time.Second {
+		t.Error("not ready within 10 s")
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -133,13 +133,16 @@
 			StageShares: w.Family.Waves, Uncounted: w.Family.Free, Window: w.Family.Span / perSecond,
 			PerCategory: w.Family.Counted == "each_class", GuardedStages: w.Family.Guarded,
 			KeysForward: w.Family.Forward, KeysWarm: w.Family.Warm, VotesOn: w.Family.On,
-			VotesBack: w.Family.Back, VotesHold: w.Family.Hold, VoteLife: w.Family.Life / perSecond,
+			VotesBack: w.Family.Back, VotesHold: w.Family.Hold, VoteLife: unless(w.Family.Life) / perSecond,
 			CallTimeout: w.Family.Call / perSecond, VotesPerSec: w.Family.PerSec,
 			LeastTime: w.Family.Dwell / perSecond, StepTime: w.Family.Step / perSecond,
 			ReportedShare: w.Family.Reported, DelayPrice: w.Family.Lag, HarmPrice: w.Family.Harm},
 		Prices: relay.Prices{CrossZone: w.Prices.Cross, Waste: w.Prices.Waste, Probe: w.Prices.Probe,
 			Message: w.Prices.Peer, LateFail: w.Prices.LateFail},
 	}
+	if s.Limits.MaxLegs <= 0 {
+		s.Limits.MaxLegs = math.MaxInt32 // not limited; none at all would deny everything
+	}
 	if w.Report.Via != "off" {
 		s.Reports = w.Report.Fields
 	}
@@ -156,6 +159,9 @@
 		t := relay.CategoryTerms{RepeatWindow: g.Window / perSecond, DueTime: g.Due / perSecond,
 			DueStretch: g.Stretch, Patience: g.Until / perSecond, Value: g.Value, LateValue: g.Late,
 			Streamed: g.Stream, Repeat: relay.AtMostOnce, Group: relay.GroupCell}
+		if t.DueTime <= 0 {
+			t.DueTime = t.Patience // in time as long as the client waits; at once would deny everything
+		}
 		switch g.Repeat {
 		case "retryable":
 			t.Repeat = relay.Reissuable
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -11,3 +11,15 @@
 		t.Error("bad settings were read")
 	}
 }
+
+// TestAbsentTermsDenyNothing reads the settings of a site that leaves out what it does not limit.
+func TestAbsentTermsDenyNothing(t *testing.T) {
+	s, err := Parse([]byte(`{"grades":[{"name":"a","repeat":"retryable","deadline":2e9}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := s.Settings
+	if set.Limits.MaxLegs < 1 || set.Categories[0].DueTime != 2 || set.Rollout.VoteLife < 60 || set.Rules.AskEvery < 60 {
+		t.Errorf("%+v", set)
+	}
+}
