A fleet slowed by a bad build in service is no reason to send the next one back

Build 174 turned bad 0.4 s after its release; three fusers found so at 22.0 s ('voting build 174 back: pooled counts of category 4, 516 14 .. against 708 3'), when 175 was offered and the vote was moot. At 30.3 s the same three sent 175 back: 'the whole fleet is slower than before', which was 174's doing; no build came after it. Lines at fault: fuser.wish holds slowness of the fleet against whatever build is on trial. Ruled out: relays' restarts (ready in 0.1 s), connections (0 failed as idle, 1 refused).

Change: a build that its own outcomes speak against is remembered while it stays in service, and the fleet's slowness is not held against the next one meanwhile.

Tested: TestFleetThatABadBuildSlows, fails without.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -151,8 +151,7 @@
 		}
 	case relay.Roster:
 		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
-			// A notice of failure doesn't say which call failed: ask again. What a silent watch missed, drains
-			// too, is about to count as told: ask at once, and soon until one answers.
+			// Which call failed is not said. What a silent watch missed counts as told soon: ask at once.
 			r.failed, r.silent = true, r.silent || n.Form == relay.RosterSilent
 			wait := math.Min(watchRetry, askPart*r.p.set.Rules.AskEvery)
 			if n.Form == relay.RosterSilent {
@@ -247,8 +246,7 @@
 	return u.load()
 }
 
-// load is what it costs the unit. A unit that holds legs and answers nothing gets dearer by the moment:
-// pauses, stalls and silent losses look alike so far.
+// load is what it costs the unit. One that holds legs and answers nothing gets dearer by the moment.
 func (u *unit) load() float64 {
 	c := u.paceNow() * float64(u.open+1)
 	if u.open > 0 {
@@ -386,8 +384,7 @@
 	d.open = left
 }
 
-// route sends a query that has no leg out. It is held only while it is in time, has legs left and a unit
-// may yet come free for it; otherwise it is given up at once.
+// route sends a query that has no leg out, holds it while it is in time and may go, or gives it up at once.
 func (d *desk) route(q *query) {
 	held := d.p.now < q.due && d.p.now < q.Until-patienceEdge
 	if u := d.pick(q); u != nil && held {
@@ -521,8 +518,7 @@
 	return 0
 }
 
-// finish is the one place of final answers that are not an honoured leg: a denial where it is true that
-// trying again is harmless, a write-off otherwise.
+// finish gives all final answers but an honoured leg's: a denial where trying again is harmless.
 func (d *desk) finish(q *query) {
 	if q.over {
 		return
@@ -546,8 +542,7 @@
 	}
 }
 
-// limit is how many queries may be open: by Little's law, the rate of answers times the time that they may
-// take.
+// limit is how many queries may be open: by Little's law, the rate of answers times the time they may take.
 func (g *gate) limit() float64 {
 	if g.p.now < flowWidth*flowCount {
 		return math.Inf(1) // no pace is known yet
@@ -620,8 +615,7 @@
 	x.cap = n.Cap
 }
 
-// capOf gives the cap and stage of a build, and whether it is on trial. A build that the news doesn't
-// name yet counts as in the first stage.
+// capOf gives a build's cap and stage, and whether it is on trial. One not named yet is in the first stage.
 func (t *trial) capOf(b relay.Build) (cap float64, stage relay.Stage, onTrial bool) {
 	switch {
 	case !t.known || b < t.news.Build || b == t.news.Build && t.news.Phase == relay.Released:
@@ -785,8 +779,7 @@
 	return verdict{flagged(newer, before, false), newer[figCount]}
 }
 
-// compare sets the newest build's outcomes in one category against the earlier ones'; of its eldest machines
-// alone, and only what these showed beyond an age, where one is given.
+// compare sets the newest build's outcomes against the earlier ones'; its eldest machines' alone from an age.
 func (t *trial) compare(by, c, to int, age relay.Seconds) (newer, before counts) {
 	pooled := by == told
 	before, ill := t.gather(pooled, c, false, 0, evidenceBuckets, illPart, 0)
@@ -930,8 +923,7 @@
 	}
 }
 
-// look renews what this relay wants to vote: as a fuser by all that it was told, else by what most fusers
-// find, and by its own legs where it hears none.
+// look renews what this relay wants to vote: as a fuser by all it was told, else by most fusers, or own legs.
 func (f *fuser) look() {
 	t := &f.p.trial
 	f.fusing = slices.Contains(f.set(), f.p.set.Self)
@@ -1027,12 +1019,20 @@
 // wish is the vote that this fuser wants to stand.
 func (f *fuser) wish() relay.Verdict {
 	t, r := &f.p.trial, &f.p.set.Rollout
+	released := t.news.Phase == relay.Released
+	if !t.judging() && f.blamed == t.news.Build || released && f.p.now-t.since > steadyTime {
+		f.blamed = 0
+	}
 	if !t.judging() {
 		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
 	back, late, pooled := f.fused()
-	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || t.news.Phase == relay.Released {
+	if back { // what the fleet suffers while this one is in service is no later build's doing
+		f.blamed = t.news.Build
+	}
+	last, known := int(t.news.Stage) >= len(r.StageShares)-1, f.blamed != 0 && f.blamed != t.news.Build
+	if !late || last || known || released {
 		f.slowAt = f.p.now
 	} else if !back {
 		f.why = "the whole fleet is slower than before"
@@ -1041,7 +1041,7 @@
 	switch {
 	case back || f.p.now-f.slowAt > fleetPatience:
 		return relay.VoteBack
-	case t.news.Phase == relay.Released:
+	case released:
 		return relay.NoVote
 	case r.Control == relay.Clock && (pooled < leastCount || late) &&
 		f.p.now-t.since < r.StepTime+extraWait:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -546,6 +546,32 @@
 	}
 }
 
+// TestFleetThatABadBuildSlows releases a build that then fails and slows down, too late to be sent back, and offers the
+// next one, which is good: that the whole fleet gets slower is not its doing, and it is the way out. A fleet that slows
+// with no such build in service is the trial's.
+func TestFleetThatABadBuildSlows(t *testing.T) {
+	for _, failing := range []bool{true, false} {
+		n := 0
+		w := trialOf(t, entries(8, 6, 20), relay.StageNews{Valid: true, Build: 6, Stage: 3, Phase: relay.Released, Cap: 1}, 14,
+			func(u relay.UnitEntry, at relay.Seconds) (relay.Outcome, relay.Seconds) {
+				if n++; failing && u.Build == 6 && at > 22 && n%8 == 0 {
+					return relay.Errored, 0.1
+				}
+				if at > 28 {
+					return relay.Honoured, 0.1 * min(4, 1+(at-28)/2)
+				}
+				return relay.Honoured, 0.1
+			})
+		w.votes = nil
+		w.step(relay.Roster{Form: relay.RosterDelta, Units: entries(4, 7, 40)},
+			relay.StageNews{Valid: true, Build: 7, Stage: 1, Cap: 0.4})
+		w.run(16, w.load)
+		if got := back(w.votes); got == failing {
+			t.Errorf("the build before fails %v: voted back %v", failing, got)
+		}
+	}
+}
+
 // TestScopeKeepsGroupsApart sends queries of three customers while a scope opens one of two groups: only its queries
 // meet the build, within the cap of their own number, whatever the others send, and builds after it none.
 func TestScopeKeepsGroupsApart(t *testing.T) {
