--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -8,14 +8,13 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
 
 	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
+	"lichenroad/internal/sockets"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
@@ -149,37 +148,15 @@
 	})
 }
 
-// pending says that connections wait to be accepted.
-func (s *Server) pending() (is bool) {
-	if t, ok := s.ln.(*net.TCPListener); ok {
-		if raw, err := t.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) { is = readable(int(fd)) })
-		}
-	}
-	return is
-}
-
-// readable says that something has come on a socket: bytes, an end, or a connection.
-func readable(fd int) bool {
-	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	n, _ := unix.Poll(fds[:], 0)
-	return n > 0
-}
-
-// deafen takes the listening socket out of service without closing it: its number can't be taken by another
-// socket while the poller still knows it. What the kernel has accepted is taken out of its backlog first, as it would
-// be reset there, with a first query that may have come.
+// deafen takes the listening socket out of service. What the kernel has accepted is taken out of its backlog first, as
+// it would be reset there, with a first query that may have come.
 func (s *Server) deafen() {
-	if s.pending() && s.loop.Clock.Now() < s.lastWord {
+	if sockets.Backlog(s.ln) && s.loop.Clock.Now() < s.lastWord {
 		s.loop.At(s.loop.Clock.Now()+limits.LookAgain.Seconds(), s.deafen)
 		return
 	}
 	s.deaf.Store(true)
-	if t, ok := s.ln.(*net.TCPListener); ok {
-		if raw, err := t.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
-		}
-	}
+	sockets.Deafen(s.ln)
 	s.check()
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -207,42 +207,6 @@
 	}
 }
 
-// TestReadableSeesWhatTheKernelHolds is the last place on the way in.
-func TestReadableSeesWhatTheKernelHolds(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	s := &Server{ln: ln}
-	if s.pending() {
-		t.Error("nobody has come")
-	}
-	n, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer n.Close()
-	for end := time.Now().Add(patience); !s.pending(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("a connection in the backlog is not seen")
-		}
-	}
-	peer, _ := ln.Accept()
-	defer peer.Close()
-	raw, _ := peer.(*net.TCPConn).SyscallConn()
-	seen := func() (is bool) { raw.Control(func(fd uintptr) { is = readable(int(fd)) }); return is }
-	if seen() {
-		t.Error("nothing has come")
-	}
-	n.Write([]byte{'Q'})
-	for end := time.Now().Add(patience); !seen(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("a byte in the socket's buffer is not seen")
-		}
-	}
-}
-
 // TestLastWords has the close fall between the look and what was read: the query gets a refusal, not silence.
 func TestLastWords(t *testing.T) {
 	d := newDoor(t, 100, 10)
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -15,6 +15,7 @@
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
+	"lichenroad/internal/sockets"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
@@ -160,7 +161,7 @@
 	c.mu.Lock() // while it is held the descriptor is this connection's own
 	defer c.mu.Unlock()
 	n, ok := c.net.(netpoll.Conn)
-	return c.gone || !ok || !readable(n.Fd())
+	return c.gone || !ok || !sockets.Readable(n.Fd())
 }
 
 // evict closes the connection if it is quiet, and says whether it was. What comes from now on is not read, so that the
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/linewire"
+	"lichenroad/internal/sockets"
 	"lichenroad/internal/stats"
 	"lichenroad/plan"
 	"lichenroad/relay"
@@ -270,10 +271,11 @@
 }
 
 func (d *Desk) shut() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	for _, p := range d.ports {
-		p.loop.Shutdown(ctx)
+		sockets.Deafen(p.ln)
+	}
+	for c := range d.lines {
+		c.end(stats.ByShutdown, nil)
 	}
 	if d.control != nil {
 		d.control.close()
