Slowness of the fleet is not held against a build that fails less often than the earlier one

Now the outcomes tell: where the earlier machines fail more often than the newest build's, by the same test that sends a build back, the slowness is theirs. It needs no memory and four lines less. TestFleetThatABadBuildSlows holds both ways, as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1020,19 +1020,15 @@
 func (f *fuser) wish() relay.Verdict {
 	t, r := &f.p.trial, &f.p.set.Rollout
 	released := t.news.Phase == relay.Released
-	if !t.judging() && f.blamed == t.news.Build || released && f.p.now-t.since > steadyTime {
-		f.blamed = 0
-	}
 	if !t.judging() {
 		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
 	back, late, pooled := f.fused()
-	if back { // what the fleet suffers while this one is in service is no later build's doing
-		f.blamed = t.news.Build
-	}
-	last, known := int(t.news.Stage) >= len(r.StageShares)-1, f.blamed != 0 && f.blamed != t.news.Build
-	if !late || last || known || released {
+	// What the fleet suffers while the earlier build fails more often is its doing: this is the way out.
+	newer, before := t.compare(told, len(f.p.rows), evidenceBuckets, 0)
+	outdone := worse(before, newer, figFailed, poolPoints, poolOutcomes, true)
+	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || outdone || released {
 		f.slowAt = f.p.now
 	} else if !back {
 		f.why = "the whole fleet is slower than before"
