--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -99,6 +99,7 @@
 	leaving int
 	open    bool
 	events  []relay.Roster
+	all     []relay.Roster // those that were taken already, too
 }
 
 func (h *heard) Listed(relay.UnitEntry, string, string) {}
@@ -149,7 +150,7 @@
 		}
 		for _, e := range h.loop.Learned() {
 			if r, ok := e.(relay.Roster); ok {
-				h.events = append(h.events, r)
+				h.events, h.all = append(h.events, r), append(h.all, r)
 			}
 		}
 		for i, r := range h.events {
@@ -377,3 +378,42 @@
 		t.Error("not ready within 10 s")
 	}
 }
+
+// TestMovesInARow moves discovery again before the new address has answered, and back to the first one: each time the
+// list is asked for whole, what the address moved away from says is no failure, and its late answer is not taken.
+func TestMovesInARow(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		t.Run(fmt.Sprint("pushed ", pushed), func(t *testing.T) {
+			first, second, third := newService(t), newService(t), newService(t)
+			h := newHeard(t, first.ln.Addr().String(), pushed)
+			h.begin()
+			first.next()
+			h.until(relay.RosterCached)
+			h.asker.Move(second.ln.Addr().String())
+			crossed := second.next()
+			h.asker.Move(third.ln.Addr().String())
+			whole := third.next()
+			if whole.path != target {
+				t.Error("not asked for whole:", whole.path)
+			}
+			crossed.Close()
+			whole.answer(body(7, true, entry("SERVING")))
+			h.until(relay.RosterFull)
+			third.next()
+			h.asker.Move(first.ln.Addr().String())
+			back := first.next()
+			if back.path != target {
+				t.Error("not asked for whole on the way back:", back.path)
+			}
+			back.answer(body(3, true, entry("DRAINING"))) // its generations are its own
+			if r := h.until(relay.RosterFull); len(r.Units) != 1 || r.Units[0].State != relay.Draining {
+				t.Errorf("%+v", r)
+			}
+			for _, r := range h.all {
+				if r.Form == relay.RosterFailed || r.Form == relay.RosterSilent {
+					t.Error("the module was told of a failure that it can do nothing about")
+				}
+			}
+		})
+	}
+}
