A vote that crosses the idle close of its connection is answered there

Cause, found by reading (platform.ballot.answers): between the look that finds no vote open and the close, a vote could be cast on the connection; it was written, and told as one that may have counted, and its answer was lost. Change: the close for being idle is decided under the lock that casting takes. Ruled out beside it: votes open at a break or a move (they end as may-have-counted, each once, or are answered at the old address: TestPlatformMoves, TestVotes), news between a vote and its answer (lines that begin with a star are told at once, in their order). Tested: TestVoteThatCrossesTheIdleClose; without the mend the vote is not counted.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -226,6 +226,14 @@
 	return b.d.wait - time.Since(b.open[0]), false
 }
 
+// rest takes no more votes, unless one is open by now: closed as idle, that one would only be said to may have counted.
+func (b *ballot) rest() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.over = len(b.open) == 0
+	return b.over
+}
+
 // answers reads until an answer is late or can't be read, or nothing was asked for long. Votes that are open
 // then may have counted.
 func (b *ballot) answers() {
@@ -233,6 +241,9 @@
 	for {
 		left, idle := b.due()
 		if left <= 0 {
+			if idle && !b.rest() {
+				continue // a vote was cast meanwhile
+			}
 			if !idle {
 				why = stats.ByLateAnswer
 			}
