Names: graceful shutdown, half-close, idle eviction, protocol error, endpoint

In the files touched, where our words hid a standard concept: Server.Stop is Shutdown, shut halfClose, makeRoom and spare evictIdle and evictIdlest, deafen stopAccepting, endGently shutdownGracefully, spoilt protocolError, the roster's place endpoint. No change in behaviour; log reasons and counters keep their names.

--- a/cmd/lichenroad/crossing_test.go
+++ b/cmd/lichenroad/crossing_test.go
@@ -168,7 +168,7 @@
 	name string
 	come func(x *crossing)
 }{
-	{"shutdown", func(x *crossing) { x.p.endGently() }},
+	{"shutdown", func(x *crossing) { x.p.shutdownGracefully() }},
 	{"reload", func(x *crossing) {
 		next := x.p.config
 		next.Discovery = x.next.srv.Listener.Addr().String()
--- a/cmd/lichenroad/ready_test.go
+++ b/cmd/lichenroad/ready_test.go
@@ -57,7 +57,7 @@
 	cl := dialClient(t, p, pgwire.QueryMessage("")...)
 	cl.until('Z')
 	settled(t, p, stats.RosterFailed, 1)
-	p.endGently()
+	p.shutdownGracefully()
 	cl.until('I')
 	cl.until('Z')
 	if !cl.closed() {
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -132,15 +132,15 @@
 	return p, nil
 }
 
-// endGently goes on for a little while, closes each connection between its queries, and ends when none is
+// shutdownGracefully goes on for a little while, closes each connection between its queries, and ends when none is
 // left, or when every query must have been answered.
-func (p *program) endGently() {
+func (p *program) shutdownGracefully() {
 	longest := limits.LongestWait
 	for _, t := range p.loop.Site.Settings.Categories {
 		longest = max(longest, t.Patience)
 	}
 	p.loop.Post(stage.Call(func(l *stage.Loop) {
-		p.front.Stop(p.end)
+		p.front.Shutdown(p.end)
 		l.At(l.Clock.Now()+longest+limits.LastWait, p.end)
 	}))
 }
@@ -198,7 +198,7 @@
 		default:
 			ending = true
 			p.loop.Log.WithField("signal", s.String()).Info("ending")
-			p.endGently()
+			p.shutdownGracefully()
 		}
 	}
 }
--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -443,7 +443,7 @@
 	idle.until('Z')
 	busy.send(read("pay", 1900))
 	<-u.seen
-	p.endGently()
+	p.shutdownGracefully()
 	idle.send(read("look", 1500)) // goes on being served for a while
 	if v, code := idle.answer(); v == "" {
 		t.Error(code)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -48,7 +48,7 @@
 		conns: map[*conn]struct{}{}}
 }
 
-// Listen binds the address and serves it until Stop. Should the listener fail before that, failed is called.
+// Listen binds the address and serves it until Shutdown. Should the listener fail before that, failed is called.
 func (s *Server) Listen(address string, failed func(error)) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -96,7 +96,7 @@
 	s.loop.Post(stage.Call(func(l *stage.Loop) {
 		s.conns[c] = struct{}{}
 		c.rests(true)
-		if room := s.open.Load() <= s.tidy || s.makeRoom(); !room && s.open.Load() > s.most {
+		if room := s.open.Load() <= s.tidy || s.evictIdle(); !room && s.open.Load() > s.most {
 			s.loop.Stats.Add(stats.BoundConns, 1)
 			c.full = true
 		}
@@ -108,9 +108,9 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
-// makeRoom closes the connection that has been silent or idle for longest, if that was long enough. Clients keep
+// evictIdle closes the connection that has been silent or idle for longest, if that was long enough. Clients keep
 // connections that they may never use again, and some connect by the hundred and say nothing. On the loop.
-func (s *Server) makeRoom() bool {
+func (s *Server) evictIdle() bool {
 	for _, of := range [...]struct {
 		list  *list.List
 		least time.Duration
@@ -128,9 +128,9 @@
 	return false
 }
 
-// Stop ends service: for a little while new connections still come and are served, then the listener goes,
+// Shutdown ends service gracefully: for a little while new connections still come and are served, then the listener goes,
 // and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
-func (s *Server) Stop(then func()) {
+func (s *Server) Shutdown(then func()) {
 	now := s.loop.Clock.Now()
 	longest := 0.0
 	for _, t := range s.loop.Site.Settings.Categories {
@@ -140,7 +140,7 @@
 	s.lastWord = now + min(longest, limits.LongestWait) + limits.KillAfter - limits.WordBefore
 	s.loop.At(now+limits.StillComing.Seconds(), func() {
 		s.stopping, s.stopped = true, then
-		s.deafen()
+		s.stopAccepting()
 		for c := range s.conns {
 			c.rest()
 		}
@@ -148,15 +148,15 @@
 	})
 }
 
-// deafen takes the listening socket out of service. What the kernel has accepted is taken out of its backlog first, as
+// stopAccepting takes the listening socket out of service. What the kernel has accepted is taken out of its backlog first, as
 // it would be reset there, with a first query that may have come.
-func (s *Server) deafen() {
+func (s *Server) stopAccepting() {
 	if sockets.Backlog(s.ln) && s.loop.Clock.Now() < s.lastWord {
-		s.loop.At(s.loop.Clock.Now()+limits.LookAgain.Seconds(), s.deafen)
+		s.loop.At(s.loop.Clock.Now()+limits.LookAgain.Seconds(), s.stopAccepting)
 		return
 	}
 	s.deaf.Store(true)
-	sockets.Deafen(s.ln)
+	sockets.StopAccepting(s.ln)
 	s.check()
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -45,7 +45,7 @@
 	if err := d.s.Listen("127.0.0.1:0", func(error) {}); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(d.s.deafen)
+	t.Cleanup(d.s.stopAccepting)
 	return d
 }
 
@@ -331,13 +331,13 @@
 	_, served := d.session()
 	quietOne := d.dial()
 	d.until("both are there", func() bool { return len(d.s.conns) == 2 })
-	if d.s.makeRoom() {
+	if d.s.evictIdle() {
 		t.Error("closed at once: its startup may be on the way")
 	}
 	for c := range d.s.conns {
 		c.idleAt -= limits.SilentLeast.Seconds()
 	}
-	if !d.s.makeRoom() || !quietOne.ends() || d.s.makeRoom() {
+	if !d.s.evictIdle() || !quietOne.ends() || d.s.evictIdle() {
 		t.Error("the silent one is not the one to go")
 	}
 	d.until("it went", func() bool { return len(d.s.conns) == 1 })
@@ -370,7 +370,7 @@
 	if code := cl.hears('Z'); code != "" || !cl.ends() {
 		t.Error("no answer, or no end:", code)
 	}
-	d.s.deafen()
+	d.s.stopAccepting()
 	if d.until("the end", func() bool { return ended }); !ended {
 		t.Error("not told of the end")
 	}
@@ -380,7 +380,7 @@
 func TestQueriesBehindSigtermEndBeforeSigkill(t *testing.T) {
 	d := newDoor(t, 100, 10)
 	cl, c := d.session()
-	d.s.Stop(func() {})
+	d.s.Shutdown(func() {})
 	d.s.lastWord = d.Clock.Now() + 0.5
 	cl.Write(look) // d=900
 	d.until("the query's turn", func() bool { return c.current != nil && c.current.q != nil })
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// shut closes this side, so that the client reads all that was sent and then the end, and the rest when the
+// halfClose closes this side, so that the client reads all that was sent and then the end, and the rest when the
 // client has closed its side or is slow to. On the loop.
-func (c *conn) shut(why stats.Reason) {
+func (c *conn) halfClose(why stats.Reason) {
 	c.because(why)
 	c.deaf.Store(true)
 	c.shutting = true
@@ -219,7 +219,7 @@
 // late ends a connection that has said no startup in time.
 func (c *conn) late() {
 	if !c.started.Load() && !c.shutting && !c.evict(stats.ByLateConnect) {
-		c.shut(stats.ByLateConnect) // half of a startup has come
+		c.halfClose(stats.ByLateConnect) // half of a startup has come
 	}
 }
 
@@ -290,7 +290,7 @@
 		later = c.server.loop.ComeBack()
 	}
 	c.send(c.server.loop.Pool.Filled(pgwire.ErrorAnswer(pgwire.Fatal, code, err.Error(), later)), func() {
-		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.shut(why) }))
+		c.server.loop.Post(stage.Call(func(*stage.Loop) { c.halfClose(why) }))
 	})
 }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -272,7 +272,7 @@
 
 func (d *Desk) shut() {
 	for _, p := range d.ports {
-		sockets.Deafen(p.ln)
+		sockets.StopAccepting(p.ln)
 	}
 	for c := range d.lines {
 		c.end(stats.ByShutdown, nil)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,10 +31,10 @@
 	reader *Reader
 	units  Units
 	seed   int64
-	at     *place
-	before *place // the address before a move, up to a moment behind the first list of the new one; nil: none
-	parts  bool   // the new one has told a list
-	on     bool   // the watch is wanted
+	at     *endpoint
+	before *endpoint // the address before a move, up to a moment behind the first list of the new one; nil: none
+	parts  bool      // the new one has told a list
+	on     bool      // the watch is wanted
 	// Where lists are pushed the module is promised changes that come by themselves, and orders no watch. On sockets
 	// a list comes to a watch alone, so the watch is this package's to keep.
 	waits waits
@@ -43,7 +43,7 @@
 // New returns an asker; units are told of each list. The seed spreads the calls of relays that run alike.
 func New(l *stage.Loop, address string, r *Reader, units Units, seed int64) *Asker {
 	a := &Asker{loop: l, reader: r, units: units, seed: seed, waits: usual(!l.Site.RosterOnAsk, l.Site.Rules.DrainGrace)}
-	a.at = a.place(address)
+	a.at = a.endpoint(address)
 	return a
 }
 
@@ -74,7 +74,7 @@
 		return
 	}
 	a.moved()
-	a.before, a.parts, a.at = a.at, false, a.place(address)
+	a.before, a.parts, a.at = a.at, false, a.endpoint(address)
 	a.at.start()
 	if a.on {
 		a.Watch(true, false)
@@ -138,9 +138,9 @@
 	}
 }
 
-// place is discovery at one address, up to a move. The orders reach its goroutines through channels that never
+// endpoint is discovery at one address, up to a move. The orders reach its goroutines through channels that never
 // block the loop.
-type place struct {
+type endpoint struct {
 	a       *Asker
 	address string
 	watch   chan bool
@@ -154,19 +154,19 @@
 	open    map[netpoll.Connection]struct{}
 }
 
-func (a *Asker) place(address string) *place {
-	return &place{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
+func (a *Asker) endpoint(address string) *endpoint {
+	return &endpoint{a: a, address: address, watch: make(chan bool, 1), fetch: make(chan struct{}, 1),
 		left: make(chan struct{}), open: map[netpoll.Connection]struct{}{},
 		keeper: newKeeper(a.seed, a.waits)}
 }
 
-func (p *place) start() {
+func (p *endpoint) start() {
 	go p.watching()
 	go p.fetching()
 }
 
 // leave wakes whatever waits here. The connections are shut, not closed: their readers close them.
-func (p *place) leave() {
+func (p *endpoint) leave() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.left)
@@ -175,7 +175,7 @@
 	}
 }
 
-func (p *place) isLeft() bool {
+func (p *endpoint) isLeft() bool {
 	select {
 	case <-p.left:
 		return true
@@ -185,7 +185,7 @@
 }
 
 // holds notes a connection that stands, or no longer does.
-func (p *place) holds(n netpoll.Connection, stands bool) {
+func (p *endpoint) holds(n netpoll.Connection, stands bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !stands {
@@ -206,7 +206,7 @@
 
 // told is news of the list.
 type told struct {
-	from *place
+	from *endpoint
 	list List
 	form relay.RosterForm
 }
@@ -263,7 +263,7 @@
 	}
 }
 
-func (p *place) failed(why stats.Reason, err error) {
+func (p *endpoint) failed(why stats.Reason, err error) {
 	if p.isLeft() {
 		return
 	}
@@ -279,7 +279,7 @@
 
 // got passes an answer on. Lists are handed over in the order of their versions, under one lock: a whole list that
 // crosses a watch's answer would else undo what that told.
-func (p *place) got(list List, ordered, fetched bool) {
+func (p *endpoint) got(list List, ordered, fetched bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if list, form, news := p.keeper.took(list, ordered, fetched); news {
@@ -288,7 +288,7 @@
 }
 
 // renew gives up the call of the watch that waits.
-func (p *place) renew() {
+func (p *endpoint) renew() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, stands := p.open[p.waiting]; stands && !p.anew {
@@ -299,7 +299,7 @@
 
 // calls notes the connection on which the watch's call waits, or that it does no longer; it says whether the call was
 // given up by order.
-func (p *place) calls(n netpoll.Connection) (anew bool) {
+func (p *endpoint) calls(n netpoll.Connection) (anew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	anew, p.waiting, p.anew = p.anew, n, false
@@ -307,14 +307,14 @@
 }
 
 // ask draws up the watch's next call.
-func (p *place) ask() request {
+func (p *endpoint) ask() request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.keeper.next()
 }
 
 // watching makes one call after the other while the watch is on.
-func (p *place) watching() {
+func (p *endpoint) watching() {
 	for {
 		var on bool
 		select {
@@ -347,7 +347,7 @@
 }
 
 // again says whether the watch goes on after a failure, when it is time to.
-func (p *place) again(why stats.Reason) bool {
+func (p *endpoint) again(why stats.Reason) bool {
 	p.mu.Lock()
 	again, after := p.keeper.failed(why == stats.ByLateAnswer)
 	p.mu.Unlock()
@@ -362,7 +362,7 @@
 	}
 }
 
-func (p *place) fetching() {
+func (p *endpoint) fetching() {
 	for {
 		select {
 		case <-p.fetch:
@@ -383,7 +383,7 @@
 
 // call is a connection to discovery, good for one call after the other.
 type call struct {
-	p     *place
+	p     *endpoint
 	net   netpoll.Connection
 	begun time.Time
 	calls int
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -21,10 +21,10 @@
 	return is
 }
 
-// Deafen takes a listening socket out of service without closing it: its number can't be taken by another socket while
+// StopAccepting takes a listening socket out of service without closing it: its number can't be taken by another socket while
 // the library's poller still knows it. The library's own way closes the number it polls twice, and may so close what
 // another part of the program has opened in between.
-func Deafen(ln net.Listener) {
+func StopAccepting(ln net.Listener) {
 	control(ln, func(fd uintptr) { unix.Shutdown(int(fd), unix.SHUT_RDWR) })
 }
 
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -44,14 +44,14 @@
 	}
 }
 
-// TestDeafenedListener refuses whoever comes, and leaves its number taken.
-func TestDeafenedListener(t *testing.T) {
+// TestListenerThatStopsAccepting refuses whoever comes, and leaves its number taken.
+func TestListenerThatStopsAccepting(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	Deafen(ln)
+	StopAccepting(ln)
 	if n, err := net.Dial("tcp", ln.Addr().String()); err == nil {
 		n.Close()
 		t.Error("still taken in")
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -232,7 +232,7 @@
 		}
 		if err != nil {
 			c.pool.loop.Stats.Add(stats.BadInput, 1)
-			c.pool.loop.Post(spoilt{c, err})
+			c.pool.loop.Post(protocolError{c, err})
 			r.Skip(r.Len())
 			break
 		}
@@ -250,7 +250,7 @@
 func (e begun) Take(l *stage.Loop) {
 	c, leg := e.c, e.c.leg
 	if c.state == idle || c.state == settling {
-		spoilt{c, errUnasked}.Take(l) // it came behind the last answer
+		protocolError{c, errUnasked}.Take(l) // it came behind the last answer
 	}
 	if leg == nil || leg == c.partly {
 		return
@@ -258,7 +258,7 @@
 	c.partly = leg
 	l.At(l.Clock.Now()+limits.AnswerRest.Seconds(), func() {
 		if c.leg == leg {
-			spoilt{c, errCut}.Take(l)
+			protocolError{c, errCut}.Take(l)
 		}
 	})
 }
@@ -358,7 +358,7 @@
 	case leg == nil && e.code != "":
 		c.close(stats.ByPeer) // unasked: it is about to close
 	case leg == nil || sent == 0 || e.at < sent:
-		spoilt{c, errUnasked}.Take(l)
+		protocolError{c, errUnasked}.Take(l)
 	}
 	if c.state == dead {
 		e.answer.Free()
@@ -376,20 +376,20 @@
 	c.leg, c.last = nil, e.at
 	l.At(l.Clock.Now()+limits.AnswerRest.Seconds(), func() {
 		if c.state == busy && c.leg == nil && c.last == e.at {
-			spoilt{c, errCut}.Take(l) // it never said that it is ready, and would stay for good
+			protocolError{c, errCut}.Take(l) // it never said that it is ready, and would stay for good
 		}
 	})
 	l.End(leg, end)
 }
 
-// spoilt is what could not be read, or came unasked. The connection is of no further use.
-type spoilt struct {
+// protocolError is what could not be read, or came unasked. The connection is of no further use.
+type protocolError struct {
 	c   *conn
 	why error
 }
 
 // Take ends the connection, and the leg on it as one that may have run if it was written whole.
-func (e spoilt) Take(l *stage.Loop) {
+func (e protocolError) Take(l *stage.Loop) {
 	e.c.fault = e.why
 	if e.c.last > 0 && e.c.leg == nil {
 		e.c.fault = fmt.Errorf("%w, %.1f ms behind the last answer", e.why, (l.Clock.Now()-e.c.last)*1000)
@@ -415,7 +415,7 @@
 			}
 		})
 	case c.state == busy || c.state == idle || c.state == settling:
-		spoilt{c, errUnasked}.Take(l) // no answer, no error, or no query
+		protocolError{c, errUnasked}.Take(l) // no answer, no error, or no query
 	}
 }
 
--- a/internal/units/conn_test.go
+++ b/internal/units/conn_test.go
@@ -153,7 +153,7 @@
 		},
 		func(_ bench, c *conn) stage.Event { return begun{c} },
 		func(_ bench, c *conn) stage.Event { return ready{c} },
-		func(_ bench, c *conn) stage.Event { return spoilt{c, errState} },
+		func(_ bench, c *conn) stage.Event { return protocolError{c, errState} },
 	} {
 		b := newBench(t, nil)
 		n := &pipe{takes: 1 << 20}
--- a/internal/units/late_test.go
+++ b/internal/units/late_test.go
@@ -141,7 +141,7 @@
 // feed has bytes come on a connection.
 func (b bench) feed(c *conn, p []byte) {
 	if err := c.split.Feed(p, func(m pgwire.Message) error { return c.take(m, b.Clock.Now()) }); err != nil {
-		b.Post(spoilt{c, err})
+		b.Post(protocolError{c, err})
 	}
 }
 
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -224,7 +224,7 @@
 		c.begin(leg)
 	}
 	for u.coming < len(u.waiting) {
-		if p.open >= p.most && !p.spare() {
+		if p.open >= p.most && !p.evictIdlest() {
 			p.loop.Stats.Add(stats.BoundConns, 1)
 			leg := u.waiting[len(u.waiting)-1]
 			u.waiting = u.waiting[:len(u.waiting)-1]
@@ -240,8 +240,8 @@
 	}
 }
 
-// spare closes the connection that has been idle for longest, to make room for another.
-func (p *Pool) spare() bool {
+// evictIdlest closes the connection that has been idle for longest, to make room for another.
+func (p *Pool) evictIdlest() bool {
 	var oldest *conn
 	for _, u := range p.units {
 		if len(u.idle) > 0 && (oldest == nil || u.idle[0].since < oldest.since) {
