Tests of the roster that run the loop have parts for its orders

Seen: one of 50 repeats of the roster's tests on a loaded machine ended in a nil pointer: a loop that ran for over a tick had the module order a watch, and the test had given it no parts (stage.Loop.order). The relay itself always has them.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -106,6 +106,19 @@
 func (h *heard) Leaving(relay.UnitID, bool)             { h.leaving++ }
 func (h *heard) Whole(func(relay.UnitID) bool)          {}
 
+// idle carries out no order: a loop that runs for long enough gives some, and these tests give their own.
+type idle struct{}
+
+func (idle) Send(*stage.Leg)        {}
+func (idle) Drop(*stage.Leg) bool   { return false }
+func (idle) Recall(*stage.Leg)      {}
+func (idle) Probe(relay.UnitID)     {}
+func (idle) CloseIdle(relay.UnitID) {}
+func (idle) Watch(bool, bool)       {}
+func (idle) Fetch()                 {}
+func (idle) Vote(relay.Vote)        {}
+func (idle) Tell(relay.Tell)        {}
+
 func newHeard(t *testing.T, address string, pushed bool) *heard {
 	site := settings.Site{}
 	site.Settings.RosterOnAsk = !pushed
@@ -115,6 +128,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	l := stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log)
+	l.Units, l.Roster, l.Platform, l.Peers = idle{}, idle{}, idle{}, idle{}
 	h := &heard{t: t, loop: l}
 	h.asker = New(l, address, NewReader(nil, nil, func(s float64) relay.Seconds { return s }), h, 1)
 	l.WhenListed(func() { h.open = true })
