Said once: the comparison of builds, the longest patience, the look at a socket, clients let in

Found on reading the change again: fuser.wish compared all outcomes once more though fused ends with that very comparison, four times a second over all units; the longest patience was summed up in clients and in serve; units.unfit and sockets.Readable each polled a descriptor; the desk's port kept an event loop that nothing uses any more; two tests of the roster waited alike. Behaviour and assertions stay; go test of policy, roster, units, clients, sockets, desk, settings and cmd passed.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -136,10 +136,7 @@
 // shutdownGracefully goes on for a little while, closes each connection between its queries, and ends when none is
 // left, or when every query must have been answered.
 func (p *program) shutdownGracefully() {
-	longest := limits.LongestWait
-	for _, t := range p.loop.Site.Settings.Categories {
-		longest = max(longest, t.Patience)
-	}
+	longest := max(limits.LongestWait, p.loop.Site.Longest())
 	p.loop.Post(stage.Call(func(l *stage.Loop) {
 		p.front.Shutdown(p.end)
 		l.At(l.Clock.Now()+longest+limits.LastWait, p.end)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -139,12 +139,8 @@
 // and each connection is closed between its queries. Call it on the loop; then runs when all are closed.
 func (s *Server) Shutdown(then func()) {
 	now := s.loop.Clock.Now()
-	longest := 0.0
-	for _, t := range s.loop.Site.Settings.Categories {
-		longest = max(longest, t.Patience)
-	}
 	s.loop.Open() // whoever waits for a list hears that there is none
-	s.lastWord = now + min(longest, limits.LongestWait) + limits.KillAfter - limits.WordBefore
+	s.lastWord = now + min(s.loop.Site.Longest(), limits.LongestWait) + limits.KillAfter - limits.WordBefore
 	s.loop.At(now+limits.StillComing.Seconds(), func() {
 		s.stopping, s.stopped = true, then
 		s.stopAccepting()
--- a/internal/desk/wire.go
+++ b/internal/desk/wire.go
@@ -34,7 +34,6 @@
 	service plan.ServiceNo
 	relay   string // none: votes are not taken here
 	ln      net.Listener
-	loop    netpoll.EventLoop
 	open    atomic.Int64
 }
 
@@ -69,14 +68,14 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	p.ln = ln
-	p.loop, err = netpoll.NewEventLoop(
+	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error { return ctx.Value(lineKey{}).(*line).read() },
 		netpoll.WithOnPrepare(p.accept))
 	if err != nil {
 		ln.Close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	go p.loop.Serve(ln)
+	go loop.Serve(ln)
 	return p, nil
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -178,6 +178,19 @@
 	return relay.Roster{}
 }
 
+// letsIn runs the loop until clients are let in.
+func (h *heard) letsIn(or ...any) {
+	h.t.Helper()
+	stop := make(chan struct{})
+	h.loop.WhenListed(func() { close(stop) })
+	go h.loop.Run(stop)
+	select {
+	case <-stop:
+	case <-time.After(patience):
+		h.t.Error(or...)
+	}
+}
+
 // TestSilentWatchIsOpenedAnew falls silent before an answer and within one, while a unit drains: the watch is given up,
 // and the next one, on a connection of its own, tells the drain. Where lists are pushed nobody orders that.
 func TestSilentWatchIsOpenedAnew(t *testing.T) {
@@ -261,14 +274,7 @@
 			if !silent {
 				c.fail()
 			}
-			stop := make(chan struct{})
-			h.loop.WhenListed(func() { close(stop) })
-			go h.loop.Run(stop)
-			select {
-			case <-stop:
-			case <-time.After(patience):
-				t.Error("clients wait on")
-			}
+			h.letsIn("clients wait on")
 		})
 	}
 }
@@ -379,14 +385,7 @@
 		if !pushed {
 			h.asker.Watch(true, false)
 		}
-		stop := make(chan struct{})
-		h.loop.WhenListed(func() { close(stop) })
-		go h.loop.Run(stop)
-		select {
-		case <-stop:
-		case <-time.After(patience):
-			t.Error("clients wait for good, pushed:", pushed)
-		}
+		h.letsIn("clients wait for good, pushed:", pushed)
 	}
 	if w := usual(false, 0.25); w.none >= 10*time.Second || w.first >= 10*time.Second {
 		t.Error("not ready within 10 s")
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -7,12 +7,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// Readable says that something has come on a socket: bytes, an end, or a connection. The descriptor has to be held
-// against being closed meanwhile.
-func Readable(fd int) bool {
+// Look says what has come on a socket: bytes or a connection, and its end.
+func Look(fd int) (came, ended bool) {
 	fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	n, _ := unix.Poll(fds[:], 0)
-	return n > 0
+	unix.Poll(fds[:], 0)
+	got := fds[0].Revents
+	return got&unix.POLLIN != 0, got&^unix.POLLIN != 0
+}
+
+// Readable says that something has come on a socket, whatever it is. The descriptor has to be held against being closed
+// meanwhile.
+func Readable(fd int) bool {
+	came, ended := Look(fd)
+	return came || ended
 }
 
 // Backlog says that connections wait to be accepted.
--- a/internal/units/conn.go
+++ b/internal/units/conn.go
@@ -12,6 +12,7 @@
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/limits"
 	"lichenroad/internal/pgwire"
+	"lichenroad/internal/sockets"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/relay"
@@ -446,12 +447,10 @@
 		return stats.ByBadInput
 	}
 	if n, ok := c.net.(netpoll.Conn); ok {
-		fds := [1]unix.PollFd{{Fd: int32(n.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
-		unix.Poll(fds[:], 0)
-		switch got := fds[0].Revents; {
-		case got&^unix.POLLIN != 0:
+		switch came, ended := sockets.Look(n.Fd()); {
+		case ended:
 			return stats.ByPeer
-		case got != 0:
+		case came:
 			return stats.ByBadInput
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -961,7 +961,7 @@
 // fused sums the log likelihood ratios of the present stage's verdicts. A relay with too few outcomes to flag
 // says nothing: hundreds of such verdicts would drown the others. All relays' legs, pooled by unit, make a
 // verdict of their own, a category and for all: they have enough together, and need no second flagger.
-func (f *fuser) fused() (back, late bool, pooled float64) {
+func (f *fuser) fused() (back, late, outdone bool, pooled float64) {
 	t := &f.p.trial
 	cats := len(f.p.rows)
 	sum, flaggers := 0.0, 0
@@ -991,6 +991,7 @@
 	}{{evidenceLately, youngUnit}, {evidenceLately, 0}, {evidenceBuckets, 0}} {
 		for c := 0; c <= cats; c++ {
 			newer, before := t.compare(told, c, x.to, x.age)
+			outdone = worse(before, newer, figFailed, poolPoints, poolOutcomes, true) // the last holds, as for pooled
 			if pooled = newer[figCount]; c < cats {
 				newer[figMatched] = 0 // slowness is judged over all categories: a full unit slows them unlike
 			}
@@ -1013,7 +1014,7 @@
 	calm, calmErr := t.calm.mean(figPaced)
 	late = math.Min(fleet[figPaced], t.calm[figPaced]) >= leastSlow &&
 		slower(m-calm, math.Hypot(err, calmErr), fleetTimes)
-	return back, late, pooled
+	return back, late, outdone, pooled
 }
 
 // wish is the vote that this fuser wants to stand.
@@ -1024,10 +1025,8 @@
 		f.cleanAt, f.slowAt = f.p.now, f.p.now
 		return relay.NoVote
 	}
-	back, late, pooled := f.fused()
+	back, late, outdone, pooled := f.fused()
 	// What the fleet suffers while the earlier build fails more often is its doing: this is the way out.
-	newer, before := t.compare(told, len(f.p.rows), evidenceBuckets, 0)
-	outdone := worse(before, newer, figFailed, poolPoints, poolOutcomes, true)
 	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || outdone || released {
 		f.slowAt = f.p.now
 	} else if !back {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -284,7 +284,7 @@
 	} {
 		p := fusing(c.verdicts...)
 		p.fuser.cleanAt = p.now - flagLasts - 1 // as if any pooled flag had lasted
-		if back, _, _ := p.fuser.fused(); back != c.back {
+		if back, _, _, _ := p.fuser.fused(); back != c.back {
 			t.Errorf("%s: back %v", name, back)
 		}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -106,6 +106,14 @@
 	MostHeld   int           // queries held at a time
 }
 
+// Longest is the longest patience of any category.
+func (s Site) Longest() (longest relay.Seconds) {
+	for _, t := range s.Settings.Categories {
+		longest = max(longest, t.Patience)
+	}
+	return longest
+}
+
 // unless is a time that the settings may leave out, and then never comes.
 func unless(ns float64) float64 {
 	if ns <= 0 {
