--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -104,6 +104,7 @@
 			return nil, err
 		}
 		loop.Peers = tier
+		tier.Membership = asker
 		tier.Start()
 	}
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,14 +13,23 @@
 	"lichenroad/internal/limits"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
+	"lichenroad/membership"
 	"lichenroad/relay"
 )
 
 // MaxBody of a datagram in bytes, by the protocol page.
 const MaxBody = 256
 
+// Membership takes the messages about the list of units. It is called on the loop.
+type Membership interface {
+	Heard(from relay.RelayNo, body []byte)
+}
+
 // Tier is the relays that may tell one another things.
 type Tier struct {
+	// Membership is set before Start; nil: such messages are dropped by the module, as unknown.
+	Membership Membership
+
 	loop *stage.Loop
 	conn *net.UDPConn
 	to   []netip.AddrPort
@@ -117,8 +126,17 @@
 			continue
 		}
 		heard := relay.Heard{From: no, Body: append([]byte(nil), buf[:n]...)}
-		if t.loop.PostLoose(stage.Call(func(l *stage.Loop) { l.Learn(heard) })) {
+		if t.loop.PostLoose(stage.Call(func(l *stage.Loop) { t.deliver(l, heard) })) {
 			t.loop.Stats.Add(stats.MemosIn, 1)
 		}
 	}
 }
+
+// deliver hands a message to the part that it is for, on the loop.
+func (t *Tier) deliver(l *stage.Loop, heard relay.Heard) {
+	if t.Membership != nil && membership.IsMessage(heard.Body) {
+		t.Membership.Heard(heard.From, heard.Body)
+		return
+	}
+	l.Learn(heard)
+}
--- a/internal/roster/keeper.go
+++ b/internal/roster/keeper.go
@@ -14,9 +14,10 @@
 
 // request is one call to discovery.
 type request struct {
-	path  string
-	wait  time.Duration // that the call may wait for something new
-	limit time.Duration // after which it is given up as silent
+	path      string
+	wait      time.Duration // that the call may wait for something new
+	limit     time.Duration // after which it is given up as silent
+	continues bool          // the watch, without a gap behind the answer before
 }
 
 // keeper keeps the watch on one address: what it asks next, what of an answer is news, and when it asks again. It has
@@ -26,6 +27,7 @@
 	version int64 // of the list that stands; -1: none
 	waits   waits
 	off     time.Duration // that was last let pass between two tries; 0: none failed since an answer
+	stands  bool          // the last call of the watch was answered, and the next one continues it
 }
 
 // waits are how long things may take, and how a list comes to be told.
@@ -52,24 +54,27 @@
 	return &keeper{chance: rand.New(rand.NewSource(seed)), waits: w, version: -1}
 }
 
-// next is the watch's next call. Where a list is known the first waits too, as it is answered at once if there is
-// anything newer: a call before it that only asks for that would be one more for each relay at a discovery which works
-// through calls in turn and fails those that wait too long. How long a call waits is drawn, so that relays whose
-// watches fell silent together don't find out together and all ask anew at one moment.
+// next is the watch's next call. The first call of a watch does not wait: its answer, even an empty one, confirms the list,
+// for this relay and for its peers. How long the others wait is drawn, so that relays whose watches fell silent together
+// don't find out together and all ask anew at one moment.
 func (k *keeper) next() request {
 	if k.version < 0 {
 		return k.whole()
 	}
+	if !k.stands {
+		return request{fmt.Sprintf("%s?after=%d&wait_ms=0", target, k.version), 0, k.waits.plain, false}
+	}
 	wait := time.Duration((limits.WatchPart + (1-limits.WatchPart)*k.chance.Float64()) * float64(k.waits.watch))
-	return request{fmt.Sprintf("%s?after=%d&wait_ms=%d", target, k.version, wait.Milliseconds()), wait, wait + k.waits.answer}
+	return request{fmt.Sprintf("%s?after=%d&wait_ms=%d", target, k.version, wait.Milliseconds()), wait, wait + k.waits.answer, true}
 }
 
 // whole is a call for the whole list, which does not wait.
-func (k *keeper) whole() request { return request{target, 0, k.waits.plain} }
+func (k *keeper) whole() request { return request{target, 0, k.waits.plain, false} }
 
 // took takes an answer, to the watch or to a call for the whole list, and says what of it the module is to be told;
 // an answer to an order always, else only news.
 func (k *keeper) took(list List, ordered, fetched bool) (List, relay.RosterForm, bool) {
+	k.stands = k.stands || !fetched
 	if fetched && list.Generation < k.version {
 		list = List{Generation: k.version} // the watch has told more meanwhile; this brings nothing new
 	}
@@ -84,6 +89,7 @@
 // failed says whether the watch is opened again from here, and after how long: longer from time to time, but at once
 // after silence, as what was missed is about to count as told.
 func (k *keeper) failed(silent bool) (again bool, after time.Duration) {
+	k.stands = false
 	if k.waits.pushed && !silent {
 		k.off = min(max(2*k.off, limits.BackOff), k.waits.most)
 		after = time.Duration((1 + k.chance.Float64()) / 2 * float64(k.off))
--- /dev/null
+++ b/internal/roster/member.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/membership"
+	"lichenroad/relay"
+)
+
+// member hosts the relay's part in the membership protocol: it hands over what happens, and carries out what comes of it.
+// All of it runs on the loop.
+type member struct {
+	asker  *Asker
+	loop   *stage.Loop
+	node   *membership.Node
+	wakeAt relay.Seconds // of the wake-up that is under way; membership.Never: none
+	lease  relay.Seconds // that the module was last told
+}
+
+func newMember(a *Asker, seed int64) *member {
+	site := a.loop.Site
+	node := membership.New(membership.Settings{Self: site.Self, Relays: site.Relays, Messages: site.Limits.Messages,
+		AskEvery: site.Rules.AskEvery, Epoch: -a.loop.Clock.Unix(0)}, seed)
+	return &member{asker: a, loop: a.loop, node: node, wakeAt: membership.Never, lease: -1}
+}
+
+// list tells the node of a list, of before the start or from discovery.
+func (m *member) list(t told) {
+	given := membership.List{Generation: t.list.Generation, Whole: t.form != relay.RosterDelta}
+	for _, line := range t.list.Lines {
+		given.Units = append(given.Units, line.UnitEntry)
+	}
+	if t.form == relay.RosterCached {
+		m.step(membership.Held{List: given})
+		return
+	}
+	m.step(membership.Answered{List: given})
+}
+
+// step lets the node see an event, and carries out what it returns.
+func (m *member) step(event any) {
+	now := m.loop.Clock.Now()
+	out := m.node.Step(now, event)
+	for _, body := range out.Messages {
+		m.loop.Peers.Tell(relay.Tell{To: relay.Everyone, Body: body})
+	}
+	m.leave(out.Left)
+	m.grant(now, out.Lease)
+	if out.Answers {
+		m.loop.Learn(relay.DiscoveryAnswers{})
+	}
+	m.wake(out.WakeAt)
+}
+
+// leave tells connections and module of units that peers know to have left.
+func (m *member) leave(left []relay.UnitID) {
+	if len(left) == 0 {
+		return
+	}
+	r := relay.Roster{Form: relay.RosterDelta}
+	for _, unit := range left {
+		m.asker.units.Leaving(unit, false)
+		r.Units = append(r.Units, relay.UnitEntry{Unit: unit, State: relay.Draining, Bare: true})
+	}
+	m.loop.Stats.Add(stats.UnitsToldByPeers, int64(len(left)))
+	m.loop.Learn(r)
+}
+
+// grant tells the module until when its list holds. The first lease that is not over lets clients in.
+func (m *member) grant(now, lease relay.Seconds) {
+	if lease != m.lease {
+		m.lease = lease
+		m.loop.Learn(relay.RosterLease{Until: lease})
+	}
+	if now < lease {
+		m.loop.Open()
+	}
+}
+
+// wake asks for a wake-up, unless one comes early enough.
+func (m *member) wake(at relay.Seconds) {
+	if at >= m.wakeAt {
+		return
+	}
+	m.wakeAt = at
+	m.loop.At(at, func() {
+		if m.wakeAt == at {
+			m.wakeAt = membership.Never
+		}
+		m.step(membership.Woken{})
+	})
+}
+
+// Heard takes a datagram of another relay, on the loop.
+func (a *Asker) Heard(from relay.RelayNo, body []byte) {
+	unreadable := a.member.node.Counters().Unreadable
+	a.member.step(membership.Heard{From: from, Body: body})
+	if a.member.node.Counters().Unreadable > unreadable {
+		a.loop.Stats.Add(stats.BadInput, 1)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,7 @@
 	"lichenroad/internal/limits"
 	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
+	"lichenroad/membership"
 	"lichenroad/relay"
 )
 
@@ -35,6 +36,7 @@
 	before *endpoint // the address before a move, up to a moment behind the first list of the new one; nil: none
 	parts  bool      // the new one has told a list
 	on     bool      // the watch is wanted
+	member *member
 	// Where lists are pushed the module is promised changes that come by themselves, and orders no watch. On sockets
 	// a list comes to a watch alone, so the watch is this package's to keep.
 	waits waits
@@ -43,6 +45,7 @@
 // New returns an asker; units are told of each list. The seed spreads the calls of relays that run alike.
 func New(l *stage.Loop, address string, r *Reader, units Units, seed int64) *Asker {
 	a := &Asker{loop: l, reader: r, units: units, seed: seed, waits: usual(!l.Site.RosterOnAsk, l.Site.Rules.DrainGrace)}
+	a.member = newMember(a, seed)
 	a.at = a.endpoint(address)
 	return a
 }
@@ -50,7 +53,7 @@
 // Known hands over the list that the relay had last.
 func (a *Asker) Known(list List) {
 	a.at.keeper.version = list.Generation
-	a.loop.Post(told{a.at, list, relay.RosterCached})
+	a.loop.Post(told{from: a.at, list: list, form: relay.RosterCached, news: true})
 }
 
 // Start serves the module's orders until the program ends. What an agent that pushes has counts as told from the
@@ -204,11 +207,26 @@
 	}
 }
 
-// told is news of the list.
-type told struct {
+// begun is a call of the watch that is about to be made.
+type begun struct {
 	from *endpoint
-	list List
-	form relay.RosterForm
+	call request
+}
+
+// Take tells it to the membership, which counts the calls at the address that holds.
+func (b begun) Take(*stage.Loop) {
+	if a := b.from.a; b.from == a.at {
+		a.member.step(membership.CallBegun{Wait: b.call.wait.Seconds(), Continues: b.call.continues})
+	}
+}
+
+// told is a list, or the end of a call without one.
+type told struct {
+	from   *endpoint
+	list   List
+	form   relay.RosterForm
+	news   bool // the module is to hear of it
+	unread bool // what came could not be read
 }
 
 // Take tells the connections to units, then the module.
@@ -231,14 +249,21 @@
 		return // it crossed a move, and the new address has told more
 	}
 	if failed {
-		if a.waits.pushed {
-			l.Open() // an agent that is down tells nothing: the list as last held is all there is
-			return
+		a.member.step(membership.CallFailed{Silent: t.form == relay.RosterSilent, Unreadable: t.unread})
+		if !a.waits.pushed {
+			l.Learn(relay.Roster{Form: t.form})
 		}
-		l.Learn(relay.Roster{Form: t.form})
 		return
 	}
-	r := relay.Roster{Form: t.form}
+	if t.news {
+		t.tell(l)
+	}
+	a.member.list(t)
+}
+
+// tell hands a list to the connections to units and to the module.
+func (t told) tell(l *stage.Loop) {
+	a, r := t.from.a, relay.Roster{Form: t.form}
 	listed := map[relay.UnitID]bool{}
 	for _, line := range t.list.Lines {
 		listed[line.Unit] = true
@@ -258,9 +283,6 @@
 		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": t.list.Bad}).Warn("entries that can't be read")
 	}
 	l.Learn(r)
-	if !a.waits.pushed || t.form != relay.RosterCached {
-		l.Open()
-	}
 }
 
 func (p *endpoint) failed(why stats.Reason, err error) {
@@ -274,7 +296,7 @@
 		l.Stats.Add(stats.RosterSilent, 1)
 	}
 	l.Log.WithFields(logrus.Fields{"peer": "roster", "reason": string(why)}).WithError(err).Warn("call failed")
-	l.Post(told{from: p, form: form})
+	l.Post(told{from: p, form: form, unread: why == stats.ByBadInput})
 }
 
 // got passes an answer on. Lists are handed over in the order of their versions, under one lock: a whole list that
@@ -282,9 +304,8 @@
 func (p *endpoint) got(list List, ordered, fetched bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list, form, news := p.keeper.took(list, ordered, fetched); news {
-		p.a.loop.Post(told{p, list, form})
-	}
+	list, form, news := p.keeper.took(list, ordered, fetched)
+	p.a.loop.Post(told{from: p, list: list, form: form, news: news})
 }
 
 // renew gives up the call of the watch that waits.
@@ -310,7 +331,9 @@
 func (p *endpoint) ask() request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.keeper.next()
+	next := p.keeper.next()
+	p.a.loop.Post(begun{p, next})
+	return next
 }
 
 // watching makes one call after the other while the watch is on.
@@ -327,6 +350,7 @@
 			list, why, err := c.get(p.ask())
 			if p.calls(nil) && err != nil {
 				c.end(stats.ByNewer)
+				p.broken()
 				continue
 			}
 			if err != nil {
@@ -346,6 +370,13 @@
 	}
 }
 
+// broken notes that the next call begins a new watch.
+func (p *endpoint) broken() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeper.stands = false
+}
+
 // again says whether the watch goes on after a failure, when it is time to.
 func (p *endpoint) again(why stats.Reason) bool {
 	p.mu.Lock()
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -48,6 +48,7 @@
 	RosterCalls
 	RosterFailed
 	RosterSilent
+	UnitsToldByPeers
 	BadInput
 	BoundConns
 	BoundBuffers
@@ -67,7 +68,8 @@
 	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", LegsReleased: "legs_released", LateRefused: "late_refused", Probes: "probes", Votes: "votes",
 	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMoot: "votes_moot", VotesMaybe: "votes_maybe_counted",
 	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
-	RosterCalls: "roster_calls", RosterFailed: "roster_failed", RosterSilent: "roster_silent", BadInput: "bad_input",
+	RosterCalls: "roster_calls", RosterFailed: "roster_failed", RosterSilent: "roster_silent",
+	UnitsToldByPeers: "units_told_by_peers", BadInput: "bad_input",
 	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
 	Reloads: "reloads", ReloadsRefused: "reloads_refused",
 }
--- /dev/null
+++ b/membership/lease.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"math"
+
+	"lichenroad/relay"
+)
+
+const (
+	// toldAfter is when a change binds a relay that it did not reach, in seconds after discovery had it (protocol).
+	toldAfter = 6.0
+	// toldAfterWait is the same behind the end of the wait of a call that fell silent, if that is later (protocol).
+	toldAfterWait = 2.0
+	// failedFactor times AskEvery is how long the list holds after a failed call (protocol).
+	failedFactor = 4.0
+	// leaseMargin is how long before a change may bind the lease ends: messages and steps take some milliseconds.
+	leaseMargin = 0.25
+	// contactFor is how long a peer's word counts for the rest of the fleet: about three of its heartbeats.
+	contactFor = 3.0
+)
+
+// lease is until when the list may be acted on; 0 if nobody has confirmed it yet.
+func (n *Node) lease() relay.Seconds {
+	until := 0.0
+	if verified := n.verified(); verified != Never {
+		until = verified + math.Min(toldAfter, failedFactor*n.set.AskEvery) - leaseMargin
+	}
+	if c := n.call; c.pending && c.Continues {
+		until = math.Max(until, c.begun+math.Max(toldAfter, c.Wait+toldAfterWait)-leaseMargin)
+	}
+	return math.Max(until, 0)
+}
+
+// verified is the latest time at which nothing that this relay does not know of can have begun to bind it: when
+// discovery gave the list to any relay, or when it was down.
+func (n *Node) verified() relay.Seconds {
+	if n.attempted == Never || n.behind() || !n.inContact() {
+		return n.answered
+	}
+	if n.answered == Never {
+		return n.attempted
+	}
+	return math.Max(n.answered, n.attempted)
+}
+
+// inContact says that a failed call stands for the whole fleet: an answer that any relay got since would have been heard
+// of. Discovery that answers nobody is down, and what it does not know binds nobody; discovery that answers others is
+// overbooked, and the clock of a change runs. A relay alone in its fleet has nobody to compete with.
+func (n *Node) inContact() bool {
+	return n.set.Relays <= 1 || n.contact != Never && n.now-n.contact < contactFor
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -222,7 +222,11 @@
 		Form  RosterForm
 		Units []UnitEntry
 	}
-	Query struct {
+	// RosterLease tells until when the list may be acted on. Without any, it may be at all times.
+	RosterLease struct{ Until Seconds }
+	// DiscoveryAnswers tells that another relay has got its list, after a time in which calls failed.
+	DiscoveryAnswers struct{}
+	Query            struct {
 		ID       QueryID
 		Until    Seconds // when the client gives up
 		Work     Seconds // expected, on a standard core
