Policy: a file for each job in place of policy.go, decisions unchanged

It is now roster, unit, queries, routing, gate, exposure, evidence, fusion and votes, each with its own tuned values, all named in the deploy file; doc.go says what each is for.

To state.go and memo.go went what decides nothing: building the module, taking a unit's entry, keeping what a relay told, the cancelling of a query's legs. The walk over open legs stood four times and the choice of budgets twice; both are said once.

--- a/policy/memo.go
+++ b/policy/memo.go
@@ -221,6 +221,34 @@
 	f.p.do(relay.Tell{To: relay.Everyone, Body: m.encode()})
 }
 
+// hearMemo keeps a relay's last memo and passes the ends of its legs on to the units.
+func (f *fuser) hearMemo(n noteMemo) {
+	if int(n.from) >= len(f.heard) {
+		return
+	}
+	for _, s := range n.memo.seen {
+		if u := f.p.roster.byMark[s.unit]; u != nil {
+			u.witness(s, told)
+		}
+	}
+	h := &f.heard[n.from]
+	h.memo, h.at, h.has = n.memo, f.p.now, true
+	h.seen = nil // passed on: only the verdicts count later
+}
+
+// hearFinding keeps a fuser's last finding, and its paces where this relay has none of its own.
+func (f *fuser) hearFinding(n noteFinding) {
+	if int(n.from) >= len(f.heard) {
+		return
+	}
+	f.heard[n.from].found, f.heard[n.from].foundAt = n.finding, f.p.now
+	for k, pace := range n.finding.paces {
+		if m := f.p.desk.kind(relay.Kind(k)); !f.fusing && pace > 0 {
+			*m = mean{pace, leastPace}
+		}
+	}
+}
+
 // count gives the fusers heard of late, and how many of them find each vote for the build and stage.
 func (f *fuser) count(want relay.Vote) (votes [relay.VoteBack + 1]int, found int) {
 	for i := range f.heard {
--- /dev/null
+++ b/policy/queries.go
@@ -0,0 +1,149 @@
+// The life of a query at this relay, from its arrival to its final answer.
+
+package policy
+
+import (
+	"math"
+
+	"lichenroad/relay"
+)
+
+const (
+	tick         = 0.05 // s between looks at overdue legs, held queries and votes: small beside any due time
+	patienceEdge = 0.06 // s before patience ends that a query without a leg is answered: just over a tick
+	flowWidth    = 0.5  // s a bucket of legs and queries
+	flowCount    = 4    // buckets: 2 s, long enough for small relays, short enough for a loss
+)
+
+func (d *desk) take(n note) {
+	switch n := n.(type) {
+	case relay.Query:
+		if d.queries[n.ID] != nil {
+			return
+		}
+		if n.Category < 0 || int(n.Category) >= len(d.p.rows) {
+			d.p.do(relay.WriteOff{Query: n.ID})
+			return
+		}
+		q := &query{Query: n, row: &d.p.rows[n.Category], at: d.p.now}
+		q.due = q.at + math.Min(q.row.due+q.row.stretch*n.Work, math.Max(q.row.patience, q.row.due))
+		d.queries[n.ID] = q
+		d.open = append(d.open, q)
+		d.inTime++
+		d.p.trial.took(q)
+		if d.p.gate.denies(q) {
+			d.finish(q)
+			return
+		}
+		d.route(q)
+	case relay.LegEnded:
+		d.ended(n)
+	case relay.Streaming:
+		if q := d.queries[n.Query]; q != nil {
+			q.stream = true
+			d.settle(q)
+		}
+	case relay.ClientLeft:
+		if q := d.queries[n.Query]; q != nil {
+			d.settle(q)
+		}
+	case noteTick:
+		d.look()
+	}
+}
+
+func (d *desk) ended(n relay.LegEnded) {
+	q := d.queries[n.Query]
+	if q == nil || n.Leg < 0 || int(n.Leg) >= len(q.legs) || !q.legs[n.Leg].open {
+		return
+	}
+	l := &q.legs[n.Leg]
+	l.open, l.mayRan = false, !n.How.NeverRan()
+	o := noteOutcome{category: q.Category, leg: *l, how: n.How, took: n.Took, work: q.work(), due: q.due - q.at}
+	d.p.post(l.unit, o)
+	d.p.post(&d.p.gate, o)
+	if n.How == relay.Honoured {
+		d.usual.add(n.Took, paceFleet)
+		d.flow.add(d.p.now, 0, 1)
+		d.p.trial.answered(q, l.build)
+	}
+	switch {
+	case n.Over:
+		d.settle(q)
+	case q.over || q.out() > 0:
+	case n.How == relay.TurnedAway && float64(d.inTime) > fullDenial*d.p.gate.limit():
+		d.finish(q) // the fleet is full: more legs would only feed it
+	default:
+		d.route(q)
+	}
+}
+
+// settle ends a query and its legs.
+func (d *desk) settle(q *query) {
+	if !q.over && !q.overdue {
+		d.inTime--
+	}
+	q.over = true
+	if d.p.set.Limits.Cancel && !q.stream {
+		d.cancel(q)
+	}
+}
+
+// look goes over the open queries: held ones, due times, patience.
+func (d *desk) look() {
+	warm, all := d.p.roster.warm()
+	if d.ease = 0; d.strain.n >= leastPace {
+		d.ease = math.Min(math.Max(2-2*d.strain.v/gateWait, 0), 1)
+	}
+	d.choice = warm / math.Max(all, 1) * d.ease // only the budget holds in an overload, or if not known
+	d.evenFlow = d.flow.all(d.p.now, 0) / (flowWidth * flowCount) / math.Max(all, 1)
+	left := d.open[:0]
+	for _, q := range d.open {
+		if !q.over && !q.overdue && d.p.now > q.due {
+			// Too late to be worth a place in the gate's limit: legs that a unit swallows must not shut it.
+			q.overdue = true
+			d.inTime--
+			for _, l := range q.openLegs() {
+				d.p.post(l.unit, noteOverdue{})
+			}
+		}
+		if !q.over && q.out() == 0 {
+			d.route(q)
+		}
+		if q.over && q.out() == 0 {
+			delete(d.queries, q.ID)
+			continue
+		}
+		left = append(left, q)
+	}
+	clear(d.open[len(left):])
+	d.open = left
+}
+
+// finish gives all final answers but an honoured leg's: a denial where trying again is harmless.
+func (d *desk) finish(q *query) {
+	if q.over {
+		return
+	}
+	harmless := q.row.repeat == relay.Reissuable || !q.mayHaveRun() ||
+		q.row.repeat == relay.Numbered && q.row.group == relay.GroupAll
+	switch {
+	case !harmless:
+		d.p.do(relay.WriteOff{Query: q.ID})
+	case d.p.set.Limits.RetryAfter:
+		d.p.do(relay.Deny{Query: q.ID, RetryAfter: d.p.set.Limits.MaxRetryAfter})
+	default:
+		d.p.do(relay.Deny{Query: q.ID})
+	}
+	d.settle(q)
+}
+
+// repeatBy is when a repeat of a numbered query must have been written to its last byte; 0: no such time.
+func (q *query) repeatBy() relay.Seconds {
+	for i := range q.legs {
+		if q.row.repeat == relay.Numbered && q.legs[i].mayRan {
+			return q.legs[i].at + q.row.window
+		}
+	}
+	return 0
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"iter"
 	"math"
 	"math/rand"
 	"slices"
@@ -84,12 +85,21 @@
 	stream  bool // the client owns a leg: nothing more to decide
 }
 
-func (q *query) out() (n int) {
-	for i := range q.legs {
-		if q.legs[i].open {
-			n++
+// openLegs goes over the legs that are still out.
+func (q *query) openLegs() iter.Seq2[relay.LegNo, *leg] {
+	return func(yield func(relay.LegNo, *leg) bool) {
+		for i := range q.legs {
+			if l := &q.legs[i]; l.open && !yield(relay.LegNo(i), l) {
+				return
+			}
 		}
 	}
+}
+
+func (q *query) out() (n int) {
+	for range q.openLegs() {
+		n++
+	}
 	return n
 }
 
@@ -120,6 +130,13 @@
 	soft  []float64 // legs that the design's share of the cap leaves
 }
 
+// empty takes away all that is left.
+func (x *exposure) empty() {
+	clear(x.hard)
+	clear(x.parts)
+	clear(x.soft)
+}
+
 func (x *exposure) slot(c relay.Category) int { return min(int(c), len(x.hard)-1) }
 
 // heard is the last memo of one relay, and the last finding where it fuses.
@@ -238,6 +255,23 @@
 	return p.out
 }
 
+// New returns the module of one relay, ready for its first Step.
+func New(set relay.Settings, seed int64) *Policy {
+	p := &Policy{set: set, rng: rand.New(rand.NewSource(seed))}
+	most := 1e-9 // the highest value of a category
+	for _, c := range set.Categories {
+		most = math.Max(most, c.Value)
+	}
+	for _, c := range set.Categories {
+		p.rows = append(p.rows, row{repeat: c.Repeat, group: c.Group, window: c.RepeatWindow, due: c.DueTime,
+			stretch: c.DueStretch, patience: c.Patience, gate: gatePart(c.Value, most)})
+	}
+	p.assemble()
+	// Relays that start together would all look and tell at the same moments, once a second.
+	p.trial.judgeAt, p.trial.toldAt = judgeEvery*p.rng.Float64(), -verdictEvery*p.rng.Float64()
+	return p
+}
+
 // assemble makes the parts.
 func (p *Policy) assemble() {
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
@@ -251,12 +285,19 @@
 	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
 }
 
+// cancel ends the legs of a query that are still out.
+func (d *desk) cancel(q *query) {
+	for no := range q.openLegs() {
+		d.p.do(relay.CancelLeg{Query: q.ID, Leg: no})
+	}
+}
+
 // recall takes back the legs to a build that have not gone yet.
 func (d *desk) recall(b relay.Build) {
 	for _, q := range d.open {
-		for i := range q.legs {
-			if q.legs[i].open && q.legs[i].build == b {
-				d.p.do(relay.Recall{Query: q.ID, Leg: relay.LegNo(i)})
+		for no, l := range q.openLegs() {
+			if l.build == b {
+				d.p.do(relay.Recall{Query: q.ID, Leg: no})
 			}
 		}
 	}
@@ -377,6 +418,25 @@
 	pending bool
 }
 
+// list takes the unit's entry in the roster. A fresh start, or another build under an old id, is a new process:
+// nothing known of the old holds.
+func (u *unit) list(e relay.UnitEntry) {
+	if !u.met || e.Build != u.Build || e.Started && e.StartedAt != u.StartedAt {
+		u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
+		u.cold, u.coldAt, u.first = u.p.rng.Float64(), u.p.now, u.p.rng.Float64()
+		u.seen[own].reset()
+		u.seen[told].reset()
+	}
+	if e.State == relay.Gone && u.State != relay.Gone {
+		u.goneAt = u.p.now
+	}
+	u.UnitEntry = e
+	u.started = math.Inf(-1)
+	if e.Started {
+		u.started = e.StartedAt
+	}
+}
+
 // as is what is known of the unit, in another state.
 func (u *unit) as(state relay.UnitState) relay.UnitEntry {
 	e := u.UnitEntry
@@ -475,6 +535,16 @@
 	}
 }
 
+// budgets gives the budgets that a query's part counts in, none where a scope keeps it from builds on trial, and
+// its group's number; -1: no scope holds.
+func (t *trial) budgets(q *query) (limits []*exposure, g int) {
+	g, open := t.group(q.Customer)
+	if !open {
+		return nil, g
+	}
+	return t.limits, g
+}
+
 // group is the group that a customer's queries count in, and whether it may meet builds on trial.
 func (t *trial) group(c relay.Customer) (g int, open bool) {
 	if !t.scoped {
--- /dev/null
+++ b/policy/votes.go
@@ -0,0 +1,101 @@
+// Votes: whether the newest build should go on, stay or go back, and when to say so.
+
+package policy
+
+import (
+	"fmt"
+	"math"
+
+	"lichenroad/relay"
+)
+
+const (
+	extraWait     = 3.0  // s past the least time that a fuser waits for outcomes (DESIGN)
+	ripeAge       = 15.0 // s of a build's first machines up to which it is not released: some turn bad at 12 s
+	ripePart      = 0.9  // of the time between two builds after which it is: the next would end the trial
+	turnAge       = 11.0 // s of a machine's age at which the last of the builds that turn bad have done so
+	fleetPatience = 6.0  // s that the fleet may be slow until the build is held the cause: most troubles pass
+	voteRenew     = 0.5  // of a vote's life after which it is cast again: one lost renewal is survived
+	voteGap       = 0.4  // s at least between two votes of one relay
+	voteSpare     = 1.0  // s after which relays beyond the needed ones vote too: news of a success is there
+	voteOver      = 1.1  // times the needed votes that are cast at once: some relays are dead or cut off
+	callGrace     = 0.5  // s past the platform's own time-out before a vote counts as lost
+)
+
+// wish is the vote that this fuser wants to stand.
+func (f *fuser) wish() relay.Verdict {
+	t, r := &f.p.trial, &f.p.set.Rollout
+	released := t.news.Phase == relay.Released
+	if !t.judging() {
+		f.cleanAt, f.slowAt = f.p.now, f.p.now
+		return relay.NoVote
+	}
+	back, late, outdone, pooled := f.fused()
+	// What the fleet suffers while the earlier build fails more often is its doing: this is the way out.
+	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || outdone || released {
+		f.slowAt = f.p.now
+	} else if !back {
+		f.why = "the whole fleet is slower than before"
+	}
+	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
+	switch {
+	case back || f.p.now-f.slowAt > fleetPatience:
+		return relay.VoteBack
+	case released:
+		return relay.NoVote
+	case r.Control == relay.Clock && (pooled < leastCount || late) && f.p.now-t.since < r.StepTime+extraWait:
+		return relay.VoteHold
+	case r.Control != relay.Clock && t.listedAt != 0 && !late && t.ripe() &&
+		(age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount):
+		return relay.VoteOn
+	}
+	return relay.NoVote
+}
+
+// ripe says that a build which turns bad with age has shown it: by its first machines' legs beyond the age,
+// where all relays have enough, or by some seconds more. Only the last stage waits: none is left to go back.
+func (t *trial) ripe() bool {
+	due := t.cycle > 0 && t.p.now-t.offered > ripePart*t.cycle
+	if int(t.news.Stage) < len(t.p.set.Rollout.StageShares)-1 || due || t.eldest() >= ripeAge {
+		return true
+	}
+	shown, _ := t.compare(told, len(t.p.rows), evidenceLately, turnAge)
+	return shown[figMatched] >= leastSlow
+}
+
+// turn is how long this relay lets others vote first: as many as are needed, and a few for those that are
+// lost, vote at once; the rest only when that has not been enough, no faster than votes are taken.
+func (f *fuser) turn(v relay.Verdict) relay.Seconds {
+	r := &f.p.set.Rollout
+	need := [...]int{relay.VoteOn: r.VotesOn, relay.VoteHold: r.VotesHold, relay.VoteBack: r.VotesBack}[v]
+	extra := float64(f.p.set.Self) - math.Max(fuserCount, voteOver*float64(need))
+	if v == relay.NoVote || extra < 0 {
+		return 0
+	}
+	return voteSpare + extra/math.Max(r.VotesPerSec, 1)
+}
+
+// vote casts what is wanted, renews it before it lapses and casts it again when it was lost.
+func (f *fuser) vote() {
+	r, now, w := &f.p.set.Rollout, f.p.now, f.want
+	if f.pending && now-f.castAt > r.CallTimeout+callGrace {
+		f.pending, f.sure = false, false
+	}
+	if f.pending || now < f.nextAt || now-f.wantAt < f.turn(w.Verdict) {
+		return
+	}
+	moot := f.cast.Verdict == relay.NoVote || f.cast.Build != w.Build || !f.p.trial.judging() ||
+		f.cast.Verdict != relay.VoteBack && (f.cast.Stage != w.Stage || f.p.trial.news.Phase == relay.Released)
+	if w.Verdict == relay.NoVote && moot {
+		f.cast = w
+		return
+	}
+	if w == f.cast && f.sure && (w.Verdict == relay.NoVote || now-f.castAt < voteRenew*r.VoteLife) {
+		return
+	}
+	if w.Verdict == relay.VoteBack && f.cast.Verdict != w.Verdict && f.fusing {
+		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", w.Build, w.Stage, f.why)})
+	}
+	f.cast, f.castAt, f.nextAt, f.pending, f.sure = w, now, now+voteGap, true, false
+	f.p.do(w)
+}
