--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -57,7 +57,7 @@
 	if len(left) == 0 {
 		return
 	}
-	r := relay.Roster{Form: relay.RosterDelta}
+	r := relay.Roster{Form: relay.RosterDelta, FromPeers: true}
 	for _, unit := range left {
 		m.asker.units.Leaving(unit, false)
 		r.Units = append(r.Units, relay.UnitEntry{Unit: unit, State: relay.Draining, Bare: true})
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -19,6 +19,8 @@
 	repairBackoff = 0.3
 	// staleAfter, in seconds, is how much older another relay's word may be before it is told better.
 	staleAfter = 2.0
+	// maxDoublings bounds how often the time between heartbeats is doubled while no peer is heard: up to 12 s.
+	maxDoublings = 3
 	// maxBases bounds the older lists that are helped at one time.
 	maxBases = 4
 	// bytesPerSecond and burstBytes bound what a node sends, with headers: half of a relay's 4 KB a second.
@@ -36,6 +38,7 @@
 	answering   relay.Seconds // the latest answer of discovery to any relay; Never: none
 	budget      float64       // bytes that may be sent, as of budgetAt
 	budgetAt    relay.Seconds
+	unheard     int // heartbeats sent since a peer was last heard
 }
 
 func newGossip() gossip {
@@ -51,7 +54,8 @@
 
 // later puts the next heartbeat off, as a peer has just said the same.
 func (g *gossip) later(n *Node) {
-	g.heartbeatAt = n.now + heartbeatQuiet + n.backoff(heartbeatBackoff)
+	wait := heartbeatQuiet + n.backoff(heartbeatBackoff)
+	g.heartbeatAt = n.now + wait*math.Exp2(float64(min(g.unheard, maxDoublings)))
 }
 
 // repair has the units sent that left since an older list.
@@ -86,6 +90,7 @@
 		return
 	}
 	n.counters.Heard++
+	n.gossip.unheard = 0
 	answered, attempted := n.fromWire(m.answered), n.fromWire(m.attempted)
 	n.noticeAnswers(answered)
 	n.attempted = later(n.attempted, attempted)
@@ -193,6 +198,7 @@
 		n.emit(message{view: n.view, answered: n.toWire(n.answered), attempted: n.toWire(n.attempted)}.encode())
 		n.counters.Heartbeats++
 		n.gossip.advertised = n.now
+		n.gossip.unheard++
 		n.gossip.later(n)
 	}
 }
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -21,9 +21,10 @@
 
 // lease is until when the list may be acted on; 0 if nobody has confirmed it yet.
 func (n *Node) lease() relay.Seconds {
+	n.confirmed = later(n.confirmed, n.verified())
 	until := 0.0
-	if verified := n.verified(); verified != Never {
-		until = verified + math.Min(toldAfter, failedFactor*n.set.AskEvery) - leaseMargin
+	if n.confirmed != Never {
+		until = n.confirmed + math.Min(toldAfter, failedFactor*n.set.AskEvery) - leaseMargin
 	}
 	if c := n.call; c.pending && c.Continues {
 		until = math.Max(until, c.begun+math.Max(toldAfter, c.Wait+toldAfterWait)-leaseMargin)
@@ -31,16 +32,12 @@
 	return math.Max(until, 0)
 }
 
-// verified is the latest time at which nothing that this relay does not know of can have begun to bind it: when
-// discovery gave the list to any relay, or when it was down.
+// verified is the latest time of which it is known now that the list was discovery's, or that discovery was down.
 func (n *Node) verified() relay.Seconds {
 	if n.attempted == Never || n.behind() || !n.inContact() {
 		return n.answered
 	}
-	if n.answered == Never {
-		return n.attempted
-	}
-	return math.Max(n.answered, n.attempted)
+	return later(n.answered, n.attempted)
 }
 
 // inContact says that a failed call stands for the whole fleet: an answer that any relay got since would have been heard
--- a/policy/queries.go
+++ b/policy/queries.go
@@ -31,7 +31,7 @@
 		d.open = append(d.open, q)
 		d.inTime++
 		d.p.trial.took(q)
-		if d.p.gate.denies(q) {
+		if d.p.gate.denies(q) || d.p.roster.expired() {
 			d.finish(q)
 			return
 		}
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -102,7 +102,7 @@
 // may is the guard that every leg passes: rules 2 to 5.
 func (d *desk) may(q *query, u *unit) bool {
 	p := d.p
-	if q.over || u.State != relay.Ready || len(q.legs) >= p.set.Limits.MaxLegs {
+	if q.over || u.State != relay.Ready || len(q.legs) >= p.set.Limits.MaxLegs || p.roster.expired() {
 		return false
 	}
 	for i := range q.legs {
@@ -129,7 +129,13 @@
 
 // send is where every leg goes out.
 func (d *desk) send(q *query, u *unit) {
-	p, by := d.p, q.repeatBy()
+	p, by := d.p, d.p.roster.leaseEnd // a leg that waits for a connection goes on no longer than the list holds
+	if window := q.repeatBy(); window > 0 {
+		by = math.Min(by, window)
+	}
+	if by == never {
+		by = 0
+	}
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
 		age: p.now - u.started, open: true, mayRan: true, depth: u.open})
 	if u.warmth() < 1 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -215,13 +215,13 @@
 		p.begun = true
 		p.do(relay.Wake{ID: 1, At: p.now + tick})
 		if p.set.RosterOnAsk {
-			p.roster.ask()
+			p.roster.begin()
 		}
 	}
 	// All of a batch has happened by now: what it tells of units and builds holds for its queries too.
 	for _, e := range events {
 		switch e := e.(type) {
-		case relay.Roster:
+		case relay.Roster, relay.RosterLease, relay.DiscoveryAnswers:
 			p.post(&p.roster, e)
 		case relay.StageNews:
 			p.post(&p.trial, e)
@@ -274,7 +274,7 @@
 
 // assemble makes the parts.
 func (p *Policy) assemble() {
-	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
+	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}, leaseEnd: never}
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
 		links: newRing(flowWidth, linkBuckets, 2)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
@@ -310,8 +310,10 @@
 	byMark map[mark]*unit
 	units  []*unit       // all ever listed, by id
 	failed bool          // a call failed, and none was made since
-	silent bool          // the last watch fell silent, and nothing has come since
 	askAt  relay.Seconds // when to ask again; never: an answer has come, so the watch stands
+
+	failures int           // calls failed in a row
+	leaseEnd relay.Seconds // until when the list may be acted on; never: no lease was named
 }
 
 // never is a time that does not come.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -219,8 +219,9 @@
 // Events in.
 type (
 	Roster struct {
-		Form  RosterForm
-		Units []UnitEntry
+		Form      RosterForm
+		Units     []UnitEntry
+		FromPeers bool // other relays told of it: no call to discovery was answered
 	}
 	// RosterLease tells until when the list may be acted on. Without any, it may be at all times.
 	RosterLease struct{ Until Seconds }
