--- a/cmd/lichenroad/trace.go
+++ b/cmd/lichenroad/trace.go
@@ -30,7 +30,6 @@
 	layout, mapping string
 	window          float64
 	from, length    float64
-	seed            int64
 	m               *trace.Mapping
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -185,16 +184,15 @@
 		cl.Write(look[20:])
 		d.answer(cl, c)
 
-		var gate sync.Mutex
-		gate.Lock()
-		hold := func() { gate.Lock(); gate.Unlock() }
+		gate := make(chan struct{})
+		hold := func() { <-gate }
 		d.s.reading.Store(&hold)
 		cl.Write(look)
 		d.until("the library has the query", func() bool { return c.net.Reader().Len() == len(look) && c.current == nil })
 		if c.evict(why) {
 			t.Error("closed with a query in the library's buffer")
 		}
-		gate.Unlock()
+		close(gate)
 		d.answer(cl, c)
 		d.until("idle again", func() bool { return c.current == nil })
 		d.s.reading.Store(nil)
@@ -231,14 +229,13 @@
 	}
 
 	cl, c = d.session()
-	var gate sync.Mutex
-	gate.Lock()
-	hold := func() { gate.Lock(); gate.Unlock() }
+	gate := make(chan struct{})
+	hold := func() { <-gate }
 	d.s.reading.Store(&hold)
 	cl.Write(look)
 	d.held("the library has the query", func() bool { return c.net.Reader().Len() == len(look) })
 	closeAnyway(c)
-	gate.Unlock()
+	close(gate)
 	if code := cl.hears('Z'); code != pgwire.CodeEnding || !cl.ends() {
 		t.Errorf("%q", code)
 	}
--- a/internal/desk/control.go
+++ b/internal/desk/control.go
@@ -77,7 +77,7 @@
 	rand.Read(b)
 	c := &control{desk: d, ln: ln, word: hex.EncodeToString(b), slot: make(chan struct{}, mostControls)}
 	name := filepath.Join(d.dir, controlName)
-	if err := os.WriteFile(name+".next", []byte(ln.Addr().String()+" "+c.word+"\n"), 0o600); err == nil {
+	if err = os.WriteFile(name+".next", []byte(ln.Addr().String()+" "+c.word+"\n"), 0o600); err == nil {
 		err = os.Rename(name+".next", name)
 	}
 	if err != nil {
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
@@ -43,7 +44,6 @@
 	dir  string
 	at   Addresses
 	desk *Desk
-	stop context.CancelFunc
 	over chan error
 	mu   sync.Mutex
 	now  plan.Unix
@@ -55,7 +55,6 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
 	ready := make(chan struct{})
 	go func() {
 		r.over <- Start(ctx, Options{Plan: testPlan(t), Dir: dir, Log: log, Crash: crash, Clock: r.clock,
@@ -68,7 +67,7 @@
 	case <-time.After(patience):
 		t.Fatal("not up")
 	}
-	t.Cleanup(func() { cancel() })
+	t.Cleanup(cancel)
 	return r
 }
 
@@ -84,18 +83,6 @@
 	r.mu.Unlock()
 }
 
-// end ends the desk and waits until its directory is free.
-func (r *running) end() error {
-	r.stop()
-	select {
-	case err := <-r.over:
-		return err
-	case <-time.After(patience):
-		r.t.Fatal("it does not end")
-		return nil
-	}
-}
-
 func (r *running) ask(q Request) (Reply, error) {
 	if q.Who == "" {
 		q.Who, q.Why = "ops", "a test"
@@ -275,6 +262,15 @@
 	}
 }
 
+// TestNoControlWithoutItsFile opens the operators' socket of a desk whose directory can't be written: without the file
+// nobody could reach it, so it must be refused.
+func TestNoControlWithoutItsFile(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "missing")
+	if c, err := openControl(&Desk{dir: missing}, ""); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("opened: %v, error: %v", c != nil, err)
+	}
+}
+
 var errKilled = errors.New("killed")
 
 // TestKilledBetweenCountingAndTelling ends the desk at each place round the vote that completes a step. Whatever was
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
@@ -68,5 +67,5 @@
 	if !b.rest() || b.cast(relay.Vote{Build: 2}) {
 		t.Error("taken on behind the close")
 	}
-	c.net.(netpoll.Connection).Close()
+	c.net.Close()
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -213,7 +213,8 @@
 
 // Take tells the connections to units, then the module.
 func (t told) Take(l *stage.Loop) {
-	a, failed := t.from.a, t.form == relay.RosterFailed || t.form == relay.RosterSilent
+	a, list, form := t.from.a, t.list, t.form
+	failed := form == relay.RosterFailed || form == relay.RosterSilent
 	switch {
 	case t.from == a.at:
 		if !failed {
@@ -221,7 +222,7 @@
 		}
 	case t.from == a.before && !failed && !a.parts: // the new address has told nothing yet, so this still holds
 	case t.from == a.before && !failed:
-		if t.list, t.form = t.list.leaving(), relay.RosterDelta; len(t.list.Lines) == 0 {
+		if list, form = list.leaving(), relay.RosterDelta; len(list.Lines) == 0 {
 			return
 		}
 	case t.from == a.before:
@@ -235,12 +236,12 @@
 			l.Open() // an agent that is down tells nothing: the list as last held is all there is
 			return
 		}
-		l.Learn(relay.Roster{Form: t.form})
+		l.Learn(relay.Roster{Form: form})
 		return
 	}
-	r := relay.Roster{Form: t.form}
+	r := relay.Roster{Form: form}
 	listed := map[relay.UnitID]bool{}
-	for _, line := range t.list.Lines {
+	for _, line := range list.Lines {
 		listed[line.Unit] = true
 		if line.State != relay.Gone && line.Address != "" {
 			a.units.Listed(line.UnitEntry, line.Name, line.Address)
@@ -250,15 +251,15 @@
 		}
 		r.Units = append(r.Units, line.UnitEntry)
 	}
-	if t.form != relay.RosterDelta {
+	if form != relay.RosterDelta {
 		a.units.Whole(func(id relay.UnitID) bool { return listed[id] })
 	}
-	if t.list.Bad > 0 {
-		l.Stats.Add(stats.BadInput, int64(t.list.Bad))
-		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": t.list.Bad}).Warn("entries that can't be read")
+	if list.Bad > 0 {
+		l.Stats.Add(stats.BadInput, int64(list.Bad))
+		l.Log.WithFields(logrus.Fields{"peer": "roster", "entries": list.Bad}).Warn("entries that can't be read")
 	}
 	l.Learn(r)
-	if !a.waits.pushed || t.form != relay.RosterCached {
+	if !a.waits.pushed || form != relay.RosterCached {
 		l.Open()
 	}
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -124,7 +124,6 @@
 	code    []rollout.Code // the present reason
 	held    map[rollout.Code]float64
 	rng     *rand.Rand
-	plain   bool // it knows no plan: freezes and needs are the guards' alone
 }
 
 func newDeskLink(w *world) *deskLink {
--- a/policy/state.go
+++ b/policy/state.go
@@ -414,7 +414,6 @@
 	sure    bool          // it was counted
 	cleanAt relay.Seconds // when the pooled counts were last not flagged
 	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
-	blamed  relay.Build   // that its own outcomes spoke against, while it is in service; 0: none
 	pending bool
 }
 
--- a/trace/rows.go
+++ b/trace/rows.go
@@ -52,7 +52,7 @@
 		t.line++
 		if errors.Is(err, bufio.ErrBufferFull) || len(text) > MostLine+2 {
 			for errors.Is(err, bufio.ErrBufferFull) {
-				text, err = t.in.ReadSlice('\n')
+				_, err = t.in.ReadSlice('\n')
 			}
 			if err != nil && !errors.Is(err, io.EOF) {
 				return nil, Truncated, err
