--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,23 +33,23 @@
 func Open(l *stage.Loop, listen string, peers []string, all string) (*Tier, error) {
 	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, limits.MemosAhead)}
 	for i, s := range peers {
-		a, err := netip.ParseAddrPort(s)
+		a, err := parse("peers", s)
 		if err != nil {
-			return nil, fmt.Errorf("peers: %w", err)
+			return nil, err
 		}
 		t.to = append(t.to, a)
 		t.from[a] = relay.RelayNo(i)
 	}
 	if all != "" {
-		a, err := netip.ParseAddrPort(all)
+		a, err := parse("peers_all", all)
 		if err != nil {
-			return nil, fmt.Errorf("peers_all: %w", err)
+			return nil, err
 		}
 		t.all = a
 	}
-	a, err := netip.ParseAddrPort(listen)
+	a, err := parse("peer_listen", listen)
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+		return nil, err
 	}
 	if t.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a)); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
@@ -57,6 +57,15 @@
 	return t, nil
 }
 
+// parse reads an address; the error names the setting and what stands there.
+func parse(setting, text string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return a, fmt.Errorf("%s: %q: %w", setting, text, err)
+	}
+	return a, nil
+}
+
 // Start serves until the program ends.
 func (t *Tier) Start() {
 	go t.reading()
