Policy: standard names where verdicts are fused, same bytes and decisions

aggregator for fuser, report for memo, decision for finding, observation for sighting; hash of a unit for mark, peer for heard, learn, observe, decide and fuse for witness, sight, wish and fused. memo.go is messages.go.

--- a/policy/doc.go
+++ b/policy/doc.go
@@ -17,7 +17,7 @@
 //   - fusion.go: all relays' verdicts and outcomes taken together
 //   - votes.go: the vote that follows, and when it is cast
 //
-// state.go has the types, the notes and the bookkeeping, measure.go buckets of time, memo.go bytes.
+// state.go has the types, the notes and the bookkeeping, measure.go buckets of time, messages.go what relays tell one another.
 //
-// Each tuned value is given with its unit and the reason for its size. DESIGN marks the design page's own.
+// Each tuned value is given with its unit and the reason for its size. DESIGN hashes the design page's own.
 package policy
--- a/policy/evidence.go
+++ b/policy/evidence.go
@@ -35,10 +35,10 @@
 	verdictEvery    = 1.0  // s between verdicts without a change (DESIGN)
 )
 
-// judge forms this relay's verdicts and tells the fusers, on change and every so often.
+// judge forms this relay's verdicts and tells the aggregators, on change and every so often.
 func (t *trial) judge() {
 	t.list()
-	changed := len(t.untold) > 0 && t.p.now-t.toldAt >= verdictEvery
+	changed := len(t.unreported) > 0 && t.p.now-t.reportedAt >= verdictEvery
 	for c := range t.p.rows {
 		v := t.verdict(c)
 		changed = changed || v.flag != t.mine[c].flag
@@ -47,9 +47,9 @@
 	if !changed {
 		return
 	}
-	t.toldAt = t.p.now
-	m := memo{build: t.news.Build, stage: t.news.Stage, verdicts: append([]verdict(nil), t.mine...)}
-	t.p.post(&t.p.fuser, noteMemo{t.p.set.Self, m})
+	t.reportedAt = t.p.now
+	m := report{build: t.news.Build, stage: t.news.Stage, verdicts: append([]verdict(nil), t.mine...)}
+	t.p.post(&t.p.aggregator, noteReport{t.p.set.Self, m})
 	t.tell(m)
 }
 
--- a/policy/fusion.go
+++ b/policy/fusion.go
@@ -1,4 +1,4 @@
-// Fusion: all relays' verdicts and pooled outcomes become one finding on the newest build.
+// Fusion: all relays' verdicts and pooled outcomes become one decision on the newest build.
 
 package policy
 
@@ -11,78 +11,78 @@
 )
 
 const (
-	fuserCount   = 4    // lowest-numbered relays that fuse (DESIGN)
-	fuserSilence = 3.0  // s without a finding after which a fuser counts as lost: three findings
-	verdictLife  = 6.0  // s that a verdict counts at a fuser (DESIGN)
-	leastFlags   = 2    // relays that must flag (DESIGN)
-	halfKnown    = 20.0 // outcomes at which a bad build is flagged half the time (DESIGN)
-	falseAlarm   = 0.01 // false-alarm probability of one relay over all its categories (DESIGN)
-	prior        = 0.35 // of a build being bad (DESIGN)
-	alarmCost    = 1.0  // of sending a good build back, over that of letting a bad one through (DESIGN: equal)
-	flagLasts    = 1.0  // s that a pooled flag must last: a verdict from every relay
-	fleetTimes   = 1.4  // times the fleet's leg time before the trial that stops a vote on
+	aggregatorCount   = 4    // lowest-numbered relays that fuse (DESIGN)
+	aggregatorSilence = 3.0  // s without a decision after which an aggregator counts as lost: three decisions
+	verdictLife       = 6.0  // s that a verdict counts at an aggregator (DESIGN)
+	leastFlags        = 2    // relays that must flag (DESIGN)
+	halfKnown         = 20.0 // outcomes at which a bad build is flagged half the time (DESIGN)
+	falseAlarm        = 0.01 // false-alarm probability of one relay over all its categories (DESIGN)
+	prior             = 0.35 // of a build being bad (DESIGN)
+	alarmCost         = 1.0  // of sending a good build back, over letting a bad one through (DESIGN: equal)
+	flagLasts         = 1.0  // s that a pooled flag must last: a verdict from every relay
+	fleetTimes        = 1.4  // times the fleet's leg time before the trial that stops a vote on
 )
 
-// set gives the relays that fuse: the lowest-numbered few that were heard of lately.
-func (f *fuser) set() (nos []relay.RelayNo) {
-	for i := 0; i < f.p.set.Relays && len(nos) < fuserCount; i++ {
-		h := &f.heard[i]
-		if h.since == 0 {
-			h.since = f.p.now
+// members gives the relays that aggregate: the lowest-numbered few that were heard of lately.
+func (a *aggregator) members() (nos []relay.RelayNo) {
+	for i := 0; i < a.p.set.Relays && len(nos) < aggregatorCount; i++ {
+		peer := &a.peers[i]
+		if peer.since == 0 {
+			peer.since = a.p.now
 		}
-		if relay.RelayNo(i) == f.p.set.Self || f.p.now-math.Max(h.since, h.foundAt) < fuserSilence {
+		if relay.RelayNo(i) == a.p.set.Self || a.p.now-math.Max(peer.since, peer.decidedAt) < aggregatorSilence {
 			nos = append(nos, relay.RelayNo(i))
 		}
 	}
 	return nos
 }
 
-func (f *fuser) take(n note) {
+func (a *aggregator) take(n note) {
 	switch n := n.(type) {
-	case noteMemo:
-		f.hearMemo(n)
-	case noteFinding:
-		f.hearFinding(n)
+	case noteReport:
+		a.takeReport(n)
+	case noteDecision:
+		a.takeDecision(n)
 	case relay.StageNews:
 		if n.Reply != relay.Unasked {
 			// A moot vote stays as cast: votes of all relays with old news would drown those that matter.
-			f.pending, f.sure = false, n.Reply == relay.Counted || n.Reply == relay.Moot
+			a.pending, a.sure = false, n.Reply == relay.Counted || n.Reply == relay.Moot
 			if n.Reply == relay.NotCounted {
-				f.nextAt = f.p.now + voteGap*(1+f.p.rng.Float64())
+				a.nextAt = a.p.now + voteGap*(1+a.p.rng.Float64())
 			}
 		}
 	case noteTick:
-		if f.p.now >= f.lookAt {
-			f.lookAt = f.p.now + judgeEvery
-			f.look()
+		if a.p.now >= a.lookAt {
+			a.lookAt = a.p.now + judgeEvery
+			a.look()
 		}
-		f.vote()
+		a.vote()
 	}
 }
 
-// look renews what this relay wants to vote: as a fuser by all it was told, else by most fusers, or own legs.
-func (f *fuser) look() {
-	t := &f.p.trial
-	f.fusing = slices.Contains(f.set(), f.p.set.Self)
+// look renews what this relay wants to vote: by all reports as an aggregator, else by most decisions.
+func (a *aggregator) look() {
+	t := &a.p.trial
+	a.aggregating = slices.Contains(a.members(), a.p.set.Self)
 	want := relay.Vote{Build: t.news.Build, Stage: t.news.Stage}
-	votes, found := f.count(want)
-	if f.fusing || found == 0 {
-		want.Verdict = f.wish()
+	votes, decided := a.count(want)
+	if a.aggregating || decided == 0 {
+		want.Verdict = a.decide()
 	} else if t.judging() {
-		f.cleanAt, f.slowAt = f.p.now, f.p.now
+		a.cleanAt, a.slowAt = a.p.now, a.p.now
 		for v, n := range votes {
-			if 2*n > found {
+			if 2*n > decided {
 				want.Verdict = relay.Verdict(v)
 			}
 		}
 	}
-	if want != f.want {
-		f.want, f.wantAt = want, f.p.now
+	if want != a.want {
+		a.want, a.wantAt = want, a.p.now
 	}
-	if f.fusing && f.p.set.Limits.Messages && f.p.set.Relays > 1 &&
-		(f.found != want || f.p.now-f.foundAt >= verdictEvery) {
-		f.found, f.foundAt = want, f.p.now
-		f.tell(want)
+	if a.aggregating && a.p.set.Limits.Messages && a.p.set.Relays > 1 &&
+		(a.announced != want || a.p.now-a.announcedAt >= verdictEvery) {
+		a.announced, a.announcedAt = want, a.p.now
+		a.tell(want)
 	}
 }
 
@@ -95,20 +95,20 @@
 	return math.Log((1 - pd) / (1 - pf))
 }
 
-// fused sums the log likelihood ratios of the present stage's verdicts; one of too few outcomes says nothing.
+// fuse sums the log likelihood ratios of the present stage's verdicts; one of too few outcomes says nothing.
 // All relays' legs, pooled by unit, make verdicts of their own, a category and for all: they need no second.
-func (f *fuser) fused() (back, late, outdone bool, pooled float64) {
-	t := &f.p.trial
-	cats := len(f.p.rows)
+func (a *aggregator) fuse() (back, late, outdone bool, pooled float64) {
+	t := &a.p.trial
+	cats := len(a.p.rows)
 	sum, flaggers := 0.0, 0
-	for i := range f.heard {
-		h := &f.heard[i]
-		if !h.has || f.p.now-h.at > verdictLife || h.build != t.news.Build || h.stage != t.news.Stage ||
-			len(h.verdicts) != cats {
+	for i := range a.peers {
+		peer := &a.peers[i]
+		if !peer.reported || a.p.now-peer.reportedAt > verdictLife || len(peer.verdicts) != cats ||
+			peer.build != t.news.Build || peer.stage != t.news.Stage {
 			continue
 		}
 		flags := false
-		for _, v := range h.verdicts {
+		for _, v := range peer.verdicts {
 			if v.n > 0 {
 				sum += logRatio(v.flag, v.n, cats)
 				flags = flags || v.flag
@@ -133,18 +133,18 @@
 			}
 			if flagged(newer, before, true) && logRatio(true, newer[figCount], cats) >= threshold {
 				pooledFlag = true
-				f.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, newer, before)
+				a.why = fmt.Sprintf("pooled counts of category %d, %.0f against %.0f", c, newer, before)
 			}
 		}
 	}
 	// A burst of failures ends as soon as routing knows the machines at fault; a bad build's go on.
 	if !pooledFlag {
-		f.cleanAt = f.p.now
+		a.cleanAt = a.p.now
 	}
 	if back {
-		f.why = "flags of several relays"
+		a.why = "flags of several relays"
 	}
-	back = back || f.p.now-f.cleanAt > flagLasts
+	back = back || a.p.now-a.cleanAt > flagLasts
 	fleet := t.fleet()
 	m, err := fleet.mean(figPaced)
 	calm, calmErr := t.calm.mean(figPaced)
--- a/policy/measure.go
+++ b/policy/measure.go
@@ -156,9 +156,9 @@
 	u.bad, u.badAt = u.badNow()+badStep*(miss(n.how)-u.badNow()), u.p.now
 	u.p.desk.strain.add(n.took/math.Max(n.due, 1e-3), strainStep)
 	if n.leg.build == u.Build {
-		s := u.sight(n)
-		u.witness(s, own)
-		u.p.trial.untold = append(u.p.trial.untold, s)
+		s := u.observe(n)
+		u.learn(s, own)
+		u.p.trial.unreported = append(u.p.trial.unreported, s)
 	}
 }
 
@@ -183,7 +183,7 @@
 func (u *unit) newest() bool { return u.Build >= u.p.trial.news.Build }
 
 // record adds a leg to what the unit showed, to this relay or by what others told.
-func (u *unit) record(s sighting, by int, usual float64) {
+func (u *unit) record(s observation, by int, usual float64) {
 	t, now, at := &u.p.trial, u.p.now, int(s.category)*figures
 	seen := &u.seen[by]
 	seen.add(now, at+figCount, 1)
--- a/policy/wire_test.go
+++ b/policy/messages_test.go
@@ -11,18 +11,18 @@
 // TestMessageBytes pins the bytes of one message of each form: relays of different versions are up at the same time while
 // a fleet is updated, and must read one another.
 func TestMessageBytes(t *testing.T) {
-	m := memo{build: 300, stage: 2, verdicts: []verdict{{flag: true, n: 25}, {n: 200}, {}}, seen: []sighting{
+	m := report{build: 300, stage: 2, verdicts: []verdict{{flag: true, n: 25}, {n: 200}, {}}, observations: []observation{
 		{unit: 0xabcdef, category: 1, how: relay.Errored, newest: true, young: true, late: true, depth: 3},
 		{unit: 7, category: 40, how: relay.Honoured, depth: 7, pace: 1},
 		{unit: 0x10000, how: relay.TimedOut, newest: true, late: true, pace: 4}}}
-	f := finding{build: 300, stage: 2, vote: relay.VoteBack, paces: []float64{1, 0, 0.25}}
+	d := decision{build: 300, stage: 2, vote: relay.VoteBack, paces: []float64{1, 0, 0.25}}
 	for name, x := range map[string]struct {
 		body []byte
 		hex  string
 		want note
 	}{
-		"report":   {m.encode(), "4c03ac0202033390030003efcdab079900070000a0013880000001018390", noteMemo{3, m}},
-		"decision": {f.encode(), "4c04ac02020303800070", noteFinding{3, f}},
+		"report":   {m.encode(), "4c03ac0202033390030003efcdab079900070000a0013880000001018390", noteReport{3, m}},
+		"decision": {d.encode(), "4c04ac02020303800070", noteDecision{3, d}},
 	} {
 		if got := hex.EncodeToString(x.body); got != x.hex {
 			t.Errorf("%s: %s, not %s", name, got, x.hex)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -79,9 +79,9 @@
 				}
 				events = append(events, s)
 			case 2:
-				m := memo{build: build, stage: stage, verdicts: make([]verdict, 3),
-					seen: []sighting{{unit: markOf(3), how: relay.Errored}, {unit: 77, category: 9}}}
-				f := finding{build: build, stage: stage, vote: relay.Verdict(rapid.IntRange(0, 3).Draw(t, "find")),
+				m := report{build: build, stage: stage, verdicts: make([]verdict, 3),
+					observations: []observation{{unit: hashOf(3), how: relay.Errored}, {unit: 77, category: 9}}}
+				f := decision{build: build, stage: stage, vote: relay.Verdict(rapid.IntRange(0, 3).Draw(t, "find")),
 					paces: make([]float64, 20)}
 				events = append(events, relay.Heard{From: 1, Body: m.encode()}, relay.Heard{From: 0, Body: f.encode()},
 					relay.Heard{From: 1, Body: m.encode()[:9]}, relay.Heard{From: 99, Body: []byte{1}},
@@ -240,21 +240,21 @@
 	}
 }
 
-// word is what a relay tells in one memo.
+// word is what a relay tells in one report.
 type word struct {
 	verdict
-	seen []sighting
+	observations []observation
 }
 
-// fusing returns a module that fuses at stage 1 of build 6, and hears the given verdicts of category 0.
-func fusing(verdicts ...word) *Policy {
+// aggregating returns a module that fuses at stage 1 of build 6, and hears the given verdicts of category 0.
+func aggregating(verdicts ...word) *Policy {
 	set := plainSettings()
 	set.Relays = 4
 	p := New(set, 1)
 	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: append(entries(6, 5, 1), entries(2, 6, 20)...)},
 		relay.StageNews{Valid: true, Build: 6, Stage: 1, Cap: 0.4}})
 	for i, v := range verdicts {
-		m := memo{build: 6, stage: 1, verdicts: []verdict{v.verdict, {}, {}}, seen: v.seen}
+		m := report{build: 6, stage: 1, verdicts: []verdict{v.verdict, {}, {}}, observations: v.observations}
 		p.Step(1, []relay.Event{relay.Heard{From: relay.RelayNo(i), Body: m.encode()}})
 	}
 	return p
@@ -264,14 +264,14 @@
 	clean, bad := word{verdict: verdict{n: 30}}, word{verdict: verdict{flag: true, n: 30}}
 	few := word{} // ten legs at two units of the newest build, of which three fail; forty at an earlier one
 	for i := 0; i < 50; i++ {
-		s := sighting{unit: markOf(1)}
+		s := observation{unit: hashOf(1)}
 		if i < 10 {
-			s = sighting{unit: markOf(relay.UnitID(20 + i%2)), newest: true}
+			s = observation{unit: hashOf(relay.UnitID(20 + i%2)), newest: true}
 		}
 		if i < 9 && i%3 == 0 {
 			s.how = relay.Errored
 		}
-		few.seen = append(few.seen, s)
+		few.observations = append(few.observations, s)
 	}
 	for name, c := range map[string]struct {
 		verdicts []word
@@ -282,23 +282,23 @@
 		"two are":                                {[]word{bad, bad, clean}, true},
 		"none has enough outcomes, together yes": {[]word{few, few, few}, true},
 	} {
-		p := fusing(c.verdicts...)
-		p.fuser.cleanAt = p.now - flagLasts - 1 // as if any pooled flag had lasted
-		if back, _, _, _ := p.fuser.fused(); back != c.back {
+		p := aggregating(c.verdicts...)
+		p.aggregator.cleanAt = p.now - flagLasts - 1 // as if any pooled flag had lasted
+		if back, _, _, _ := p.aggregator.fuse(); back != c.back {
 			t.Errorf("%s: back %v", name, back)
 		}
 	}
 }
 
-func TestMemo(t *testing.T) {
-	m := memo{build: 300, stage: 2, verdicts: []verdict{{true, 40}, {}}, seen: []sighting{
-		{unit: markOf(7), category: 40, how: relay.TimedOut, newest: true, late: true, depth: 5, pace: 2},
-		{unit: markOf(8), young: true}}}
-	f := finding{build: 300, stage: 2, vote: relay.VoteBack, paces: []float64{0, 1, 2}}
-	for _, want := range []note{noteMemo{3, m}, noteFinding{3, f}} {
+func TestReport(t *testing.T) {
+	m := report{build: 300, stage: 2, verdicts: []verdict{{true, 40}, {}}, observations: []observation{
+		{unit: hashOf(7), category: 40, how: relay.TimedOut, newest: true, late: true, depth: 5, pace: 2},
+		{unit: hashOf(8), young: true}}}
+	f := decision{build: 300, stage: 2, vote: relay.VoteBack, paces: []float64{0, 1, 2}}
+	for _, want := range []note{noteReport{3, m}, noteDecision{3, f}} {
 		var b []byte
-		if n, ok := want.(noteMemo); ok {
-			b = n.memo.encode()
+		if n, ok := want.(noteReport); ok {
+			b = n.report.encode()
 		} else {
 			b = f.encode()
 		}
@@ -307,7 +307,7 @@
 		}
 		for n := range b {
 			if _, err := decode(3, b[:n]); err == nil {
-				t.Errorf("%d bytes were taken for a memo", n)
+				t.Errorf("%d bytes were taken for a report", n)
 			}
 		}
 	}
@@ -325,7 +325,7 @@
 	}
 }
 
-// With no unit of the build listed yet, fusers voted it on until it was the whole fleet.
+// With no unit of the build listed yet, aggregators voted it on until it was the whole fleet.
 func TestNoVoteOnBeforeUnitsAreListed(t *testing.T) {
 	w := newWorld(t, plainSettings())
 	w.step(relay.Roster{Form: relay.RosterFull, Units: entries(8, 5, 1)},
@@ -763,8 +763,8 @@
 	}
 }
 
-// Relays that started together all told the fusers in the same quarter of a second, so that evidence came late.
-func TestMemosAreSpread(t *testing.T) {
+// Relays that started together all told the aggregators in the same quarter of a second, so that evidence came late.
+func TestReportsAreSpread(t *testing.T) {
 	set, at := plainSettings(), make([]int, 10)
 	set.Relays = 60
 	for i := 0; i < set.Relays; i++ {
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -23,14 +23,14 @@
 		relay.StageNews{Valid: true, Build: 2, Stage: 1, Phase: relay.OnTrial, Cap: 0.4})
 	no := 0
 	return w, func(span relay.Seconds) {
-		w.run(span, func() (out []relay.Event) { // 30 queries a second, and every relay's memo once a second
+		w.run(span, func() (out []relay.Event) { // 30 queries a second, and every relay's report once a second
 			if no%3 == 0 {
 				out = append(out, w.query(relay.Category(no%2), 0))
 			}
 			for i := no % 100; i < relays; i += 100 {
-				m := memo{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
+				m := report{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
 				for k := range 4 {
-					m.seen = append(m.seen, sighting{unit: markOf(es[(i*7+no+k*units/3)%units].Unit), how: relay.Honoured,
+					m.observations = append(m.observations, observation{unit: hashOf(es[(i*7+no+k*units/3)%units].Unit), how: relay.Honoured,
 						newest: k%2 == 0, pace: 1})
 				}
 				if i != int(set.Self) {
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestLargeFleetFitsTheMemory holds the module of the busiest relay, a fuser, to a third of the smallest limit's heap.
+// TestLargeFleetFitsTheMemory holds the module of the busiest relay, an aggregator, to a third of the smallest limit's heap.
 func TestLargeFleetFitsTheMemory(t *testing.T) {
 	const most = 8 << 20 // bytes: of 32 MB, a quarter is buffers and 10 MB the program itself
 	for _, n := range []int{150, 350, 1024} {
@@ -64,7 +64,7 @@
 	}
 }
 
-// BenchmarkLargeFleet is the cost of one second of a fuser's life: 30 queries, a memo from each relay, 20 ticks.
+// BenchmarkLargeFleet is the cost of one second of an aggregator's life: 30 queries, a report from each relay, 20 ticks.
 func BenchmarkLargeFleet(b *testing.B) {
 	for _, n := range []int{10, 60, 150, 350, 1024} {
 		b.Run(fmt.Sprintf("units=%d", n), func(b *testing.B) {
@@ -79,28 +79,28 @@
 	}
 }
 
-// TestMarksThatAreAlike gives two units one mark, as may be in a large fleet: what others tell goes to the first that
+// TestHashesThatAreAlike gives two units one hash, as may be in a large fleet: what others tell goes to the first that
 // stands, and to the second when the first is forgotten.
-func TestMarksThatAreAlike(t *testing.T) {
+func TestHashesThatAreAlike(t *testing.T) {
 	first, second := relay.UnitID(1), relay.UnitID(0)
-	seen := map[mark]relay.UnitID{}
+	seen := map[unitHash]relay.UnitID{}
 	for id := relay.UnitID(1); second == 0; id++ {
-		if other, twice := seen[markOf(id)]; twice {
+		if other, twice := seen[hashOf(id)]; twice {
 			first, second = other, id
 		}
-		seen[markOf(id)] = id
+		seen[hashOf(id)] = id
 	}
 	p := New(plainSettings(), 1)
 	es := entries(2, 1, 1)
 	es[0].Unit, es[1].Unit = first, second
 	p.Step(0, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es}})
-	if u := p.roster.byMark[markOf(second)]; u == nil || u.id != first {
+	if u := p.roster.byHash[hashOf(second)]; u == nil || u.id != first {
 		t.Fatalf("%+v", u)
 	}
 	p.Step(1, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es[1:]}})
 	p.Step(2+forgetGone, []relay.Event{relay.Roster{Form: relay.RosterFull, Units: es[1:]}})
-	if u := p.roster.byMark[markOf(second)]; len(p.roster.units) != 1 || u == nil || u.id != second {
-		t.Errorf("%d units, mark at %+v", len(p.roster.units), u)
+	if u := p.roster.byHash[hashOf(second)]; len(p.roster.units) != 1 || u == nil || u.id != second {
+		t.Errorf("%d units, hash at %+v", len(p.roster.units), u)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,13 +50,13 @@
 		work     relay.Seconds // expected, of the query
 		due      relay.Seconds // time allowed
 	}
-	noteMemo struct {
-		from relay.RelayNo
-		memo memo
+	noteReport struct {
+		from   relay.RelayNo
+		report report
 	}
-	noteFinding struct {
-		from    relay.RelayNo
-		finding finding
+	noteDecision struct {
+		from     relay.RelayNo
+		decision decision
 	}
 )
 
@@ -139,14 +139,14 @@
 
 func (x *exposure) slot(c relay.Category) int { return min(int(c), len(x.hard)-1) }
 
-// heard is the last memo of one relay, and the last finding where it fuses.
-type heard struct {
-	memo
-	at      relay.Seconds // of the memo
-	has     bool
-	found   finding
-	foundAt relay.Seconds
-	since   relay.Seconds // when it was first counted on as a fuser; 0: never
+// peer is the last report of one relay, and its last decision where it is an aggregator.
+type peer struct {
+	report
+	reportedAt relay.Seconds
+	reported   bool // it has sent a report
+	decision   decision
+	decidedAt  relay.Seconds
+	since      relay.Seconds // when it was first counted on as an aggregator; 0: never
 }
 
 // counts are outcomes of one build in one category: all, failed and late ones; those whose usual pace is
@@ -200,12 +200,12 @@
 	mail []letter
 	out  []relay.Order
 
-	begun  bool
-	roster roster
-	desk   desk
-	gate   gate
-	trial  trial
-	fuser  fuser
+	begun      bool
+	roster     roster
+	desk       desk
+	gate       gate
+	trial      trial
+	aggregator aggregator
 }
 
 // Step takes what has happened up to now and returns what to do about it.
@@ -225,7 +225,7 @@
 			p.post(&p.roster, e)
 		case relay.StageNews:
 			p.post(&p.trial, e)
-			p.post(&p.fuser, e)
+			p.post(&p.aggregator, e)
 		case relay.Scope:
 			p.post(&p.trial, e)
 		}
@@ -238,7 +238,7 @@
 			woken = true
 		case relay.Heard:
 			if n, err := decode(e.From, e.Body); err == nil {
-				p.post(&p.fuser, n)
+				p.post(&p.aggregator, n)
 			}
 		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
 			p.post(&p.desk, e)
@@ -247,7 +247,7 @@
 	}
 	if woken {
 		p.do(relay.Wake{ID: 1, At: p.now + tick})
-		for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
+		for _, a := range []actor{&p.roster, &p.trial, &p.aggregator, &p.desk} {
 			p.post(a, noteTick{})
 		}
 		p.drain()
@@ -268,13 +268,13 @@
 	}
 	p.assemble()
 	// Relays that start together would all look and tell at the same moments, once a second.
-	p.trial.judgeAt, p.trial.toldAt = judgeEvery*p.rng.Float64(), -verdictEvery*p.rng.Float64()
+	p.trial.judgeAt, p.trial.reportedAt = judgeEvery*p.rng.Float64(), -verdictEvery*p.rng.Float64()
 	return p
 }
 
 // assemble makes the parts.
 func (p *Policy) assemble() {
-	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
+	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byHash: map[unitHash]*unit{}}
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
 		links: newRing(flowWidth, linkBuckets, 2)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
@@ -282,7 +282,7 @@
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
 		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
 		last: [2][]counts{make([]counts, len(p.rows)+1), make([]counts, len(p.rows)+1)}}
-	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
+	p.aggregator = aggregator{p: p, peers: make([]peer, max(p.set.Relays, int(p.set.Self)+1))}
 }
 
 // cancel ends the legs of a query that are still out.
@@ -307,7 +307,7 @@
 type roster struct {
 	p      *Policy
 	byID   map[relay.UnitID]*unit
-	byMark map[mark]*unit
+	byHash map[unitHash]*unit
 	units  []*unit       // all ever listed, by id
 	failed bool          // a call failed, and none was made since
 	silent bool          // the last watch fell silent, and nothing has come since
@@ -373,48 +373,48 @@
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
 type trial struct {
-	p        *Policy
-	known    bool
-	news     relay.StageNews
-	since    relay.Seconds // when the present state began
-	offered  relay.Seconds // when the newest build was first heard of; 0: before this relay began
-	cycle    relay.Seconds // from the build before to that
-	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
-	doubted  bool          // the watch was opened anew as they were not
-	limits   []*exposure
-	scope    relay.Scope
-	scoped   bool                      // a scope was told
-	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category
-	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
-	calm     counts                    // of all units when the build was first heard of
-	legs     ring                      // own legs at the newest build that count as evidence, by category
-	untold   []sighting                // legs that the fusers have not been told of
-	before   mean                      // logarithm of pace over the usual one at the earlier machines just now
-	beforeAt relay.Seconds             // last leg there
-	room     float64                   // part of the legs that the build on trial may get
-	judgeAt  relay.Seconds
-	toldAt   relay.Seconds
-}
-
-// fuser weighs all relays' verdicts, tells its finding, and votes.
-type fuser struct {
-	p       *Policy
-	heard   []heard
-	lookAt  relay.Seconds
-	fusing  bool
-	want    relay.Vote    // what should stand, by own or others' finding
-	wantAt  relay.Seconds // since when
-	found   relay.Vote    // own finding last told
-	foundAt relay.Seconds
-	why     string     // what speaks for going back
-	cast    relay.Vote // the vote that stands, or is under way
-	castAt  relay.Seconds
-	nextAt  relay.Seconds // not to vote before
-	sure    bool          // it was counted
-	cleanAt relay.Seconds // when the pooled counts were last not flagged
-	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
-	pending bool
+	p          *Policy
+	known      bool
+	news       relay.StageNews
+	since      relay.Seconds // when the present state began
+	offered    relay.Seconds // when the newest build was first heard of; 0: before this relay began
+	cycle      relay.Seconds // from the build before to that
+	listedAt   relay.Seconds // when the units of the present stage were first listed; 0: not yet
+	doubted    bool          // the watch was opened anew as they were not
+	limits     []*exposure
+	scope      relay.Scope
+	scoped     bool                      // a scope was told
+	keys       map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
+	mine       []verdict                 // by category
+	last       [2][]counts               // what the earlier machines last showed, by category; own, and pooled
+	calm       counts                    // of all units when the build was first heard of
+	legs       ring                      // own legs at the newest build that count as evidence, by category
+	unreported []observation             // legs that the aggregators have not been told of
+	before     mean                      // logarithm of pace over the usual one at the earlier machines just now
+	beforeAt   relay.Seconds             // last leg there
+	room       float64                   // part of the legs that the build on trial may get
+	judgeAt    relay.Seconds
+	reportedAt relay.Seconds
+}
+
+// aggregator weighs all relays' verdicts, tells its decision, and votes.
+type aggregator struct {
+	p           *Policy
+	peers       []peer // by relay number
+	lookAt      relay.Seconds
+	aggregating bool
+	want        relay.Vote    // what should stand, by own or others' decision
+	wantAt      relay.Seconds // since when
+	announced   relay.Vote    // own decision, last told to all
+	announcedAt relay.Seconds
+	why         string     // what speaks for going back
+	cast        relay.Vote // the vote that stands, or is under way
+	castAt      relay.Seconds
+	nextAt      relay.Seconds // not to vote before
+	sure        bool          // it was counted
+	cleanAt     relay.Seconds // when the pooled counts were last not flagged
+	slowAt      relay.Seconds // when the fleet was last as quick as before the trial
+	pending     bool
 }
 
 // list takes the unit's entry in the roster. A fresh start, or another build under an old id, is a new process:
@@ -456,8 +456,8 @@
 				u.seen[i] = newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)
 			}
 			r.byID[e.Unit] = u
-			if m := markOf(e.Unit); r.byMark[m] == nil {
-				r.byMark[m] = u
+			if m := hashOf(e.Unit); r.byHash[m] == nil {
+				r.byHash[m] = u
 			}
 			at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
 			r.units = append(r.units, nil)
@@ -480,12 +480,12 @@
 // forget drops units that have been gone for long and hold nothing: with releases every day, machines come and go
 // for as long as a relay lives.
 func (r *roster) forget() {
-	kept, vacant := r.units[:0], []mark(nil)
+	kept, vacant := r.units[:0], []unitHash(nil)
 	for _, u := range r.units {
 		if u.met && u.State == relay.Gone && u.open == 0 && r.p.now-u.goneAt > forgetGone {
 			delete(r.byID, u.id)
-			if m := markOf(u.id); r.byMark[m] == u {
-				delete(r.byMark, m)
+			if m := hashOf(u.id); r.byHash[m] == u {
+				delete(r.byHash, m)
 				vacant = append(vacant, m)
 			}
 			continue
@@ -494,9 +494,9 @@
 	}
 	clear(r.units[len(kept):])
 	r.units = kept
-	for _, m := range vacant { // another unit may have the same mark, and has been behind this one so far
-		if i := slices.IndexFunc(kept, func(u *unit) bool { return markOf(u.id) == m }); i >= 0 {
-			r.byMark[m] = kept[i]
+	for _, m := range vacant { // another unit may have the same hash, and has been behind this one so far
+		if i := slices.IndexFunc(kept, func(u *unit) bool { return hashOf(u.id) == m }); i >= 0 {
+			r.byHash[m] = kept[i]
 		}
 	}
 }
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -61,8 +61,8 @@
 	return 1
 }
 
-// witness learns what a leg shows of the unit and its build, whichever relay sent it.
-func (u *unit) witness(s sighting, by int) {
+// learn learns what a leg shows of the unit and its build, whichever relay sent it.
+func (u *unit) learn(s observation, by int) {
 	m := miss(s.how)
 	if !s.how.NeverRan() { // what a full table or a refused connection shows is not the machine's doing
 		if u.misses += badStep * (m - u.misses); m == 1 && u.misses >= brokenAt || s.how == relay.Broken {
--- a/policy/votes.go
+++ b/policy/votes.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	extraWait     = 3.0  // s past the least time that a fuser waits for outcomes (DESIGN)
+	extraWait     = 3.0  // s past the least time that an aggregator waits for outcomes (DESIGN)
 	ripeAge       = 15.0 // s of a build's first machines up to which it is not released: some turn bad at 12 s
 	ripePart      = 0.9  // of the time between two builds after which it is: the next would end the trial
 	turnAge       = 11.0 // s of a machine's age at which the last of the builds that turn bad have done so
@@ -22,28 +22,28 @@
 	callGrace     = 0.5  // s past the platform's own time-out before a vote counts as lost
 )
 
-// wish is the vote that this fuser wants to stand.
-func (f *fuser) wish() relay.Verdict {
-	t, r := &f.p.trial, &f.p.set.Rollout
+// decide is the vote that this aggregator wants to stand.
+func (a *aggregator) decide() relay.Verdict {
+	t, r := &a.p.trial, &a.p.set.Rollout
 	released := t.news.Phase == relay.Released
 	if !t.judging() {
-		f.cleanAt, f.slowAt = f.p.now, f.p.now
+		a.cleanAt, a.slowAt = a.p.now, a.p.now
 		return relay.NoVote
 	}
-	back, late, outdone, pooled := f.fused()
+	back, late, outdone, pooled := a.fuse()
 	// What the fleet suffers while the earlier build fails more often is its doing: this is the way out.
 	if last := int(t.news.Stage) >= len(r.StageShares)-1; !late || last || outdone || released {
-		f.slowAt = f.p.now
+		a.slowAt = a.p.now
 	} else if !back {
-		f.why = "the whole fleet is slower than before"
+		a.why = "the whole fleet is slower than before"
 	}
-	age := math.Min(f.p.now-t.since, f.p.now-t.listedAt+listedLag)
+	age := math.Min(a.p.now-t.since, a.p.now-t.listedAt+listedLag)
 	switch {
-	case back || f.p.now-f.slowAt > fleetPatience:
+	case back || a.p.now-a.slowAt > fleetPatience:
 		return relay.VoteBack
 	case released:
 		return relay.NoVote
-	case r.Control == relay.Clock && (pooled < leastCount || late) && f.p.now-t.since < r.StepTime+extraWait:
+	case r.Control == relay.Clock && (pooled < leastCount || late) && a.p.now-t.since < r.StepTime+extraWait:
 		return relay.VoteHold
 	case r.Control != relay.Clock && t.listedAt != 0 && !late && t.ripe() &&
 		(age >= r.LeastTime+extraWait || age >= r.LeastTime && pooled >= leastCount):
@@ -65,10 +65,10 @@
 
 // turn is how long this relay lets others vote first: as many as are needed, and a few for those that are
 // lost, vote at once; the rest only when that has not been enough, no faster than votes are taken.
-func (f *fuser) turn(v relay.Verdict) relay.Seconds {
-	r := &f.p.set.Rollout
+func (a *aggregator) turn(v relay.Verdict) relay.Seconds {
+	r := &a.p.set.Rollout
 	need := [...]int{relay.VoteOn: r.VotesOn, relay.VoteHold: r.VotesHold, relay.VoteBack: r.VotesBack}[v]
-	extra := float64(f.p.set.Self) - math.Max(fuserCount, voteOver*float64(need))
+	extra := float64(a.p.set.Self) - math.Max(aggregatorCount, voteOver*float64(need))
 	if v == relay.NoVote || extra < 0 {
 		return 0
 	}
@@ -76,26 +76,26 @@
 }
 
 // vote casts what is wanted, renews it before it lapses and casts it again when it was lost.
-func (f *fuser) vote() {
-	r, now, w := &f.p.set.Rollout, f.p.now, f.want
-	if f.pending && now-f.castAt > r.CallTimeout+callGrace {
-		f.pending, f.sure = false, false
+func (a *aggregator) vote() {
+	r, now, w := &a.p.set.Rollout, a.p.now, a.want
+	if a.pending && now-a.castAt > r.CallTimeout+callGrace {
+		a.pending, a.sure = false, false
 	}
-	if f.pending || now < f.nextAt || now-f.wantAt < f.turn(w.Verdict) {
+	if a.pending || now < a.nextAt || now-a.wantAt < a.turn(w.Verdict) {
 		return
 	}
-	moot := f.cast.Verdict == relay.NoVote || f.cast.Build != w.Build || !f.p.trial.judging() ||
-		f.cast.Verdict != relay.VoteBack && (f.cast.Stage != w.Stage || f.p.trial.news.Phase == relay.Released)
+	moot := a.cast.Verdict == relay.NoVote || a.cast.Build != w.Build || !a.p.trial.judging() ||
+		a.cast.Verdict != relay.VoteBack && (a.cast.Stage != w.Stage || a.p.trial.news.Phase == relay.Released)
 	if w.Verdict == relay.NoVote && moot {
-		f.cast = w
+		a.cast = w
 		return
 	}
-	if w == f.cast && f.sure && (w.Verdict == relay.NoVote || now-f.castAt < voteRenew*r.VoteLife) {
+	if w == a.cast && a.sure && (w.Verdict == relay.NoVote || now-a.castAt < voteRenew*r.VoteLife) {
 		return
 	}
-	if w.Verdict == relay.VoteBack && f.cast.Verdict != w.Verdict && f.fusing {
-		f.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", w.Build, w.Stage, f.why)})
+	if w.Verdict == relay.VoteBack && a.cast.Verdict != w.Verdict && a.aggregating {
+		a.p.do(relay.Log{Line: fmt.Sprintf("voting build %d back at stage %d: %s", w.Build, w.Stage, a.why)})
 	}
-	f.cast, f.castAt, f.nextAt, f.pending, f.sure = w, now, now+voteGap, true, false
-	f.p.do(w)
+	a.cast, a.castAt, a.nextAt, a.pending, a.sure = w, now, now+voteGap, true, false
+	a.p.do(w)
 }
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -44,7 +44,7 @@
 	sent    []relay.SendLeg
 	votes   []relay.Vote
 	denied  int
-	told    []relay.Seconds // when it sent memos
+	told    []relay.Seconds // when it sent reports
 }
 
 type wMark struct {
