Counters and log lines name messages between relays, not memos

peer_messages_out, _in and _dropped were memos_out, _in and _dropped: what they count is reports and decisions. The three log lines of internal/peers follow.

--- a/cmd/lichenroad/others_test.go
+++ b/cmd/lichenroad/others_test.go
@@ -132,7 +132,7 @@
 		c.Site.Relays = 2
 	})
 	var buf [512]byte
-	if n, _, err := all.ReadFromUDP(buf[:]); err != nil || n > 256 { // the module's own finding
+	if n, _, err := all.ReadFromUDP(buf[:]); err != nil || n > 256 { // the module's own decision
 		t.Error(n, err)
 	}
 	p.loop.Peers.Tell(relay.Tell{To: 1, Body: []byte("hello")})
@@ -144,15 +144,15 @@
 		from *net.UDPConn
 		n    int
 		id   stats.ID
-	}{{peer, 5, stats.MemosIn}, {stranger, 5, stats.MemosDropped}, {peer, 257, stats.MemosDropped}} {
+	}{{peer, 5, stats.PeerMessagesIn}, {stranger, 5, stats.PeerMessagesDropped}, {peer, 257, stats.PeerMessagesDropped}} {
 		before := p.loop.Stats.Get(c.id)
 		c.from.WriteToUDP(make([]byte, c.n), to)
 		settled(t, p, c.id, before+1)
 	}
-	before := p.loop.Stats.Get(stats.MemosDropped)
+	before := p.loop.Stats.Get(stats.PeerMessagesDropped)
 	p.loop.Peers.Tell(relay.Tell{To: relay.Everyone, Body: make([]byte, 257)})
 	p.loop.Peers.Tell(relay.Tell{To: 7, Body: []byte("x")})
-	settled(t, p, stats.MemosDropped, before+2)
+	settled(t, p, stats.PeerMessagesDropped, before+2)
 }
 
 // TestNewsPassesWhileAnotherWatchComesUp has a watch fall silent and the fresh one beside it never stand.
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// noPeers stands in where the configuration names no address for memos.
+// noPeers stands in where the configuration names no address for messages.
 type noPeers struct{ counters *stats.Counters }
 
-func (n noPeers) Tell(relay.Tell) { n.counters.Add(stats.MemosDropped, 1) }
+func (n noPeers) Tell(relay.Tell) { n.counters.Add(stats.PeerMessagesDropped, 1) }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -9,7 +9,7 @@
 // used; the values here stand where the settings name none.
 const (
 	// The process.
-	SpareSockets  = 64          // descriptors, at most, for discovery, platform, memos, the poller, and clients told it is full
+	SpareSockets  = 64          // descriptors, at most, for discovery, platform, other relays, the poller, and clients told it is full
 	SpareLeast    = 32          // and at least: half of it is in use from the start
 	SparePart     = 0.25        // of all descriptors, between the two
 	UnitPart      = 0.5         // of the other descriptors, for units: an open query has one leg, hardly ever two
@@ -25,7 +25,7 @@
 	LastWait      = 0.5         // s beyond that after which the program ends whatever is open
 	KillAfter     = 0.7         // s beyond the longest patience, up to LongestWait of it, that SIGKILL comes behind SIGTERM at the earliest
 	WordBefore    = 0.15        // s before that by which whatever came since has its answer: patience ends within 50 ms, the rest is the way
-	EventQueue    = 1 << 16     // events waiting for the loop: several for each descriptor; memos are dropped at it
+	EventQueue    = 1 << 16     // events waiting for the loop: several for each descriptor; peer messages are dropped at it
 	EventsKept    = 1 << 12     // events whose space is kept for the next round: a busy moment's
 	LogAhead      = 1 << 12     // lines of the log waiting to be written, some 600 KB; more are dropped
 	LogWait       = time.Second // that the log may take at the end
@@ -80,6 +80,6 @@
 	VotesAhead = 64                     // votes that may wait to be sent: the module has one out at a time
 
 	// Other relays.
-	MemoPause  = 100 * time.Millisecond // after an error of the socket, so that a lasting one is no busy loop
-	MemosAhead = 256                    // memos that may wait to be sent: the module tells a few a second
+	PeerReadPause     = 100 * time.Millisecond // after an error of the socket, so that a lasting one is no busy loop
+	PeerMessagesAhead = 256                    // messages to other relays that may wait: the module tells a few a second
 )
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,4 @@
-// Package peers carries the memos between relays, as UDP datagrams.
+// Package peers carries the messages of relays to one another, as UDP datagrams.
 package peers
 
 import (
@@ -29,9 +29,9 @@
 	out  chan relay.Tell
 }
 
-// Open binds the address for memos; peers are the relays' addresses in the order of their numbers.
+// Open binds the address for messages; peers are the relays' addresses in the order of their numbers.
 func Open(l *stage.Loop, listen string, peers []string, all string) (*Tier, error) {
-	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, limits.MemosAhead)}
+	t := &Tier{loop: l, from: map[netip.AddrPort]relay.RelayNo{}, out: make(chan relay.Tell, limits.PeerMessagesAhead)}
 	for i, s := range peers {
 		a, err := parse("peers", s)
 		if err != nil {
@@ -72,17 +72,17 @@
 	go t.writing()
 }
 
-// Tell sends a memo, or drops it: a memo may be lost at any time.
+// Tell sends a message, or drops it: a message may be lost at any time.
 func (t *Tier) Tell(m relay.Tell) {
 	if len(m.Body) > MaxBody {
-		t.loop.Stats.Add(stats.MemosDropped, 1)
-		t.loop.Log.WithFields(logrus.Fields{"peer": "relay", "bytes": len(m.Body)}).Error("memo too long")
+		t.loop.Stats.Add(stats.PeerMessagesDropped, 1)
+		t.loop.Log.WithFields(logrus.Fields{"peer": "relay", "bytes": len(m.Body)}).Error("message too long")
 		return
 	}
 	select {
 	case t.out <- m:
 	default:
-		t.loop.Stats.Add(stats.MemosDropped, 1)
+		t.loop.Stats.Add(stats.PeerMessagesDropped, 1)
 	}
 }
 
@@ -96,15 +96,15 @@
 			}
 		}
 		if !to.IsValid() {
-			t.loop.Stats.Add(stats.MemosDropped, 1)
+			t.loop.Stats.Add(stats.PeerMessagesDropped, 1)
 			continue
 		}
 		if _, err := t.conn.WriteToUDPAddrPort(m.Body, to); err != nil {
-			t.loop.Stats.Add(stats.MemosDropped, 1)
-			t.loop.Log.WithField("peer", "relay").WithError(err).Debug("memo")
+			t.loop.Stats.Add(stats.PeerMessagesDropped, 1)
+			t.loop.Log.WithField("peer", "relay").WithError(err).Debug("message not sent")
 			continue
 		}
-		t.loop.Stats.Add(stats.MemosOut, 1)
+		t.loop.Stats.Add(stats.PeerMessagesOut, 1)
 	}
 }
 
@@ -116,18 +116,18 @@
 			return
 		}
 		if err != nil {
-			t.loop.Log.WithField("peer", "relay").WithError(err).Warn("reading memos")
-			time.Sleep(limits.MemoPause)
+			t.loop.Log.WithField("peer", "relay").WithError(err).Warn("reading messages")
+			time.Sleep(limits.PeerReadPause)
 			continue
 		}
 		no, known := t.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
 		if !known || n > MaxBody || no == t.loop.Site.Self {
-			t.loop.Stats.Add(stats.MemosDropped, 1)
+			t.loop.Stats.Add(stats.PeerMessagesDropped, 1)
 			continue
 		}
 		heard := relay.Heard{From: no, Body: append([]byte(nil), buf[:n]...)}
 		if t.loop.PostLoose(stage.Call(func(l *stage.Loop) { l.Learn(heard) })) {
-			t.loop.Stats.Add(stats.MemosIn, 1)
+			t.loop.Stats.Add(stats.PeerMessagesIn, 1)
 		}
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// tell has the tier send a memo.
+// tell has the tier send a message.
 func (f *fleet) tell(to relay.RelayNo, body string) {
 	f.tier.Tell(relay.Tell{To: to, Body: []byte(body)})
 }
@@ -180,8 +180,8 @@
 	if got := f.receive(f.others[1]); got != "to the second" { // and nothing before it
 		t.Errorf("%q", got)
 	}
-	f.wait(stats.MemosOut, 2)
-	f.hold(stats.MemosDropped, 0)
+	f.wait(stats.PeerMessagesOut, 2)
+	f.hold(stats.PeerMessagesDropped, 0)
 }
 
 // TestTellGoesToEveryone sends once, to the address of all, and nothing to a single relay.
@@ -196,12 +196,12 @@
 	if got := f.receive(f.others[0]); got != "to one" { // and nothing before it
 		t.Errorf("%q", got)
 	}
-	f.wait(stats.MemosOut, 2)
-	f.hold(stats.MemosDropped, 0)
+	f.wait(stats.PeerMessagesOut, 2)
+	f.hold(stats.PeerMessagesDropped, 0)
 }
 
 // TestTellDropsWhatHasNoWay tells a relay that is not listed, one whose address this socket can't reach, and everyone
-// where no address of all is configured. Each is counted as dropped, and the next memo goes out.
+// where no address of all is configured. Each is counted as dropped, and the next message goes out.
 func TestTellDropsWhatHasNoWay(t *testing.T) {
 	loop, _ := newLoop()
 	one := socket(t)
@@ -223,11 +223,11 @@
 	if got := f.receive(one); got != "to one" {
 		t.Errorf("%q", got)
 	}
-	f.wait(stats.MemosOut, 1)
-	f.hold(stats.MemosDropped, 3) // the memos before it have been worked off
+	f.wait(stats.PeerMessagesOut, 1)
+	f.hold(stats.PeerMessagesDropped, 3) // the messages before it have been worked off
 }
 
-// TestTellDropsWhatIsTooLong holds memos to their bound: the longest goes out whole, a longer one is dropped and logged.
+// TestTellDropsWhatIsTooLong holds messages to their bound: the longest goes out whole, a longer one is dropped and logged.
 func TestTellDropsWhatIsTooLong(t *testing.T) {
 	f := newFleet(t)
 	f.tier.Start()
@@ -237,8 +237,8 @@
 	if got := f.receive(f.others[0]); got != longest {
 		t.Errorf("%d bytes: %q", len(got), got)
 	}
-	f.wait(stats.MemosOut, 1)
-	f.hold(stats.MemosDropped, 1)
+	f.wait(stats.PeerMessagesOut, 1)
+	f.hold(stats.PeerMessagesDropped, 1)
 	if line := f.log.LastEntry(); line == nil || line.Level != logrus.ErrorLevel || line.Data["bytes"] != MaxBody+1 {
 		t.Errorf("%+v", line)
 	}
@@ -250,39 +250,39 @@
 	const extra = 3
 	f := newFleet(t)
 	body := func(i int) string { return string([]byte{byte(i >> 8), byte(i)}) }
-	for i := range limits.MemosAhead + extra {
+	for i := range limits.PeerMessagesAhead + extra {
 		f.tell(0, body(i))
 	}
-	f.hold(stats.MemosDropped, extra)
+	f.hold(stats.PeerMessagesDropped, extra)
 	f.tier.Start()
-	for i := range limits.MemosAhead {
+	for i := range limits.PeerMessagesAhead {
 		if got := f.receive(f.others[0]); got != body(i) {
-			t.Fatalf("%q instead of memo %d", got, i)
+			t.Fatalf("%q instead of message %d", got, i)
 		}
 	}
-	f.wait(stats.MemosOut, limits.MemosAhead)
-	f.hold(stats.MemosDropped, extra)
+	f.wait(stats.PeerMessagesOut, limits.PeerMessagesAhead)
+	f.hold(stats.PeerMessagesDropped, extra)
 }
 
-// TestHeardFromOthers hands on what other relays tell, with their numbers, up to the longest memo; each has a body of
+// TestHeardFromOthers hands on what other relays tell, with their numbers, up to the longest message; each has a body of
 // its own.
 func TestHeardFromOthers(t *testing.T) {
 	f := newFleet(t)
 	f.tier.Start()
 	longest := strings.Repeat("x", MaxBody)
 	f.send(f.others[1], longest)
-	f.wait(stats.MemosIn, 1)
+	f.wait(stats.PeerMessagesIn, 1)
 	f.send(f.others[0], "from the first")
-	f.wait(stats.MemosIn, 2)
+	f.wait(stats.PeerMessagesIn, 2)
 	f.send(f.others[0], "")
-	f.wait(stats.MemosIn, 3)
+	f.wait(stats.PeerMessagesIn, 3)
 	f.hears(relay.Heard{From: 1, Body: []byte(longest)}, relay.Heard{From: 0, Body: []byte("from the first")},
 		relay.Heard{From: 0, Body: []byte{}})
-	f.hold(stats.MemosDropped, 0)
+	f.hold(stats.PeerMessagesDropped, 0)
 }
 
 // TestDropsWhatIsNotOfThisTier drops datagrams from an address that is not listed, from the relay itself and beyond the
-// longest memo, counts them, and hears the next one.
+// longest message, counts them, and hears the next one.
 func TestDropsWhatIsNotOfThisTier(t *testing.T) {
 	for name, play := range map[string]func(f *fleet){
 		"unknown sender": func(f *fleet) { f.send(socket(f.t), "from a stranger") },
@@ -294,16 +294,16 @@
 			f := newFleet(t)
 			f.tier.Start()
 			play(f)
-			f.wait(stats.MemosDropped, 1)
+			f.wait(stats.PeerMessagesDropped, 1)
 			f.send(f.others[0], "from the first")
-			f.wait(stats.MemosIn, 1)
+			f.wait(stats.PeerMessagesIn, 1)
 			f.hears(relay.Heard{From: 0, Body: []byte("from the first")})
-			f.hold(stats.MemosDropped, 1)
+			f.hold(stats.PeerMessagesDropped, 1)
 		})
 	}
 }
 
-// TestHeardDropsAtAFullQueue lets a memo come while the loop has as many events waiting as it may: it is dropped, and
+// TestHeardDropsAtAFullQueue lets a message come while the loop has as many events waiting as it may: it is dropped, and
 // one that comes when there is room again is heard.
 func TestHeardDropsAtAFullQueue(t *testing.T) {
 	f := newFleet(t)
@@ -313,10 +313,10 @@
 	f.tier.Start()
 	f.send(f.others[0], "too much")
 	f.wait(stats.BoundQueue, 1)
-	f.hold(stats.MemosIn, 0)
+	f.hold(stats.PeerMessagesIn, 0)
 	f.hears()
 	f.send(f.others[0], "there is room")
-	f.wait(stats.MemosIn, 1)
+	f.wait(stats.PeerMessagesIn, 1)
 	f.hears(relay.Heard{From: 0, Body: []byte("there is room")})
 	f.hold(stats.BoundQueue, 1)
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -42,9 +42,9 @@
 	VotesMoot
 	VotesMaybe
 	News
-	MemosOut
-	MemosIn
-	MemosDropped
+	PeerMessagesOut
+	PeerMessagesIn
+	PeerMessagesDropped
 	RosterCalls
 	RosterFailed
 	RosterSilent
@@ -66,7 +66,7 @@
 	LegTimedOut: "leg_timed_out", LegNoConnect: "leg_no_connect", LegBroken: "leg_broken",
 	LegCancelled: "leg_cancelled", LegNotSent: "leg_not_sent", LegsReleased: "legs_released", LateRefused: "late_refused", Probes: "probes", Votes: "votes",
 	VotesCounted: "votes_counted", VotesNotCounted: "votes_not_counted", VotesMoot: "votes_moot", VotesMaybe: "votes_maybe_counted",
-	News: "news", MemosOut: "memos_out", MemosIn: "memos_in", MemosDropped: "memos_dropped",
+	News: "news", PeerMessagesOut: "peer_messages_out", PeerMessagesIn: "peer_messages_in", PeerMessagesDropped: "peer_messages_dropped",
 	RosterCalls: "roster_calls", RosterFailed: "roster_failed", RosterSilent: "roster_silent", BadInput: "bad_input",
 	BoundConns: "bound_conns", BoundBuffers: "bound_buffers", BoundQueue: "bound_queue", LogDropped: "log_dropped",
 	Reloads: "reloads", ReloadsRefused: "reloads_refused",
--- a/lab/node.go
+++ b/lab/node.go
@@ -243,7 +243,7 @@
 	x.step(relay.Woken{ID: id})
 }
 
-// tell sends a memo, which may be late or lost.
+// tell sends a message, which may be late or lost.
 func (x *node) tell(o relay.Tell) {
 	w := x.f.w
 	body := append([]byte(nil), o.Body...)
