--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -231,7 +231,8 @@
 
 // Take tells the connections to units, then the module.
 func (t told) Take(l *stage.Loop) {
-	a, failed := t.from.a, t.form == relay.RosterFailed || t.form == relay.RosterSilent
+	a, list, form := t.from.a, t.list, t.form
+	failed := form == relay.RosterFailed || form == relay.RosterSilent
 	switch {
 	case t.from == a.at:
 		if !failed {
@@ -239,7 +240,7 @@
 		}
 	case t.from == a.before && !failed && !a.parts: // the new address has told nothing yet, so this still holds
 	case t.from == a.before && !failed:
-		if t.list, t.form = t.list.leaving(), relay.RosterDelta; len(t.list.Lines) == 0 {
+		if list, form = list.leaving(), relay.RosterDelta; len(list.Lines) == 0 {
 			return
 		}
 	case t.from == a.before:
@@ -255,10 +256,11 @@
 		}
 		return
 	}
+	taken := told{from: t.from, list: list, form: form, news: t.news}
 	if t.news {
-		t.tell(l)
+		taken.tell(l)
 	}
-	a.member.list(t)
+	a.member.list(taken)
 }
 
 // tell hands a list to the connections to units and to the module.
