--- a/cmd/lichenroad/standin_test.go
+++ b/cmd/lichenroad/standin_test.go
@@ -18,6 +18,7 @@
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/config"
 	"lichenroad/internal/pgwire"
+	"lichenroad/internal/stage"
 	"lichenroad/internal/stats"
 	"lichenroad/lab/standin"
 )
@@ -161,6 +162,12 @@
 	return f
 }
 
+func (f *fleet) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
 func (f *fleet) list() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -229,9 +236,24 @@
 	done := make(chan struct{})
 	go func() { p.loop.Run(p.stop); close(done) }()
 	t.Cleanup(func() { p.end(); <-done; p.front.Close() })
+	if !f.isDown() {
+		ready(t, p)
+	}
 	return p
 }
 
+// ready waits until the relay lets clients in, as its list is confirmed: up to then it turns queries away.
+func ready(t *testing.T, p *program) {
+	t.Helper()
+	listed := make(chan struct{})
+	p.loop.Post(stage.Call(func(l *stage.Loop) { l.WhenListed(func() { close(listed) }) }))
+	select {
+	case <-listed:
+	case <-time.After(patience):
+		t.Fatal("not ready")
+	}
+}
+
 // client is a stand-in for a client.
 type client struct {
 	t *testing.T
--- a/membership/backoff.go
+++ b/membership/backoff.go
@@ -35,7 +35,7 @@
 
 // NewBackoff returns the back-off of one relay of a fleet.
 func NewBackoff(relays int, askEvery relay.Seconds, random *rand.Rand) Backoff {
-	return Backoff{relays: max(relays, 1), askEvery: askEvery, random: random}
+	return Backoff{relays: max(relays, 1), askEvery: unlessAbsent(askEvery), random: random}
 }
 
 // First draws the time until the first call. The whole fleet may have started at one moment.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -101,6 +101,7 @@
 
 // New returns the node of one relay, ready for its first step.
 func New(set Settings, seed int64) *Node {
+	set.AskEvery = unlessAbsent(set.AskEvery)
 	n := &Node{set: set, random: rand.New(rand.NewSource(seed)), list: newList(set.Epoch), answered: Never, attempted: Never,
 		contact: Never, confirmed: Never, newest: noGeneration, assembly: map[relay.RelayNo]*assembly{}}
 	n.view = view{generation: noGeneration}
@@ -108,6 +109,14 @@
 	return n
 }
 
+// unlessAbsent is a time that settings may leave out, and then never comes.
+func unlessAbsent(t relay.Seconds) relay.Seconds {
+	if t <= 0 {
+		return Never
+	}
+	return t
+}
+
 // Counters returns the counts since the start.
 func (n *Node) Counters() Counters { return n.counters }
 
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -25,7 +25,8 @@
 		d.send(q, u)
 		return
 	}
-	if !held || len(q.legs) >= d.p.set.Limits.MaxLegs || q.row.repeat == relay.AtMostOnce && q.mayHaveRun() {
+	if !held || d.p.roster.expired() || len(q.legs) >= d.p.set.Limits.MaxLegs ||
+		q.row.repeat == relay.AtMostOnce && q.mayHaveRun() {
 		d.finish(q)
 	}
 }
