Messages with numbers in more bytes than needed are refused

A uvarint may be written with trailing zero groups. decode took such a message, and encoding what it read gave other bytes: one message had several forms. decode now refuses them; encode never wrote one.

--- a/membership/message.go
+++ b/membership/message.go
@@ -98,9 +98,10 @@
 	err  error
 }
 
+// uvarint reads a number in the fewest bytes that hold it, as encode writes it.
 func (r *reader) uvarint() uint64 {
 	v, size := binary.Uvarint(r.rest)
-	if size <= 0 || v > math.MaxInt64 {
+	if size <= 0 || v > math.MaxInt64 || size > 1 && r.rest[size-1] == 0 {
 		r.rest, r.err = nil, errMessage
 		return 0
 	}
