Tests of the membership node in virtual time

A bus carries the messages of a fleet; leases, deltas, failed calls, discovery that starts anew, conflicts, dropped messages and the byte budget are tested by hand.

--- /dev/null
+++ b/membership/bus_test.go
@@ -0,0 +1,204 @@
+package membership
+
+import (
+	"container/heap"
+	"math/rand"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+const (
+	testEpoch = relay.Seconds(1e6)
+	busDelay  = relay.Seconds(0.005)
+)
+
+// testSettings are those of a node of a fleet that may send messages.
+func testSettings(self, relays int) Settings {
+	return Settings{Self: relay.RelayNo(self), Relays: relays, Messages: true, AskEvery: 60, Epoch: testEpoch}
+}
+
+// wholeList is a whole list of ready units with the given ids.
+func wholeList(generation int64, units ...relay.UnitID) List {
+	list := List{Generation: generation, Whole: true}
+	for _, unit := range units {
+		list.Units = append(list.Units, relay.UnitEntry{Unit: unit, Build: 1, State: relay.Ready})
+	}
+	return list
+}
+
+// unitRange is the ids from the first to the last.
+func unitRange(first, last relay.UnitID) (units []relay.UnitID) {
+	for unit := first; unit <= last; unit++ {
+		units = append(units, unit)
+	}
+	return units
+}
+
+// viewOf is the view of a node that holds just this list.
+func viewOf(given List) view {
+	l := newList(testEpoch)
+	l.apply(given)
+	return view{given.Generation, l.digest}
+}
+
+// wire is a time as messages carry it.
+func wire(t relay.Seconds) uint64 {
+	if t == Never {
+		return 0
+	}
+	return uint64((t + testEpoch) * 1000)
+}
+
+// heartbeat is the body of a heartbeat of a peer.
+func heartbeat(v view, answered, attempted relay.Seconds) []byte {
+	return message{view: v, answered: wire(answered), attempted: wire(attempted)}.encode()
+}
+
+// deltas are the bodies of a peer's delta between two views.
+func deltas(base, target view, answered relay.Seconds, units ...relay.UnitID) (bodies [][]byte) {
+	for _, d := range split(base, units) {
+		bodies = append(bodies, message{view: target, answered: wire(answered), delta: &d}.encode())
+	}
+	return bodies
+}
+
+// bus carries the messages of a fleet in virtual time. Each is heard by all other nodes a fixed delay after it was sent.
+type bus struct {
+	t      testing.TB
+	now    relay.Seconds
+	nodes  []*busNode
+	events busEvents
+	lost   func(from, to int) bool // nil: none
+	sent   []busMessage
+	order  int
+}
+
+// busNode is one node of the fleet and what its last steps returned.
+type busNode struct {
+	*Node
+	wakeAt relay.Seconds
+	lease  relay.Seconds
+	left   map[relay.UnitID]bool
+	bytes  int // sent, with headers
+}
+
+type busMessage struct {
+	at   relay.Seconds
+	from int
+	body []byte
+}
+
+// busEvent is a wake-up of a node, an action of the test, or the arrival of a message.
+type busEvent struct {
+	at     relay.Seconds
+	order  int // of events at one time
+	node   int
+	body   []byte
+	action func()
+}
+
+type busEvents []busEvent
+
+func (e busEvents) Len() int { return len(e) }
+func (e busEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e busEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *busEvents) Push(x any)   { *e = append(*e, x.(busEvent)) }
+func (e *busEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newBus(t testing.TB, relays int) *bus {
+	b := &bus{t: t, nodes: make([]*busNode, relays)}
+	for i := range b.nodes {
+		b.nodes[i] = &busNode{}
+		b.restart(i)
+	}
+	return b
+}
+
+// restart replaces a node by one that knows nothing.
+func (b *bus) restart(i int) {
+	seed := rand.New(rand.NewSource(int64(b.order)<<16 + int64(i))).Int63()
+	b.nodes[i] = &busNode{Node: New(testSettings(i, len(b.nodes)), seed), wakeAt: Never, left: map[relay.UnitID]bool{},
+		bytes: b.nodes[i].bytes}
+}
+
+func (b *bus) push(event busEvent) {
+	b.order++
+	event.order = b.order
+	heap.Push(&b.events, event)
+}
+
+// at has an action done at a time.
+func (b *bus) at(t relay.Seconds, action func()) { b.push(busEvent{at: t, action: action}) }
+
+// step lets a node see an event and sends what it wants sent.
+func (b *bus) step(i int, event any) Output {
+	node := b.nodes[i]
+	out := node.Step(b.now, event)
+	node.lease = out.Lease
+	for _, unit := range out.Left {
+		node.left[unit] = true
+	}
+	for _, body := range out.Messages {
+		if len(body) > maxBody {
+			b.t.Fatalf("a datagram of %d bytes", len(body))
+		}
+		node.bytes += len(body) + headerBytes
+		b.sent = append(b.sent, busMessage{b.now, i, body})
+		b.push(busEvent{at: b.now + busDelay, node: i, body: body})
+	}
+	if out.WakeAt != node.wakeAt {
+		if out.WakeAt <= b.now {
+			b.t.Fatalf("a wake-up at %v was asked for at %v", out.WakeAt, b.now)
+		}
+		if node.wakeAt = out.WakeAt; out.WakeAt != Never {
+			b.push(busEvent{at: out.WakeAt, node: i})
+		}
+	}
+	return out
+}
+
+// run plays all events up to a time.
+func (b *bus) run(until relay.Seconds) {
+	for len(b.events) > 0 && b.events[0].at <= until {
+		event := heap.Pop(&b.events).(busEvent)
+		b.now = event.at
+		switch {
+		case event.action != nil:
+			event.action()
+		case event.body != nil:
+			b.deliver(event)
+		case b.nodes[event.node].wakeAt == event.at:
+			b.step(event.node, Woken{})
+		}
+	}
+	b.now = until
+}
+
+func (b *bus) deliver(event busEvent) {
+	for i := range b.nodes {
+		if i != event.node && (b.lost == nil || !b.lost(event.node, i)) {
+			b.step(i, Heard{From: relay.RelayNo(event.node), Body: event.body})
+		}
+	}
+}
+
+// count counts the messages sent from a time on, by form.
+func (b *bus) count(from relay.Seconds) (heartbeats, deltas int) {
+	for _, m := range b.sent {
+		switch {
+		case m.at < from:
+		case m.body[1] == formDelta:
+			deltas++
+		default:
+			heartbeats++
+		}
+	}
+	return heartbeats, deltas
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,434 @@
+package membership
+
+import (
+	"bytes"
+	"flag"
+	"math"
+	"math/rand"
+	"os"
+	"slices"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+// TestMain sets rapid's seed, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true", "rapid.checks": "150"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// leaseTime is how long a lease lasts behind an answer of discovery.
+const leaseTime = toldAfter - leaseMargin
+
+// wantLease checks a lease up to the milliseconds that messages carry.
+func wantLease(t *testing.T, got, want relay.Seconds) {
+	t.Helper()
+	if math.Abs(got-want) > 0.0015 {
+		t.Fatalf("lease until %.4f, want %.4f", got, want)
+	}
+}
+
+// restarted is a node of four that holds the units 1 to 100 of generation 5 from before its start.
+func restarted(now relay.Seconds) *Node {
+	n := New(testSettings(0, 4), 1)
+	n.Step(now, Held{wholeList(5, unitRange(1, 100)...)})
+	return n
+}
+
+func TestOlderHeldListHasNoLeaseUntilAPeerTellsWhoLeft(t *testing.T) {
+	b := newBus(t, 3)
+	older, newer := wholeList(5, unitRange(1, 100)...), wholeList(6, unitRange(61, 100)...)
+	for i := range 3 {
+		b.step(i, Answered{older})
+	}
+	b.at(20, func() { b.step(1, Answered{newer}) })
+	b.at(20.5, func() { b.step(2, Answered{newer}) })
+	b.at(21, func() {
+		b.restart(0)
+		if out := b.step(0, Held{older}); out.Lease != 0 {
+			t.Fatalf("a lease until %v on a list that nobody confirmed", out.Lease)
+		}
+	})
+	b.run(23)
+	if n := b.nodes[0]; n.view != viewOf(newer) || len(n.left) != 60 || !n.left[1] || !n.left[60] {
+		t.Fatalf("view %v, %d units left", n.view, len(n.left))
+	}
+	wantLease(t, b.nodes[0].lease, 20.5+leaseTime)
+}
+
+func TestDeltaOfSeveralDatagrams(t *testing.T) {
+	target := viewOf(wholeList(6, unitRange(61, 100)...))
+	bodies := deltas(viewOf(wholeList(5, unitRange(1, 100)...)), target, 10, unitRange(1, 60)...)
+	if len(bodies) != 3 {
+		t.Fatalf("%d datagrams", len(bodies))
+	}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}, {0, 0, 2, 0, 2, 1}} {
+		n, left := restarted(10), []relay.UnitID{}
+		for i, part := range order {
+			out := n.Step(10.1+0.1*relay.Seconds(i), Heard{From: 1, Body: bodies[part]})
+			left = append(left, out.Left...)
+			if last := i == len(order)-1; !last && out.Lease != 0 {
+				t.Fatalf("order %v: a lease with %d datagrams", order, i+1)
+			} else if last {
+				wantLease(t, out.Lease, 10+leaseTime)
+			}
+		}
+		if slices.Sort(left); !slices.Equal(left, unitRange(1, 60)) || n.view != target {
+			t.Fatalf("order %v: left %v", order, left)
+		}
+	}
+}
+
+func TestPartsOfTwoDeltasMakeNoWhole(t *testing.T) {
+	base := viewOf(wholeList(5, unitRange(1, 100)...))
+	one := deltas(base, viewOf(wholeList(6, unitRange(41, 100)...)), 10, unitRange(1, 40)...)
+	two := deltas(base, viewOf(wholeList(7, unitRange(46, 100)...)), 10, unitRange(1, 45)...)
+	n := restarted(10)
+	for _, heard := range []Heard{{1, one[0]}, {1, two[1]}, {2, one[1]}} {
+		if out := n.Step(10.1, heard); out.Lease != 0 {
+			t.Fatal("a lease by parts of different deltas or peers")
+		}
+	}
+	if out := n.Step(10.2, Heard{2, one[0]}); out.Lease == 0 {
+		t.Fatal("no lease by a whole delta")
+	}
+}
+
+func TestDeltaFromAnotherListGivesNothing(t *testing.T) {
+	n := restarted(10)
+	base := viewOf(wholeList(5, unitRange(1, 99)...))
+	out := n.Step(10.1, Heard{1, deltas(base, viewOf(wholeList(6, 100)), 10, unitRange(1, 99)...)[0]})
+	if out.Lease != 0 || len(out.Left) != 0 {
+		t.Fatalf("%+v", out)
+	}
+}
+
+func TestEqualHeldListIsConfirmedByOneHeartbeat(t *testing.T) {
+	n := restarted(10)
+	out := n.Step(10.2, Heard{1, heartbeat(n.view, 8.5, Never)})
+	wantLease(t, out.Lease, 8.5+leaseTime)
+	if len(out.Left) != 0 {
+		t.Fatalf("left: %v", out.Left)
+	}
+}
+
+// failedCall makes a call and has it fail.
+func failedCall(n *Node, begun, ended relay.Seconds, event CallFailed) Output {
+	n.Step(begun, CallBegun{Wait: 2})
+	return n.Step(ended, event)
+}
+
+func TestFailedCallCountsOnlyInContact(t *testing.T) {
+	n := restarted(10)
+	if out := failedCall(n, 10, 10.5, CallFailed{}); out.Lease != 0 {
+		t.Fatalf("a lease until %v without a peer", out.Lease)
+	}
+	out := n.Step(11, Heard{1, heartbeat(n.view, Never, Never)})
+	wantLease(t, out.Lease, 10+leaseTime)
+	out = failedCall(n, 13, 13.5, CallFailed{})
+	wantLease(t, out.Lease, 13+leaseTime)
+	out = failedCall(n, 14.5, 15, CallFailed{}) // the peer was last heard at 11
+	wantLease(t, out.Lease, 13+leaseTime)
+}
+
+func TestFailedCallOfAPeerCounts(t *testing.T) {
+	n := restarted(10)
+	out := n.Step(11, Heard{1, heartbeat(n.view, Never, 10.5)})
+	wantLease(t, out.Lease, 10.5+leaseTime)
+}
+
+func TestFailedCallNoLongerCountsOnceAPeerHasNews(t *testing.T) {
+	n := restarted(10)
+	n.Step(11, Heard{1, heartbeat(n.view, 11, Never)})
+	newer := viewOf(wholeList(6, unitRange(2, 100)...))
+	n.Step(12, Heard{2, heartbeat(newer, 12, Never)})
+	out := failedCall(n, 12.5, 13, CallFailed{})
+	wantLease(t, out.Lease, 11+leaseTime)
+	n.Step(13, Heard{1, heartbeat(n.view, Never, 12.8)})
+	out = n.Step(13.1, Heard{1, heartbeat(n.view, Never, 13)})
+	wantLease(t, out.Lease, 11+leaseTime)
+}
+
+func TestUnreadableAnswerIsNoSignOfDiscoveryBeingDown(t *testing.T) {
+	n := restarted(10)
+	n.Step(10.1, Heard{1, heartbeat(n.view, Never, Never)})
+	if out := failedCall(n, 10.2, 10.5, CallFailed{Unreadable: true}); out.Lease != 0 {
+		t.Fatalf("a lease until %v", out.Lease)
+	}
+}
+
+func TestFirstAnswerOfAPeerBehindFailuresIsTold(t *testing.T) {
+	n := restarted(10)
+	failedCall(n, 10, 10.5, CallFailed{})
+	if n.Step(11, Heard{1, heartbeat(n.view, 9, Never)}).Answers {
+		t.Fatal("an answer of before the failed call was told")
+	}
+	if !n.Step(12, Heard{1, heartbeat(n.view, 11.5, Never)}).Answers {
+		t.Fatal("the first answer was not told")
+	}
+	if n.Step(13, Heard{2, heartbeat(n.view, 12.5, Never)}).Answers {
+		t.Fatal("the second answer was told")
+	}
+}
+
+func TestRelayAloneInItsFleet(t *testing.T) {
+	n := New(testSettings(0, 1), 1)
+	if out := n.Step(0, Held{wholeList(5, 1, 2)}); out.Lease != 0 {
+		t.Fatal("a lease on a held list")
+	}
+	out := failedCall(n, 1, 3, CallFailed{})
+	wantLease(t, out.Lease, 1+leaseTime)
+	out = n.Step(4, Answered{wholeList(6, 1)})
+	wantLease(t, out.Lease, 4+leaseTime)
+	if out.WakeAt != Never || len(out.Messages) != 0 {
+		t.Fatalf("messages to nobody: %+v", out)
+	}
+}
+
+func TestRelayCutOffFromItsPeersLosesItsLease(t *testing.T) {
+	b := newBus(t, 3)
+	for i := range 3 {
+		b.step(i, Answered{wholeList(5, 1, 2)})
+	}
+	b.lost = func(from, to int) bool { return b.now >= 10 && (from == 0 || to == 0) }
+	for at := 1.0; at < 30; at++ { // discovery answers node 1 alone
+		b.at(at, func() { b.step(1, Answered{List{Generation: 5}}) })
+		b.at(at, func() { b.step(0, CallBegun{Wait: 2}) })
+		b.at(at+0.5, func() { b.step(0, CallFailed{}) })
+	}
+	b.run(9.9)
+	if b.nodes[0].lease < 12 {
+		t.Fatalf("a lease until %v in contact", b.nodes[0].lease)
+	}
+	b.run(29.9)
+	if cutOff := b.nodes[0].lease; cutOff > 10+contactFor+leaseTime {
+		t.Fatalf("a lease until %v without contact", cutOff)
+	}
+	if b.nodes[2].lease < 32 {
+		t.Fatalf("a lease until %v in contact", b.nodes[2].lease)
+	}
+}
+
+func TestLeaseOfAStandingWatch(t *testing.T) {
+	n := New(testSettings(0, 4), 1)
+	n.Step(10, Answered{wholeList(5, 1, 2)})
+	out := n.Step(10, CallBegun{Wait: 25, Continues: true})
+	wantLease(t, out.Lease, 10+25+toldAfterWait-leaseMargin)
+	out = n.Step(30, CallFailed{})
+	wantLease(t, out.Lease, 30+leaseTime) // it stood until then
+	out = n.Step(30, CallBegun{Wait: 1, Continues: true})
+	wantLease(t, out.Lease, 30+leaseTime)
+}
+
+func TestFirstCallGivesNoLease(t *testing.T) {
+	n := restarted(10)
+	if out := n.Step(10, CallBegun{Wait: 25}); out.Lease != 0 {
+		t.Fatalf("a lease until %v", out.Lease)
+	}
+}
+
+func TestSilentCallProlongsNothing(t *testing.T) {
+	n := New(testSettings(0, 4), 1)
+	n.Step(10, Answered{wholeList(5, 1, 2)})
+	standing := n.Step(10, CallBegun{Wait: 25, Continues: true}).Lease
+	if out := n.Step(36.9, CallFailed{Silent: true}); out.Lease > standing || out.Lease > 36.9 {
+		t.Fatalf("a lease until %v behind a silent call, %v before", out.Lease, standing)
+	}
+}
+
+func TestFailedWatchOfARelayThatIsBehindProlongsNothing(t *testing.T) {
+	n := New(testSettings(0, 4), 1)
+	n.Step(10, Answered{wholeList(5, 1, 2)})
+	n.Step(10, CallBegun{Wait: 2, Continues: true})
+	n.Step(11, Heard{1, heartbeat(viewOf(wholeList(6, 1)), 11, Never)})
+	out := n.Step(11.5, CallFailed{})
+	wantLease(t, out.Lease, 10+leaseTime)
+}
+
+func TestDiscoveryThatStartsAnew(t *testing.T) {
+	n := New(testSettings(0, 4), 1)
+	n.Step(10, Answered{wholeList(50, unitRange(1, 10)...)})
+	n.Step(11, Heard{1, deltas(n.view, viewOf(wholeList(51, unitRange(2, 10)...)), 11, 1)[0]})
+	anew := wholeList(2, unitRange(1, 5)...)
+	out := n.Step(20, Answered{anew})
+	wantLease(t, out.Lease, 20+leaseTime)
+	if n.view != viewOf(anew) || len(out.Left) != 0 || n.behind() {
+		t.Fatalf("view %v, left %v", n.view, out.Left)
+	}
+	out = n.Step(21, Answered{List{Generation: 3, Units: []relay.UnitEntry{{Unit: 3, State: relay.Draining}}}})
+	if wantLease(t, out.Lease, 21+leaseTime); n.view != viewOf(wholeList(3, 1, 2, 4, 5)) {
+		t.Fatalf("view %v", n.view)
+	}
+}
+
+func TestOlderAnswerDoesNotBringBackAUnitThatLeft(t *testing.T) {
+	n := New(testSettings(0, 4), 1)
+	n.Step(10, Answered{wholeList(5, 1, 2, 3)})
+	n.Step(11, Heard{1, deltas(n.view, viewOf(wholeList(8, 1, 2)), 11, 3)[0]})
+	known := n.view
+	ready := wholeList(6, 3).Units
+	out := n.Step(12, Answered{List{Generation: 6, Units: ready}})
+	if !slices.Equal(out.Left, []relay.UnitID{3}) || n.view != known {
+		t.Fatalf("left %v, view %v", out.Left, n.view)
+	}
+	wantLease(t, out.Lease, 11+leaseTime)
+	out = n.Step(13, Answered{List{Generation: 9, Units: ready}})
+	if len(out.Left) != 0 || n.view != viewOf(wholeList(9, 1, 2, 3)) {
+		t.Fatalf("left %v, view %v", out.Left, n.view)
+	}
+	wantLease(t, out.Lease, 13+leaseTime)
+}
+
+func TestConflictConfirmsNothing(t *testing.T) {
+	n := restarted(10)
+	other := viewOf(wholeList(5, 1, 2))
+	out := n.Step(10.5, Heard{1, heartbeat(other, 10.5, 10.2)})
+	if out.Lease != 0 || n.Counters().Conflicts != 1 || len(out.Left) != 0 {
+		t.Fatalf("%+v, %+v", out, n.Counters())
+	}
+}
+
+func TestMessagesThatAreDropped(t *testing.T) {
+	good := heartbeat(restarted(10).view, 10, Never)
+	for name, heard := range map[string]Heard{
+		"of itself":    {0, good},
+		"empty":        {1, nil},
+		"of no form":   {1, []byte{messageMark, 7}},
+		"cut short":    {1, good[:len(good)-1]},
+		"with a rest":  {1, append(slices.Clone(good), 0)},
+		"too long":     {1, append(slices.Clone(good), make([]byte, maxBody)...)},
+		"part of none": {1, message{view: view{6, 0}, delta: &delta{parts: 0}}.encode()},
+	} {
+		n := restarted(10)
+		out := n.Step(10.5, heard)
+		if c := n.Counters(); out.Lease != 0 || c.Unreadable != 1 || c.Heard != 0 {
+			t.Errorf("%s: %+v, %+v", name, out, c)
+		}
+	}
+}
+
+func TestTimeInTheFutureIsNow(t *testing.T) {
+	n := restarted(10)
+	out := n.Step(10.5, Heard{1, heartbeat(n.view, 1e9, 2e9)})
+	wantLease(t, out.Lease, 10.5+leaseTime)
+	n = restarted(10)
+	out = n.Step(10.5, Heard{1, message{view: n.view, answered: math.MaxInt64}.encode()})
+	wantLease(t, out.Lease, 10.5+leaseTime)
+}
+
+func TestNoMessagesWhereSettingsForbidThem(t *testing.T) {
+	set := testSettings(0, 4)
+	set.Messages = false
+	n := New(set, 1)
+	n.Step(0, Held{wholeList(5, 1, 2)})
+	n.Step(1, Answered{wholeList(6, 1)})
+	for i := range 100 {
+		out := n.Step(2+relay.Seconds(i), Heard{1, heartbeat(viewOf(wholeList(5, 1, 2)), Never, Never)})
+		if len(out.Messages) != 0 || out.WakeAt != Never {
+			t.Fatalf("%+v", out)
+		}
+	}
+}
+
+func TestBytesStayWithinTheBudgetUnderProvocation(t *testing.T) {
+	const seconds = 30
+	random := rand.New(rand.NewSource(1))
+	n := New(testSettings(0, 300), 1)
+	n.Step(0, Answered{wholeList(1, unitRange(1, 2000)...)})
+	var older []view
+	for generation := int64(2); generation < 12; generation++ {
+		older = append(older, n.view)
+		n.Step(0, Answered{wholeList(generation, unitRange(relay.UnitID(generation*60), 2000)...)})
+	}
+	bodies := [][]byte{heartbeat(n.view, Never, Never), heartbeat(view{1000, 1}, 1, 1), heartbeat(view{n.view.generation, 1}, 1, 1)}
+	for _, v := range older {
+		bodies = append(bodies, heartbeat(v, Never, Never))
+	}
+	sent, datagrams := 0, 0
+	for ms := range seconds * 1000 {
+		heard := Heard{relay.RelayNo(1 + random.Intn(299)), bodies[random.Intn(len(bodies))]}
+		for _, body := range n.Step(relay.Seconds(ms)/1000, heard).Messages {
+			sent += len(body) + headerBytes
+			datagrams++
+		}
+	}
+	if most := burstBytes + bytesPerSecond*seconds; sent > most || datagrams < 100 {
+		t.Fatalf("%d bytes in %d datagrams, at most %d may be sent", sent, datagrams, most)
+	}
+}
+
+// answerEvery has discovery answer each node in turn, all of them in ten seconds.
+func answerEvery(b *bus, list List, seconds int) {
+	for i := range b.nodes {
+		for round := range seconds / 10 {
+			at := relay.Seconds(round*10) + 10*relay.Seconds(i)/relay.Seconds(len(b.nodes))
+			given := List{Generation: list.Generation}
+			if round == 0 {
+				given = list
+			}
+			b.at(at, func() { b.step(i, Answered{given}) })
+		}
+	}
+}
+
+func TestHeartbeatsOfAFleetDoNotGrowWithIt(t *testing.T) {
+	for _, relays := range []int{300, 4300} {
+		b := newBus(t, relays)
+		answerEvery(b, wholeList(5, unitRange(1, 20)...), 30)
+		b.run(30)
+		heartbeats, deltas := b.count(10)
+		t.Logf("%d relays: %.2f heartbeats a second", relays, float64(heartbeats)/20)
+		if heartbeats < 20 || heartbeats > 200 || deltas > 0 {
+			t.Errorf("%d relays: %d heartbeats and %d deltas in 20 s", relays, heartbeats, deltas)
+		}
+	}
+}
+
+func TestFewDeltasHelpAFleetOfWhichMostRestart(t *testing.T) {
+	b := newBus(t, 300)
+	older, newer := wholeList(5, unitRange(1, 100)...), wholeList(6, unitRange(34, 100)...)
+	for i := range b.nodes {
+		b.step(i, Answered{older})
+	}
+	for i := 210; i < 300; i++ {
+		b.at(10+relay.Seconds(i)/100, func() { b.step(i, Answered{newer}) })
+	}
+	b.at(15, func() {
+		for i := range 210 {
+			b.restart(i)
+			b.step(i, Held{older})
+		}
+	})
+	b.run(17)
+	for i, n := range b.nodes[:210] {
+		if n.view != viewOf(newer) || len(n.left) != 33 || n.lease < 17 {
+			t.Fatalf("node %d: view %v, %d left, lease until %v", i, n.view, len(n.left), n.lease)
+		}
+	}
+	b.run(25)
+	heartbeats, deltas := b.count(15)
+	t.Logf("%d heartbeats and %d datagrams of deltas in 10 s", heartbeats, deltas)
+	if deltas > 40 || heartbeats > 100 {
+		t.Errorf("%d heartbeats and %d datagrams of deltas in 10 s", heartbeats, deltas)
+	}
+}
+
+func TestStepsWithOneSeedAreEqual(t *testing.T) {
+	var sent [2][]busMessage
+	for k := range sent {
+		b := newBus(t, 5)
+		answerEvery(b, wholeList(5, 1, 2), 20)
+		b.run(20)
+		sent[k] = b.sent
+	}
+	same := func(a, b busMessage) bool { return a.at == b.at && a.from == b.from && bytes.Equal(a.body, b.body) }
+	if len(sent[0]) == 0 || !slices.EqualFunc(sent[0], sent[1], same) {
+		t.Fatalf("%d and %d messages", len(sent[0]), len(sent[1]))
+	}
+}
