A relay helps peers only from lists that it had from discovery

A relay that was told by a peer which units left holds the peer's generation without the units that joined. When one of those left next, it recorded no change, and its delta from that generation left the unit out: a peer that had the list whole then held a lease on a unit that had left (found by random histories, 4 of 600 with calls refused). Such a list is not in the history now until discovery confirms it; relays that had it whole help.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -138,7 +138,7 @@
 	if !n.assemble(from, m) {
 		return
 	}
-	n.see(m.view)
+	n.view = m.view // not in the history: the units that joined are not known here, so neither is which of them leave
 	n.answered = later(n.answered, answered)
 	n.contact = n.now
 	n.gossip.advertised = n.now
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,6 +13,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 
 	"lichenroad/relay"
 )
@@ -162,7 +163,7 @@
 	}
 	latest := view{given.Generation, n.list.digest}
 	news := latest != n.view
-	if news {
+	if news || !slices.Contains(n.list.history, latest) {
 		n.see(latest)
 	}
 	n.answered = n.now
