A failed call counts up to the last contact, and behind some seconds of contact

Two cases in which a failed call gave a lease on a list that had changed. A relay cut off from discovery and from its peers at one time took calls of up to 3 s later for a sign that discovery was down: its lease outlived a change by up to 2.6 s. And relays that started together with the same old list vouched for one another before a peer with a newer list spoke, up to half a second later (found by random histories).

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -90,6 +90,10 @@
 		return
 	}
 	n.counters.Heard++
+	if n.heard == Never || n.now-n.heard >= contactFor {
+		n.heardSince = n.now
+	}
+	n.heard = n.now
 	n.gossip.unheard = 0
 	answered, attempted := n.fromWire(m.answered), n.fromWire(m.attempted)
 	n.noticeAnswers(answered)
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -17,6 +17,10 @@
 	leaseMargin = 0.25
 	// contactFor is how long a peer's word counts for the rest of the fleet: about three of its heartbeats.
 	contactFor = 3.0
+	// firstContact is how long peers must have been heard, from the start or from the end of a silence, before a failed
+	// call counts: relays that started together hold the same old list, and a peer with a newer one says so within a
+	// heartbeat and its repair.
+	firstContact = heartbeatQuiet + heartbeatBackoff + repairBackoff
 )
 
 // lease is until when the list may be acted on; 0 if nobody has confirmed it yet.
@@ -37,12 +41,25 @@
 	if n.attempted == Never || n.behind() || !n.inContact() {
 		return n.answered
 	}
-	return later(n.answered, n.attempted)
+	return later(n.answered, math.Min(n.attempted, n.contactAt()))
+}
+
+// contactAt is up to when peers would have told of an answer: a relay that was cut off since can't tell its own failed calls
+// from those of all.
+func (n *Node) contactAt() relay.Seconds {
+	if n.set.Relays <= 1 {
+		return n.now
+	}
+	return n.contact
 }
 
 // inContact says that a failed call stands for the whole fleet: an answer that any relay got since would have been heard
 // of. Discovery that answers nobody is down, and what it does not know binds nobody; discovery that answers others is
 // overbooked, and the clock of a change runs. A relay alone in its fleet has nobody to compete with.
 func (n *Node) inContact() bool {
-	return n.set.Relays <= 1 || n.contact != Never && n.now-n.contact < contactFor
+	if n.set.Relays <= 1 {
+		return true
+	}
+	inContact := n.contact != Never && n.now-n.contact < contactFor
+	return inContact && n.now-n.heardSince >= firstContact
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -72,11 +72,13 @@
 	list list
 	view view // of the list as known, from discovery or with peers' deltas
 
-	answered  relay.Seconds // when discovery last gave the view to any relay; Never: not known
-	attempted relay.Seconds // when the latest call known to have failed began; Never: none
-	contact   relay.Seconds // when a peer with the same view was last heard; Never: not yet
-	confirmed relay.Seconds // up to when no change can have begun to bind that is not known here; Never: not known
-	newest    int64         // the newest generation that any peer holds
+	answered   relay.Seconds // when discovery last gave the view to any relay; Never: not known
+	attempted  relay.Seconds // when the latest call known to have failed began; Never: none
+	contact    relay.Seconds // when a peer with the same view was last heard; Never: not yet
+	heardSince relay.Seconds // when the first message of a peer came that no silence has followed; Never: not yet
+	heard      relay.Seconds // when the latest came; Never: not yet
+	confirmed  relay.Seconds // up to when no change can have begun to bind that is not known here; Never: not known
+	newest     int64         // the newest generation that any peer holds
 
 	call     call
 	gossip   gossip
@@ -103,7 +105,7 @@
 // New returns the node of one relay, ready for its first step.
 func New(set Settings, seed int64) *Node {
 	n := &Node{set: set, random: rand.New(rand.NewSource(seed)), list: newList(set.Epoch), answered: Never, attempted: Never,
-		contact: Never, confirmed: Never, newest: noGeneration, assembly: map[relay.RelayNo]*assembly{}}
+		contact: Never, heardSince: Never, heard: Never, confirmed: Never, newest: noGeneration, assembly: map[relay.RelayNo]*assembly{}}
 	n.view = view{generation: noGeneration}
 	n.gossip = newGossip()
 	return n
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -129,22 +129,84 @@
 	if out := failedCall(n, 10, 10.5, CallFailed{}); out.Lease != 0 {
 		t.Fatalf("a lease until %v without a peer", out.Lease)
 	}
-	out := n.Step(11, Heard{1, heartbeat(n.view, Never, Never)})
+	if out := n.Step(11, Heard{1, heartbeat(n.view, Never, Never)}); out.Lease != 0 {
+		t.Fatalf("a lease until %v on the first word of a peer", out.Lease)
+	}
+	out := n.Step(11+firstContact, Heard{1, heartbeat(n.view, Never, Never)})
 	wantLease(t, out.Lease, 10+leaseTime)
 	out = failedCall(n, 13, 13.5, CallFailed{})
+	wantLease(t, out.Lease, 11+firstContact+leaseTime) // as of the last contact, not of the call
+	out = n.Step(13.6, Heard{1, heartbeat(n.view, Never, Never)})
 	wantLease(t, out.Lease, 13+leaseTime)
-	out = failedCall(n, 14.5, 15, CallFailed{}) // the peer was last heard at 11
+	out = failedCall(n, 17, 17.5, CallFailed{}) // the peer was last heard at 13.6
 	wantLease(t, out.Lease, 13+leaseTime)
 }
 
+func TestPeersAreHeardForAWhileBehindASilenceBeforeAFailedCallCounts(t *testing.T) {
+	n := restarted(10)
+	n.Step(11, Heard{1, heartbeat(n.view, 10.5, Never)})
+	n.Step(11+firstContact, Heard{1, heartbeat(n.view, 10.5, Never)})
+	failedCall(n, 29, 29.5, CallFailed{})
+	out := n.Step(30, Heard{1, heartbeat(n.view, 10.5, Never)})
+	wantLease(t, out.Lease, 10.5+leaseTime)
+	out = n.Step(30+firstContact, Heard{1, heartbeat(n.view, 10.5, Never)})
+	wantLease(t, out.Lease, 29+leaseTime)
+}
+
+// TestRelaysStartedTogetherDoNotVouchForTheirOldList: one more of them is no sign that the list still holds.
+func TestRelaysStartedTogetherDoNotVouchForTheirOldList(t *testing.T) {
+	n := restarted(10)
+	failedCall(n, 10, 10.05, CallFailed{})
+	n.Step(10.1, Heard{1, heartbeat(n.view, Never, 10)})
+	n.Step(10.2, Heard{2, heartbeat(n.view, Never, 10)})
+	out := n.Step(10.4, Heard{3, heartbeat(viewOf(wholeList(6, 1)), 9, Never)})
+	if out.Lease != 0 {
+		t.Fatalf("a lease until %v before the peer with the newer list spoke", out.Lease)
+	}
+	out = n.Step(20, Heard{1, heartbeat(n.view, Never, 19.9)})
+	wantLease(t, out.Lease, 0)
+}
+
+// TestANodeHelpsOnlyFromListsThatItHeldWhole: one that was told of generation 6 by a peer doesn't know the unit 101 that
+// joined in it, so it can't say that 101 left in generation 7.
+func TestANodeHelpsOnlyFromListsThatItHeldWhole(t *testing.T) {
+	n := restarted(10)
+	six := viewOf(wholeList(6, unitRange(2, 101)...))
+	n.Step(10.1, Heard{1, deltas(n.view, six, 10, 1)[0]})
+	gone := relay.UnitEntry{Unit: 101, State: relay.Draining}
+	n.Step(11, Answered{List{Generation: 7, Units: append(wholeList(7, 102).Units, gone, relay.UnitEntry{Unit: 1})}})
+	if want := viewOf(wholeList(7, append(unitRange(2, 100), 102)...)); n.view != want {
+		t.Fatalf("view %v, want %v", n.view, want)
+	}
+	if units, known := n.list.leftSince(six); known {
+		t.Fatalf("says that %v left since a list that it never held whole", units)
+	}
+	if units, known := n.list.leftSince(viewOf(wholeList(5, unitRange(1, 100)...))); !known || !slices.Equal(units, []relay.UnitID{1}) {
+		t.Fatalf("left since the list of its start: %v, %v", units, known)
+	}
+}
+
+// TestAnAnswerMakesAToldListWhole: discovery confirms what a peer told, with the units that joined.
+func TestAnAnswerMakesAToldListWhole(t *testing.T) {
+	n := restarted(10)
+	six := viewOf(wholeList(6, unitRange(2, 101)...))
+	n.Step(10.1, Heard{1, deltas(n.view, six, 10, 1)[0]})
+	n.Step(11, Answered{List{Generation: 6, Units: append(wholeList(6, 101).Units, relay.UnitEntry{Unit: 1})}})
+	if _, known := n.list.leftSince(six); !known || n.view != six {
+		t.Fatalf("view %v, want %v; helps from it: %v", n.view, six, known)
+	}
+}
+
 func TestFailedCallOfAPeerCounts(t *testing.T) {
 	n := restarted(10)
-	out := n.Step(11, Heard{1, heartbeat(n.view, Never, 10.5)})
+	n.Step(11, Heard{1, heartbeat(n.view, Never, 10.5)})
+	out := n.Step(11+firstContact, Heard{2, heartbeat(n.view, Never, Never)})
 	wantLease(t, out.Lease, 10.5+leaseTime)
 }
 
 func TestFailedCallNoLongerCountsOnceAPeerHasNews(t *testing.T) {
 	n := restarted(10)
+	n.Step(10, Heard{1, heartbeat(n.view, Never, Never)})
 	n.Step(11, Heard{1, heartbeat(n.view, 11, Never)})
 	newer := viewOf(wholeList(6, unitRange(2, 100)...))
 	n.Step(12, Heard{2, heartbeat(newer, 12, Never)})
@@ -158,9 +220,12 @@
 func TestUnreadableAnswerIsNoSignOfDiscoveryBeingDown(t *testing.T) {
 	n := restarted(10)
 	n.Step(10.1, Heard{1, heartbeat(n.view, Never, Never)})
-	if out := failedCall(n, 10.2, 10.5, CallFailed{Unreadable: true}); out.Lease != 0 {
+	n.Step(10.1+firstContact, Heard{1, heartbeat(n.view, Never, Never)})
+	if out := failedCall(n, 12, 12.5, CallFailed{Unreadable: true}); out.Lease != 0 {
 		t.Fatalf("a lease until %v", out.Lease)
 	}
+	out := failedCall(n, 13, 13.5, CallFailed{})
+	wantLease(t, out.Lease, 10.1+firstContact+leaseTime)
 }
 
 func TestFirstAnswerOfAPeerBehindFailuresIsTold(t *testing.T) {
@@ -207,7 +272,7 @@
 		t.Fatalf("a lease until %v in contact", b.nodes[0].lease)
 	}
 	b.run(29.9)
-	if cutOff := b.nodes[0].lease; cutOff > 10+contactFor+leaseTime {
+	if cutOff := b.nodes[0].lease; cutOff > 10+leaseTime {
 		t.Fatalf("a lease until %v without contact", cutOff)
 	}
 	if b.nodes[2].lease < 32 {
