--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -90,6 +90,10 @@
 		return
 	}
 	n.counters.Heard++
+	if n.heard == Never || n.now-n.heard >= contactFor {
+		n.heardSince = n.now
+	}
+	n.heard = n.now
 	n.gossip.unheard = 0
 	answered, attempted := n.fromWire(m.answered), n.fromWire(m.attempted)
 	n.noticeAnswers(answered)
@@ -138,7 +142,7 @@
 	if !n.assemble(from, m) {
 		return
 	}
-	n.see(m.view)
+	n.view = m.view // not in the history: the units that joined are not known here, so neither is which of them leave
 	n.answered = later(n.answered, answered)
 	n.contact = n.now
 	n.gossip.advertised = n.now
