--- /dev/null
+++ b/cmd/lichenroad/fit_test.go
@@ -0,0 +1,38 @@
+//go:build !slim
+
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestLabFit(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bench.txt")
+	text := "BenchmarkTick/units=100 1 1200 ns/op\nBenchmarkTick/units=200 1 2200 ns/op\nBenchmarkTick/units=400 1 4200 ns/op\nBenchmarkTick/units=800 1 8200 ns/op\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"--at 1600 --budget 5200", 0, "Tick: ns/op = 200 +10 units; 4 sizes from 100 to 800, residual 0.0%; at 1600: 1.62e+04, 2.00 times the largest size; 5200 at units=500 (0.3125 of 1600)\n"},
+		{"", 0, "residual 0.0%\n"},
+		{"--form power", 0, "units^0."},
+		{"--form cubic", 2, "neither line nor power"},
+		{"--size relays", 1, "no benchmark with a size relays="},
+		{"--unit B/op", 1, "no benchmark"},
+	} {
+		code, out, errs := call(append([]string{"lab", "fit", file}, strings.Fields(c.args)...)...)
+		if code != c.code || !strings.Contains(out+errs, c.want) || c.code != 0 && strings.Count(errs, "\n") != 1 {
+			t.Errorf("%s: %d %q %q", c.args, code, out, errs)
+		}
+	}
+	if code, _, errs := call("lab", "fit", "/none"); code != 1 || strings.Count(errs, "\n") != 1 {
+		t.Errorf("%d %q", code, errs)
+	}
+}
--- /dev/null
+++ b/lab/slope/slope_test.go
@@ -0,0 +1,100 @@
+package slope
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+)
+
+const output = `goos: linux
+pkg: lichenroad/policy
+BenchmarkTick/units=100/relays=4-8         	  100	   1200 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=200/relays=4-8         	  100	   2100 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=200/relays=4-8         	  100	   2300 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=400/relays=4-8         	  100	   4200 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=800/relays=4-8         	  100	   8200 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=100/relays=8-8         	  100	   9 ns/op
+BenchmarkTick/units=many/relays=4-8        	  100	   9 ns/op
+BenchmarkHeap/units=100                    	    1	   1200 ns/op	  77.5 heap-B
+BenchmarkOther-8                           	  100	   7 ns/op
+BenchmarkCut/units=100
+ok  	lichenroad/policy	1.2s
+`
+
+func TestRead(t *testing.T) {
+	all, err := Read(strings.NewReader(output), "units", "ns/op")
+	if err != nil || len(all) != 3 || all[0].Name != "Tick/relays=4" || len(all[0].Samples) != 5 ||
+		all[0].Samples[4] != (Sample{800, 8200}) || all[1].Name != "Tick/relays=8" || all[2].Name != "Heap" {
+		t.Errorf("%+v %v", all, err)
+	}
+	all, err = Read(strings.NewReader(output), "units", "heap-B")
+	if err != nil || len(all) != 1 || all[0].Samples[0] != (Sample{100, 77.5}) {
+		t.Errorf("%+v %v", all, err)
+	}
+	if all, _ = Read(strings.NewReader(output), "relays", "ns/op"); len(all) != 5 || all[0].Name != "Tick/units=100" ||
+		all[0].Samples[1] != (Sample{8, 9}) {
+		t.Errorf("%+v", all)
+	}
+}
+
+func near(got, want float64) bool { return math.Abs(got-want) <= 1e-9*math.Abs(want) }
+
+func TestLine(t *testing.T) {
+	all, _ := Read(strings.NewReader(output), "units", "ns/op")
+	f, err := New(Line, all[0].Samples)
+	if err != nil || !near(f.A, 200) || !near(f.B, 10) || f.Sizes != 4 || f.Least != 100 || f.Most != 800 || f.Residual > 1e-9 {
+		t.Fatalf("%+v %v", f, err)
+	}
+	if !near(f.At(1600), 16200) || !near(f.Reaches(5200), 500) || f.Reaches(100) != 0 || f.Extrapolated(1600) != 2 || f.Extrapolated(50) != 1 {
+		t.Errorf("at 1600 %v, reaches %v and %v", f.At(1600), f.Reaches(5200), f.Reaches(100))
+	}
+	if got := f.Formula("units"); got != "200 +10 units" {
+		t.Error(got)
+	}
+}
+
+// TestResidual gives one size that lies a tenth off the line of the others: the residual tells so.
+func TestResidual(t *testing.T) {
+	f, err := New(Line, []Sample{{10, 100}, {20, 200}, {40, 400}, {80, 800}, {160, 1760}})
+	if err != nil || f.Residual < 0.02 || f.Residual > 0.1 {
+		t.Errorf("%+v %v", f, err)
+	}
+}
+
+func TestPower(t *testing.T) {
+	var samples []Sample
+	for _, n := range []float64{10, 20, 40, 80} {
+		samples = append(samples, Sample{n, 3 * n * n})
+	}
+	f, err := New(Power, samples)
+	if err != nil || !near(f.A, 3) || !near(f.B, 2) || !near(f.At(100), 30000) || !near(f.Reaches(30000), 100) {
+		t.Errorf("%+v %v", f, err)
+	}
+	if f.Formula("n") != "3 n^2.000" {
+		t.Error(f.Formula("n"))
+	}
+	if line, _ := New(Line, samples); line.Residual < 0.2 {
+		t.Errorf("a square passes for a line: %+v", line)
+	}
+}
+
+func TestFlatNeverReaches(t *testing.T) {
+	f, err := New(Line, []Sample{{1, 5}, {2, 5}, {3, 5}, {4, 5}})
+	if err != nil || !math.IsInf(f.Reaches(6), 1) || f.Reaches(4) != 0 {
+		t.Errorf("%+v %v", f, err)
+	}
+}
+
+func TestWhatCannotBeFitted(t *testing.T) {
+	if _, err := New(Line, []Sample{{1, 1}, {1, 2}, {2, 2}, {3, 3}}); !errors.Is(err, ErrFewSizes) {
+		t.Error(err)
+	}
+	four := []Sample{{0, 1}, {1, 2}, {2, 2}, {3, 3}}
+	if _, err := New(Power, four); !errors.Is(err, ErrSample) {
+		t.Error(err)
+	}
+	if _, err := New("cubic", four); !errors.Is(err, ErrForm) {
+		t.Error(err)
+	}
+}
