Benchmarks by size: lists, pool, settings, the module's lists, queries, ticks and messages

Cause: the capacity page needs figures at sizes up to 42,000 units, 4,300 relays and 270,000 tenants; the one benchmark of a large fleet ends at 1,024 and times its checker too.

--- /dev/null
+++ b/internal/roster/bench_test.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+// listOf is discovery's answer with so many units, with names and addresses as long as those of a site of many services.
+func listOf(units int, whole bool) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"generation":41,"reset":%v,"instances":[`, whole)
+	for i := range units {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"instanceId":"planner-%04d-%05d","hostPort":"10.%d.%d.%d:5433","zone":"zone-%d","machineType":"m%d","cell":%d,`+
+			`"lifecycle":"SERVING","weight":1,"startedAtMs":1764651600000,"build":41}`,
+			i%2100, i, i>>16, i>>8&255, i&255, i%16, i%4, i%8)
+	}
+	b.WriteString(`]}`)
+	return b.Bytes()
+}
+
+func benchReader() *Reader {
+	return NewReader(nil, nil, func(s float64) relay.Seconds { return s })
+}
+
+// BenchmarkParse reads whole lists up to the most entries that are taken; heap-B is what the list holds once it is read.
+func BenchmarkParse(b *testing.B) {
+	for _, units := range []int{300, 1024, 2048, 4096, 8192, maxUnits} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			raw, r := listOf(units, true), benchReader()
+			var list List
+			before := inUse()
+			for b.Loop() {
+				var err error
+				if list, err = r.Parse(raw); err != nil || len(list.Lines) != units {
+					b.Fatal(len(list.Lines), err)
+				}
+			}
+			b.ReportMetric(inUse()-before, "heap-B")
+			b.ReportMetric(float64(len(raw)), "wire-B")
+			runtime.KeepAlive(list)
+			runtime.KeepAlive(raw)
+		})
+	}
+}
+
+// BenchmarkParseChanges reads an answer of a watch, by the changes in it.
+func BenchmarkParseChanges(b *testing.B) {
+	for _, changes := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			raw, r := listOf(changes, false), benchReader()
+			for b.Loop() {
+				if _, err := r.Parse(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "wire-B")
+		})
+	}
+}
+
+func inUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/internal/units/bench_test.go
@@ -0,0 +1,58 @@
+package units
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenroad/internal/buffer"
+	"lichenroad/internal/stage"
+	"lichenroad/internal/stats"
+	"lichenroad/relay"
+	"lichenroad/settings"
+)
+
+var unitSizes = []int{300, 1000, 4096, 12_000, 42_000}
+
+// BenchmarkListed tells the pool of a whole list, unit by unit, as the loop does; heap-B is what the pool holds then,
+// without any connection.
+func BenchmarkListed(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			names, addresses := make([]string, units), make([]string, units)
+			for i := range units {
+				names[i], addresses[i] = fmt.Sprintf("planner-%04d-%05d", i%2100, i), fmt.Sprintf("10.%d.%d.%d:5433", i>>16, i>>8&255, i&255)
+			}
+			p := emptyPool()
+			before := inUse()
+			for b.Loop() {
+				for i := range units {
+					p.Listed(relay.UnitEntry{Unit: relay.UnitID(i), Build: 41}, names[i], addresses[i])
+				}
+			}
+			b.ReportMetric(inUse()-before, "heap-B")
+			runtime.KeepAlive(p)
+			runtime.KeepAlive(names)
+			runtime.KeepAlive(addresses)
+		})
+	}
+}
+
+func emptyPool() *Pool {
+	site := settings.Site{}
+	site.Settings.Relays = 1
+	site.Settings.Categories = make([]relay.CategoryTerms, 1)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(stage.NewLoop(site, 1, buffer.NewPool(1<<20), &stats.Counters{}, log), 4)
+}
+
+func inUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/policy/slope_test.go
@@ -0,0 +1,459 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+// Benchmarks at several sizes, for docs/CAPACITY.md: lichenroad lab fit puts a curve through what they measure.
+
+const (
+	roundSpan   = 0.01   // s from one Step to the next
+	legTime     = 0.15   // s that a leg takes
+	warmUp      = 12.0   // s before the clock of a benchmark runs: the evidence window is full then
+	bodiesAhead = 50_000 // memos made before the clock runs, at most
+	memoRounds  = 10     // seconds after which a relay says the same again
+	ipAndUDP    = 20 + 8 // bytes of a datagram's headers
+	megabyte    = 1_000_000
+)
+
+// legOut is a leg that will be honoured.
+type legOut struct {
+	query relay.QueryID
+	unit  relay.UnitID
+	at    relay.Seconds
+}
+
+// driver runs one module under even load. Unlike world it checks nothing, so that a benchmark times little but the module.
+type driver struct {
+	mod    *Policy
+	set    relay.Settings
+	now    relay.Seconds
+	round  int
+	next   relay.QueryID
+	owed   float64 // queries that are due
+	wake   relay.Seconds
+	legs   []legOut // in the order of their ends
+	events []relay.Event
+
+	denied   int
+	messages float64 // sent
+	bytes    float64 // of them, with UDP and IP headers
+}
+
+func newDriver(set relay.Settings) *driver { return &driver{mod: New(set, 1), set: set} }
+
+// step delivers events and takes the orders in.
+func (d *driver) step(events []relay.Event) {
+	for _, o := range d.mod.Step(d.now, events) {
+		switch o := o.(type) {
+		case relay.SendLeg:
+			d.legs = append(d.legs, legOut{o.Query, o.Unit, d.now})
+		case relay.Deny:
+			d.denied++
+		case relay.Wake:
+			d.wake = o.At
+		case relay.Tell:
+			d.messages++
+			d.bytes += float64(len(o.Body) + ipAndUDP)
+		}
+	}
+}
+
+// due collects the wake-up and the ends of legs that are due.
+func (d *driver) due() {
+	d.events = d.events[:0]
+	if d.now >= d.wake {
+		d.events = append(d.events, relay.Woken{ID: 1})
+	}
+	ended := 0
+	for ended < len(d.legs) && d.now-d.legs[ended].at >= legTime {
+		l := d.legs[ended]
+		d.events = append(d.events, relay.LegEnded{Query: l.query, Unit: l.unit, How: relay.Honoured, Took: legTime, Over: true})
+		ended++
+	}
+	d.legs = append(d.legs[:0], d.legs[ended:]...)
+}
+
+// query is a query of a category that may be sent again, with a known work.
+func (d *driver) query(customer relay.Customer) relay.Query {
+	d.next++
+	return relay.Query{ID: d.next - 1, Category: relay.Category(d.next % 2), Customer: customer,
+		Until: d.now + d.set.Categories[d.next%2].Patience, Work: 0.1, HasWork: true}
+}
+
+// load is what comes to a relay besides its own ticks and the ends of its legs.
+type load struct {
+	queries float64  // a second
+	memos   [][]byte // told by other relays: each of them tells so many a second
+	each    int
+	finds   []byte // told by each fuser but this relay once a second
+}
+
+// run lets time pass under a load.
+func (d *driver) run(span relay.Seconds, l load) {
+	const rounds = 100 // a second
+	for range int(span*rounds + 0.5) {
+		d.now += roundSpan
+		d.round++
+		d.due()
+		for d.owed += l.queries * roundSpan; d.owed >= 1; d.owed-- {
+			d.events = append(d.events, d.query(0))
+		}
+		if len(l.memos) > 0 {
+			for i := d.round % rounds; i < d.set.Relays; i += rounds {
+				for k := 0; k < l.each && i != int(d.set.Self); k++ {
+					body := l.memos[((d.round/rounds)*d.set.Relays*l.each+i*l.each+k)%len(l.memos)]
+					d.events = append(d.events, relay.Heard{From: relay.RelayNo(i), Body: body})
+				}
+			}
+		}
+		if l.finds != nil && d.round%rounds == 0 {
+			for i := range min(fuserCount, d.set.Relays) {
+				if i != int(d.set.Self) {
+					d.events = append(d.events, relay.Heard{From: relay.RelayNo(i), Body: l.finds})
+				}
+			}
+		}
+		d.step(d.events)
+	}
+}
+
+// onTrial lists units of which half run a build on trial, and tells that build's news.
+func (d *driver) onTrial(units int) []relay.UnitEntry {
+	es := scattered(units, 1, 0, units/2)
+	es = append(es, scattered(units, 2, units/2, units)...)
+	d.step([]relay.Event{relay.Roster{Form: relay.RosterFull, Units: es},
+		relay.StageNews{Valid: true, Build: 2, Stage: 1, Phase: relay.OnTrial, Cap: 0.4}})
+	return es
+}
+
+// scattered are units with ids like those of discovery's, which are hashes of names.
+func scattered(units int, build relay.Build, from, to int) (es []relay.UnitEntry) {
+	for i, e := range entries(units, build, 1)[from:to] {
+		e.Unit = relay.UnitID(uint64(from+i+1) * 0x9e3779b97f4a7c15)
+		es = append(es, e)
+	}
+	return es
+}
+
+// memosOf makes the memos of a fleet: so many legs of each relay a second, spread over all units by chance.
+func memosOf(set relay.Settings, es []relay.UnitEntry, legs int) (bodies [][]byte, each int) {
+	rng := rand.New(rand.NewSource(1))
+	each = max((legs+memoLegs-1)/memoLegs, 1)
+	for no := range min(set.Relays*each*memoRounds, bodiesAhead) {
+		m := memo{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
+		for range min(legs-no%each*memoLegs, memoLegs) {
+			at := rng.Intn(len(es))
+			m.seen = append(m.seen, sighting{unit: markOf(es[at].Unit), how: relay.Honoured, newest: at >= len(es)/2, pace: 1})
+		}
+		bodies = append(bodies, m.encode())
+	}
+	return bodies, each
+}
+
+// aFinding is what a fuser tells: that nothing is to be done.
+func aFinding() []byte { return finding{build: 2, stage: 1, paces: []float64{1, 1}}.encode() }
+
+// fleetOf are the settings of one of so many relays.
+func fleetOf(relays, self int) relay.Settings {
+	set := plainSettings()
+	set.Relays, set.Self = relays, relay.RelayNo(self)
+	return set
+}
+
+// heap is the memory in use, for differences.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+var unitSizes = []int{300, 1000, 4096, 12_000, 42_000}
+
+// BenchmarkFirstList is the first whole list, and what the units take: nothing is known of them yet.
+func BenchmarkFirstList(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			es := scattered(units, 1, 0, units)
+			before := heap()
+			for range b.N {
+				d := newDriver(fleetOf(300, 299))
+				d.step([]relay.Event{relay.Roster{Form: relay.RosterFull, Units: es}})
+				b.StopTimer()
+				b.ReportMetric(heap()-before, "heap-B")
+				runtime.KeepAlive(d)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkWholeList is a whole list in which nothing differs.
+func BenchmarkWholeList(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			d := newDriver(fleetOf(300, 299))
+			es := d.onTrial(units)
+			for b.Loop() {
+				d.step([]relay.Event{relay.Roster{Form: relay.RosterFull, Units: es}})
+			}
+		})
+	}
+}
+
+// BenchmarkDelta is a list of one change.
+func BenchmarkDelta(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			d := newDriver(fleetOf(300, 299))
+			es := d.onTrial(units)
+			no := 0
+			for b.Loop() {
+				e := es[no%units]
+				if no++; no/units%2 == 0 {
+					e.State = relay.Draining
+				}
+				d.step([]relay.Event{relay.Roster{Form: relay.RosterDelta, Units: []relay.UnitEntry{e}}})
+			}
+		})
+	}
+}
+
+// BenchmarkQuery is the choice of a unit for a query, and the end of its leg.
+func BenchmarkQuery(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			d := newDriver(fleetOf(300, 299))
+			d.onTrial(units)
+			d.run(3, load{queries: 77, finds: aFinding()})
+			d.legs = nil
+			for b.Loop() {
+				d.step([]relay.Event{d.query(0)})
+				for _, l := range d.legs {
+					d.step([]relay.Event{relay.LegEnded{Query: l.query, Unit: l.unit, How: relay.Honoured, Took: legTime, Over: true}})
+				}
+				d.legs = d.legs[:0]
+				d.step(nil)
+				if len(d.mod.desk.open) > 1000 { // a tick, which is another benchmark's, forgets those that are over
+					b.StopTimer()
+					d.step([]relay.Event{relay.Woken{ID: 1}})
+					b.StartTimer()
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick is one of the twenty looks a second of a relay that does not fuse and has no query open. Each is 50 ms
+// after the one before, so that one in five forms verdicts, as in service.
+func BenchmarkTick(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			d := newDriver(fleetOf(300, 299))
+			d.onTrial(units)
+			finds, no := aFinding(), 0
+			for b.Loop() {
+				d.now += tick
+				events := []relay.Event{relay.Woken{ID: 1}}
+				if no++; no%20 == 1 {
+					for i := range relay.RelayNo(fuserCount) {
+						events = append(events, relay.Heard{From: i, Body: finds})
+					}
+				}
+				d.step(events)
+			}
+			if d.mod.fuser.fusing {
+				b.Fatal("it fuses")
+			}
+		})
+	}
+}
+
+// second times seconds of a relay's life under a load, after a warm-up, and tells its heap and what it sent.
+func second(b *testing.B, d *driver, l load, before float64, fuses bool) {
+	d.run(warmUp, l)
+	d.messages, d.bytes, d.denied = 0, 0, 0
+	seconds := 0.0
+	for b.Loop() {
+		d.run(1, l)
+		seconds++
+	}
+	if d.mod.fuser.fusing != fuses || d.denied > 0 {
+		b.Fatalf("fuses: %v, denied: %d", d.mod.fuser.fusing, d.denied)
+	}
+	b.ReportMetric(d.messages/seconds, "messages-out/s")
+	b.ReportMetric(d.bytes/seconds, "bytes-out/s")
+	b.ReportMetric((heap()-before)/megabyte, "heap-MB")
+	runtime.KeepAlive(d)
+	runtime.KeepAlive(l)
+}
+
+// BenchmarkRelaySecond is a second of a relay that does not fuse, by units, in a fleet of 4,300 at the target's 77 queries.
+func BenchmarkRelaySecond(b *testing.B) {
+	for _, units := range unitSizes {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			before := heap()
+			d := newDriver(fleetOf(4300, 4299))
+			d.onTrial(units)
+			second(b, d, load{queries: 77, finds: aFinding()}, before, false)
+		})
+	}
+}
+
+// BenchmarkRelayRate is the same by queries a second, before few units: what it tells the fusers grows with them.
+func BenchmarkRelayRate(b *testing.B) {
+	for _, rate := range []int{3, 10, 30, 77, 150, 300} {
+		b.Run(fmt.Sprintf("queries=%d", rate), func(b *testing.B) {
+			before := heap()
+			d := newDriver(fleetOf(4300, 4299))
+			d.onTrial(300)
+			second(b, d, load{queries: float64(rate), finds: aFinding()}, before, false)
+		})
+	}
+}
+
+// BenchmarkFuserSecond is a second of a fuser: 30 queries of its own, and a memo of four legs from each relay.
+func BenchmarkFuserSecond(b *testing.B) {
+	for _, relays := range []int{4, 43, 300, 1290, 4300} {
+		for _, units := range []int{20, 150, 1024, 4096, 12_000, 42_000} {
+			b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) { fuserSecond(b, relays, units, 30, 4) })
+		}
+	}
+}
+
+// BenchmarkFuserAtTarget is the same at the target's load: 77 queries, and as many legs told by each relay.
+func BenchmarkFuserAtTarget(b *testing.B) {
+	for _, relays := range []int{4, 10, 43, 300, 1290, 4300} {
+		for _, units := range []int{150, 42_000} {
+			b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) { fuserSecond(b, relays, units, 77, 77) })
+		}
+	}
+}
+
+func fuserSecond(b *testing.B, relays, units int, queries float64, legs int) {
+	set := fleetOf(relays, 0)
+	l := load{queries: queries, finds: aFinding()}
+	l.memos, l.each = memosOf(set, append(scattered(units, 1, 0, units/2), scattered(units, 2, units/2, units)...), legs)
+	received := 0.0
+	for _, body := range l.memos {
+		received += float64(len(body)+ipAndUDP) / float64(len(l.memos)) * float64(l.each*(relays-1))
+	}
+	before := heap()
+	d := newDriver(set)
+	d.onTrial(units)
+	second(b, d, l, before, true)
+	b.ReportMetric(received, "bytes-in/s")
+	b.ReportMetric(float64(l.each*(relays-1)), "messages-in/s")
+}
+
+// BenchmarkTenants is a query where so many customers have a share, and what they take.
+func BenchmarkTenants(b *testing.B) {
+	for _, tenants := range []int{1000, 10_000, 50_000, 120_000, 270_000} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
+			set := fleetOf(4300, 4299)
+			before := heap()
+			for range tenants {
+				set.Customers = append(set.Customers, relay.CustomerTerms{Share: 1 / float64(tenants)})
+			}
+			d := newDriver(set)
+			d.onTrial(20)
+			d.run(1, load{queries: 77, finds: aFinding()})
+			no := 0
+			for b.Loop() {
+				d.now += 1.0 / 77
+				d.due()
+				d.events = append(d.events, d.query(relay.Customer(no%tenants)))
+				no++
+				d.step(d.events)
+			}
+			b.ReportMetric((heap()-before)/megabyte, "heap-MB")
+			runtime.KeepAlive(d)
+			runtime.KeepAlive(set)
+		})
+	}
+}
+
+// BenchmarkEncode writes one memo, and BenchmarkDecode reads it, by the legs in it.
+func BenchmarkEncode(b *testing.B) {
+	for _, legs := range memoSizes {
+		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
+			m := memoOf(legs)
+			bytes := 0
+			for b.Loop() {
+				bytes = len(m.encode())
+			}
+			b.ReportMetric(float64(bytes), "wire-B")
+		})
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	for _, legs := range memoSizes {
+		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
+			body := memoOf(legs).encode()
+			for b.Loop() {
+				if _, err := decode(1, body); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMerge takes one memo in at a fuser of 4,300 relays and 42,000 units, by the legs in it: reading it, and adding
+// what it tells to the units' evidence.
+func BenchmarkMerge(b *testing.B) {
+	for _, legs := range memoSizes {
+		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
+			const units = 42_000
+			set := fleetOf(4300, 0)
+			d := newDriver(set)
+			bodies, _ := memosOf(set, d.onTrial(units), legs)
+			no := 0
+			for b.Loop() {
+				d.now += 1.0 / 4300
+				d.step([]relay.Event{relay.Heard{From: relay.RelayNo(1 + no%4299), Body: bodies[no%len(bodies)]}})
+				no++
+			}
+		})
+	}
+}
+
+var memoSizes = []int{1, 4, 12, 24, 36}
+
+func memoOf(legs int) memo {
+	m := memo{build: 861, stage: 1, verdicts: make([]verdict, 3)}
+	for i := range legs {
+		m.seen = append(m.seen, sighting{unit: markOf(relay.UnitID(i + 1)), how: relay.Honoured, newest: i%2 == 0, pace: 1})
+	}
+	return m
+}
+
+// BenchmarkMarks counts units whose mark is that of another, by the number of units.
+func BenchmarkMarks(b *testing.B) {
+	for _, units := range []int{1024, 4096, 12_000, 42_000} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			rng := rand.New(rand.NewSource(1))
+			alike, fleets := 0, 0
+			for b.Loop() {
+				first := map[mark]int{}
+				for range units {
+					first[markOf(relay.UnitID(rng.Uint64()))]++
+				}
+				for _, n := range first {
+					if n > 1 {
+						alike += n
+					}
+				}
+				fleets++
+			}
+			b.ReportMetric(float64(alike)/float64(fleets), "alike-units")
+		})
+	}
+}
