--- a/cmd/lichenroad/fit.go
+++ b/cmd/lichenroad/fit.go
@@ -19,6 +19,8 @@
 	size := c.Flags().String("size", "units", "the size in the benchmarks' names, as in units=1024")
 	unit := c.Flags().String("unit", "ns/op", "of the figure")
 	form := c.Flags().String("form", string(slope.Line), "line: a + b n; power: a n^b")
+	from := c.Flags().Float64("from", 0, "smaller sizes are left out")
+	to := c.Flags().Float64("to", math.Inf(1), "larger sizes are left out")
 	at := c.Flags().Float64("at", 0, "size for which to tell the figure; 0: none")
 	budget := c.Flags().Float64("budget", 0, "figure for which to tell the size that reaches it; 0: none")
 	c.RunE = func(_ *cobra.Command, args []string) error {
@@ -42,6 +44,7 @@
 			return failed(fmt.Errorf("%s: no benchmark with a size %s= and a figure in %s", args[0], *size, *unit))
 		}
 		for _, s := range all {
+			s.Samples = s.Within(*from, *to)
 			if err := t.fitted(s, slope.Form(*form), *size, *unit, *at, *budget); err != nil {
 				return failed(fmt.Errorf("%s: %w", s.Name, err))
 			}
--- a/cmd/lichenroad/fit_test.go
+++ b/cmd/lichenroad/fit_test.go
@@ -23,6 +23,8 @@
 		{"--at 1600 --budget 5200", 0, "Tick: ns/op = 200 +10 units; 4 sizes from 100 to 800, residual 0.0%; at 1600: 1.62e+04, 2.00 times the largest size; 5200 at units=500 (0.3125 of 1600)\n"},
 		{"", 0, "residual 0.0%\n"},
 		{"--form power", 0, "units^0."},
+		{"--from 200", 1, "fewer than 4 sizes"},
+		{"--to 400", 1, "fewer than 4 sizes"},
 		{"--form cubic", 2, "neither line nor power"},
 		{"--size relays", 1, "no benchmark with a size relays="},
 		{"--unit B/op", 1, "no benchmark"},
--- a/lab/slope/slope.go
+++ b/lab/slope/slope.go
@@ -110,6 +110,16 @@
 	return part[:at]
 }
 
+// Within gives the samples of sizes from one to another.
+func (s Series) Within(from, to float64) (samples []Sample) {
+	for _, sample := range s.Samples {
+		if sample.Size >= from && sample.Size <= to {
+			samples = append(samples, sample)
+		}
+	}
+	return samples
+}
+
 // Fit is a curve through a series.
 type Fit struct {
 	Form     Form
@@ -117,41 +127,41 @@
 	Sizes    int     // different ones
 	Least    float64 // size
 	Most     float64 // size
-	Residual float64 // the largest difference between a size's mean and the curve, as a part of that mean
+	Residual float64 // the largest difference between a size's median and the curve, as a part of that median
 }
 
 // New fits a curve to samples by least squares of relative differences: sizes span decades, and the smallest must
 // count as much as the largest.
 func New(form Form, samples []Sample) (Fit, error) {
-	sizes, means := means(samples)
+	sizes, medians := medians(samples)
 	if len(sizes) < LeastSizes {
 		return Fit{}, ErrFewSizes
 	}
 	f := Fit{Form: form, Sizes: len(sizes), Least: sizes[0], Most: sizes[len(sizes)-1]}
 	switch form {
 	case Line:
-		weights := make([]float64, len(means))
-		for i, v := range means {
+		weights := make([]float64, len(medians))
+		for i, v := range medians {
 			weights[i] = 1 / math.Max(v*v, math.SmallestNonzeroFloat32)
 		}
-		f.A, f.B = stat.LinearRegression(sizes, means, weights, false)
+		f.A, f.B = stat.LinearRegression(sizes, medians, weights, false)
 	case Power:
-		if floats.Min(sizes) <= 0 || floats.Min(means) <= 0 {
+		if floats.Min(sizes) <= 0 || floats.Min(medians) <= 0 {
 			return Fit{}, ErrSample
 		}
-		a, b := stat.LinearRegression(logs(sizes), logs(means), nil, false)
+		a, b := stat.LinearRegression(logs(sizes), logs(medians), nil, false)
 		f.A, f.B = math.Exp(a), b
 	default:
 		return Fit{}, fmt.Errorf("%w %q", ErrForm, form)
 	}
 	for i, n := range sizes {
-		f.Residual = math.Max(f.Residual, math.Abs(f.At(n)-means[i])/math.Max(math.Abs(means[i]), math.SmallestNonzeroFloat32))
+		f.Residual = math.Max(f.Residual, math.Abs(f.At(n)-medians[i])/math.Max(math.Abs(medians[i]), math.SmallestNonzeroFloat32))
 	}
 	return f, nil
 }
 
-// means are the sizes in order, and the mean of the samples at each.
-func means(samples []Sample) (sizes, values []float64) {
+// medians are the sizes in order, and the median of the samples at each: a shared machine has outliers.
+func medians(samples []Sample) (sizes, values []float64) {
 	bySize := map[float64][]float64{}
 	for _, s := range samples {
 		if bySize[s.Size] == nil {
@@ -161,11 +171,20 @@
 	}
 	sort.Float64s(sizes)
 	for _, n := range sizes {
-		values = append(values, stat.Mean(bySize[n], nil))
+		values = append(values, median(bySize[n]))
 	}
 	return sizes, values
 }
 
+func median(values []float64) float64 {
+	sort.Float64s(values)
+	middle := len(values) / 2
+	if len(values)%2 == 1 {
+		return values[middle]
+	}
+	return (values[middle-1] + values[middle]) / 2
+}
+
 func logs(values []float64) []float64 {
 	out := make([]float64, len(values))
 	for i, v := range values {
--- a/lab/slope/slope_test.go
+++ b/lab/slope/slope_test.go
@@ -13,6 +13,8 @@
 BenchmarkTick/units=200/relays=4-8         	  100	   2100 ns/op	  16 B/op	  2 allocs/op
 BenchmarkTick/units=200/relays=4-8         	  100	   2300 ns/op	  16 B/op	  2 allocs/op
 BenchmarkTick/units=400/relays=4-8         	  100	   4200 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=400/relays=4-8         	  100	   4100 ns/op	  16 B/op	  2 allocs/op
+BenchmarkTick/units=400/relays=4-8         	  100	   9900 ns/op	  16 B/op	  2 allocs/op
 BenchmarkTick/units=800/relays=4-8         	  100	   8200 ns/op	  16 B/op	  2 allocs/op
 BenchmarkTick/units=100/relays=8-8         	  100	   9 ns/op
 BenchmarkTick/units=many/relays=4-8        	  100	   9 ns/op
@@ -24,8 +26,8 @@
 
 func TestRead(t *testing.T) {
 	all, err := Read(strings.NewReader(output), "units", "ns/op")
-	if err != nil || len(all) != 3 || all[0].Name != "Tick/relays=4" || len(all[0].Samples) != 5 ||
-		all[0].Samples[4] != (Sample{800, 8200}) || all[1].Name != "Tick/relays=8" || all[2].Name != "Heap" {
+	if err != nil || len(all) != 3 || all[0].Name != "Tick/relays=4" || len(all[0].Samples) != 7 ||
+		all[0].Samples[6] != (Sample{800, 8200}) || all[1].Name != "Tick/relays=8" || all[2].Name != "Heap" {
 		t.Errorf("%+v %v", all, err)
 	}
 	all, err = Read(strings.NewReader(output), "units", "heap-B")
@@ -49,6 +51,9 @@
 	if !near(f.At(1600), 16200) || !near(f.Reaches(5200), 500) || f.Reaches(100) != 0 || f.Extrapolated(1600) != 2 || f.Extrapolated(50) != 1 {
 		t.Errorf("at 1600 %v, reaches %v and %v", f.At(1600), f.Reaches(5200), f.Reaches(100))
 	}
+	if got := all[0].Within(200, 400); len(got) != 5 || got[0] != (Sample{200, 2100}) {
+		t.Errorf("%v", got)
+	}
 	if got := f.Formula("units"); got != "200 +10 units" {
 		t.Error(got)
 	}
