Benchmark of a fuser by the part of the target that its fleet is

Cause: the capacity page names the size at which a row goes over budget as a part of the target, where relays and units shrink together; series by one of the two do not show it. Change: BenchmarkFuserPart, in thousandths, in place of the grid at two numbers of units.

--- a/policy/slope_test.go
+++ b/policy/slope_test.go
@@ -327,12 +327,12 @@
 	}
 }
 
-// BenchmarkFuserAtTarget is the same at the target's load: 77 queries, and as many legs told by each relay.
-func BenchmarkFuserAtTarget(b *testing.B) {
-	for _, relays := range []int{4, 10, 43, 300, 1290, 4300} {
-		for _, units := range []int{150, 42_000} {
-			b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) { fuserSecond(b, relays, units, 77, 77) })
-		}
+// BenchmarkFuserPart is a fuser's second in a fleet that is a part of the target's, in thousandths: relays and units
+// shrink together, each relay takes the target's 77 queries a second and tells as many legs.
+func BenchmarkFuserPart(b *testing.B) {
+	for _, part := range []int{1, 2, 5, 10, 20, 50, 100, 300, 1000} {
+		relays, units := 4300*part/1000, 42_000*part/1000
+		b.Run(fmt.Sprintf("permille=%d", part), func(b *testing.B) { fuserSecond(b, relays, units, 77, 77) })
 	}
 }
 
