--- a/internal/units/bench_test.go
+++ b/internal/units/bench_test.go
@@ -15,7 +15,7 @@
 	"lichenroad/settings"
 )
 
-var unitSizes = []int{300, 1000, 2048, 4096, 8192, 12_000, 20_000, 42_000}
+var unitSizes = []int{300, 1000, 2048, 4096, 8192, 12_000, 20_000, 30_000, 42_000}
 
 // BenchmarkListed tells the pool of a whole list, unit by unit, as the loop does; heap-B is what the pool holds then,
 // without any connection.
--- a/policy/slope_test.go
+++ b/policy/slope_test.go
@@ -174,7 +174,7 @@
 	return float64(m.HeapAlloc)
 }
 
-var unitSizes = []int{300, 1000, 2048, 4096, 8192, 12_000, 20_000, 42_000}
+var unitSizes = []int{300, 1000, 2048, 4096, 8192, 12_000, 20_000, 30_000, 42_000}
 
 // BenchmarkFirstList is the first whole list, and what the units take: nothing is known of them yet.
 func BenchmarkFirstList(b *testing.B) {
