--- a/policy/slope_test.go
+++ b/policy/slope_test.go
@@ -12,13 +12,13 @@
 // Benchmarks at several sizes, for docs/CAPACITY.md: lichenroad lab fit puts a curve through what they measure.
 
 const (
-	roundSpan   = 0.01   // s from one Step to the next
-	legTime     = 0.15   // s that a leg takes
-	warmUp      = 12.0   // s before the clock of a benchmark runs: the evidence window is full then
-	bodiesAhead = 50_000 // memos made before the clock runs, at most
-	memoRounds  = 10     // seconds after which a relay says the same again
-	ipAndUDP    = 20 + 8 // bytes of a datagram's headers
-	megabyte    = 1_000_000
+	roundSpan    = 0.01   // s from one Step to the next
+	legTime      = 0.15   // s that a leg takes
+	warmUp       = 12.0   // s before the clock of a benchmark runs: the evidence window is full then
+	bodiesAhead  = 50_000 // reports made before the clock runs, at most
+	reportRounds = 10     // seconds after which a relay says the same again
+	ipAndUDP     = 20 + 8 // bytes of a datagram's headers
+	megabyte     = 1_000_000
 )
 
 // legOut is a leg that will be honoured.
@@ -88,10 +88,10 @@
 
 // load is what comes to a relay besides its own ticks and the ends of its legs.
 type load struct {
-	queries float64  // a second
-	memos   [][]byte // told by other relays: each of them tells so many a second
-	each    int
-	finds   []byte // told by each fuser but this relay once a second
+	queries   float64  // a second
+	reports   [][]byte // told by other relays: each of them tells so many a second
+	each      int
+	decisions []byte // told by each aggregator but this relay once a second
 }
 
 // run lets time pass under a load.
@@ -104,18 +104,18 @@
 		for d.owed += l.queries * roundSpan; d.owed >= 1; d.owed-- {
 			d.events = append(d.events, d.query(0))
 		}
-		if len(l.memos) > 0 {
+		if len(l.reports) > 0 {
 			for i := d.round % rounds; i < d.set.Relays; i += rounds {
 				for k := 0; k < l.each && i != int(d.set.Self); k++ {
-					body := l.memos[((d.round/rounds)*d.set.Relays*l.each+i*l.each+k)%len(l.memos)]
+					body := l.reports[((d.round/rounds)*d.set.Relays*l.each+i*l.each+k)%len(l.reports)]
 					d.events = append(d.events, relay.Heard{From: relay.RelayNo(i), Body: body})
 				}
 			}
 		}
-		if l.finds != nil && d.round%rounds == 0 {
-			for i := range min(fuserCount, d.set.Relays) {
+		if l.decisions != nil && d.round%rounds == 0 {
+			for i := range min(aggregatorCount, d.set.Relays) {
 				if i != int(d.set.Self) {
-					d.events = append(d.events, relay.Heard{From: relay.RelayNo(i), Body: l.finds})
+					d.events = append(d.events, relay.Heard{From: relay.RelayNo(i), Body: l.decisions})
 				}
 			}
 		}
@@ -141,23 +141,23 @@
 	return es
 }
 
-// memosOf makes the memos of a fleet: so many legs of each relay a second, spread over all units by chance.
-func memosOf(set relay.Settings, es []relay.UnitEntry, legs int) (bodies [][]byte, each int) {
+// reportsOf makes the reports of a fleet: so many legs of each relay a second, spread over all units by chance.
+func reportsOf(set relay.Settings, es []relay.UnitEntry, legs int) (bodies [][]byte, each int) {
 	rng := rand.New(rand.NewSource(1))
-	each = max((legs+memoLegs-1)/memoLegs, 1)
-	for no := range min(set.Relays*each*memoRounds, bodiesAhead) {
-		m := memo{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
-		for range min(legs-no%each*memoLegs, memoLegs) {
+	each = max((legs+reportLegs-1)/reportLegs, 1)
+	for no := range min(set.Relays*each*reportRounds, bodiesAhead) {
+		m := report{build: 2, stage: 1, verdicts: make([]verdict, len(set.Categories))}
+		for range min(legs-no%each*reportLegs, reportLegs) {
 			at := rng.Intn(len(es))
-			m.seen = append(m.seen, sighting{unit: markOf(es[at].Unit), how: relay.Honoured, newest: at >= len(es)/2, pace: 1})
+			m.observations = append(m.observations, observation{unit: hashOf(es[at].Unit), how: relay.Honoured, newest: at >= len(es)/2, pace: 1})
 		}
 		bodies = append(bodies, m.encode())
 	}
 	return bodies, each
 }
 
-// aFinding is what a fuser tells: that nothing is to be done.
-func aFinding() []byte { return finding{build: 2, stage: 1, paces: []float64{1, 1}}.encode() }
+// aDecision is what an aggregator tells: that nothing is to be done.
+func aDecision() []byte { return decision{build: 2, stage: 1, paces: []float64{1, 1}}.encode() }
 
 // fleetOf are the settings of one of so many relays.
 func fleetOf(relays, self int) relay.Settings {
@@ -231,7 +231,7 @@
 		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
 			d := newDriver(fleetOf(300, 299))
 			d.onTrial(units)
-			d.run(3, load{queries: 77, finds: aFinding()})
+			d.run(3, load{queries: 77, decisions: aDecision()})
 			d.legs = nil
 			for b.Loop() {
 				d.step([]relay.Event{d.query(0)})
@@ -250,33 +250,33 @@
 	}
 }
 
-// BenchmarkTick is one of the twenty looks a second of a relay that does not fuse and has no query open. Each is 50 ms
+// BenchmarkTick is one of the twenty looks a second of a relay that does not aggregate and has no query open. Each is 50 ms
 // after the one before, so that one in five forms verdicts, as in service.
 func BenchmarkTick(b *testing.B) {
 	for _, units := range unitSizes {
 		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
 			d := newDriver(fleetOf(300, 299))
 			d.onTrial(units)
-			finds, no := aFinding(), 0
+			decisions, no := aDecision(), 0
 			for b.Loop() {
 				d.now += tick
 				events := []relay.Event{relay.Woken{ID: 1}}
 				if no++; no%20 == 1 {
-					for i := range relay.RelayNo(fuserCount) {
-						events = append(events, relay.Heard{From: i, Body: finds})
+					for i := range relay.RelayNo(aggregatorCount) {
+						events = append(events, relay.Heard{From: i, Body: decisions})
 					}
 				}
 				d.step(events)
 			}
-			if d.mod.fuser.fusing {
-				b.Fatal("it fuses")
+			if d.mod.aggregator.aggregating {
+				b.Fatal("it aggregates")
 			}
 		})
 	}
 }
 
 // second times seconds of a relay's life under a load, after a warm-up, and tells its heap and what it sent.
-func second(b *testing.B, d *driver, l load, before float64, fuses bool) {
+func second(b *testing.B, d *driver, l load, before float64, aggregates bool) {
 	d.run(warmUp, l)
 	d.messages, d.bytes, d.denied = 0, 0, 0
 	seconds := 0.0
@@ -284,8 +284,8 @@
 		d.run(1, l)
 		seconds++
 	}
-	if d.mod.fuser.fusing != fuses || d.denied > 0 {
-		b.Fatalf("fuses: %v, denied: %d", d.mod.fuser.fusing, d.denied)
+	if d.mod.aggregator.aggregating != aggregates || d.denied > 0 {
+		b.Fatalf("aggregates: %v, denied: %d", d.mod.aggregator.aggregating, d.denied)
 	}
 	b.ReportMetric(d.messages/seconds, "messages-out/s")
 	b.ReportMetric(d.bytes/seconds, "bytes-out/s")
@@ -294,55 +294,55 @@
 	runtime.KeepAlive(l)
 }
 
-// BenchmarkRelaySecond is a second of a relay that does not fuse, by units, in a fleet of 4,300 at the target's 77 queries.
+// BenchmarkRelaySecond is a second of a relay that does not aggregate, by units, in a fleet of 4,300 at the target's 77 queries.
 func BenchmarkRelaySecond(b *testing.B) {
 	for _, units := range unitSizes {
 		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
 			before := heap()
 			d := newDriver(fleetOf(4300, 4299))
 			d.onTrial(units)
-			second(b, d, load{queries: 77, finds: aFinding()}, before, false)
+			second(b, d, load{queries: 77, decisions: aDecision()}, before, false)
 		})
 	}
 }
 
-// BenchmarkRelayRate is the same by queries a second, before few units: what it tells the fusers grows with them.
+// BenchmarkRelayRate is the same by queries a second, before few units: what it tells the aggregators grows with them.
 func BenchmarkRelayRate(b *testing.B) {
 	for _, rate := range []int{3, 10, 30, 77, 150, 300} {
 		b.Run(fmt.Sprintf("queries=%d", rate), func(b *testing.B) {
 			before := heap()
 			d := newDriver(fleetOf(4300, 4299))
 			d.onTrial(300)
-			second(b, d, load{queries: float64(rate), finds: aFinding()}, before, false)
+			second(b, d, load{queries: float64(rate), decisions: aDecision()}, before, false)
 		})
 	}
 }
 
-// BenchmarkFuserSecond is a second of a fuser: 30 queries of its own, and a memo of four legs from each relay.
-func BenchmarkFuserSecond(b *testing.B) {
+// BenchmarkAggregatorSecond is a second of an aggregator: 30 queries of its own, and a report of four legs from each relay.
+func BenchmarkAggregatorSecond(b *testing.B) {
 	for _, relays := range []int{4, 43, 300, 1290, 4300} {
 		for _, units := range []int{20, 150, 1024, 4096, 12_000, 42_000} {
-			b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) { fuserSecond(b, relays, units, 30, 4) })
+			b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) { aggregatorSecond(b, relays, units, 30, 4) })
 		}
 	}
 }
 
-// BenchmarkFuserPart is a fuser's second in a fleet that is a part of the target's, in thousandths: relays and units
+// BenchmarkAggregatorPart is an aggregator's second in a fleet that is a part of the target's, in thousandths: relays and units
 // shrink together, each relay takes the target's 77 queries a second and tells as many legs.
-func BenchmarkFuserPart(b *testing.B) {
+func BenchmarkAggregatorPart(b *testing.B) {
 	for _, part := range []int{1, 2, 5, 10, 20, 50, 100, 300, 1000} {
 		relays, units := 4300*part/1000, 42_000*part/1000
-		b.Run(fmt.Sprintf("permille=%d", part), func(b *testing.B) { fuserSecond(b, relays, units, 77, 77) })
+		b.Run(fmt.Sprintf("permille=%d", part), func(b *testing.B) { aggregatorSecond(b, relays, units, 77, 77) })
 	}
 }
 
-func fuserSecond(b *testing.B, relays, units int, queries float64, legs int) {
+func aggregatorSecond(b *testing.B, relays, units int, queries float64, legs int) {
 	set := fleetOf(relays, 0)
-	l := load{queries: queries, finds: aFinding()}
-	l.memos, l.each = memosOf(set, append(scattered(units, 1, 0, units/2), scattered(units, 2, units/2, units)...), legs)
+	l := load{queries: queries, decisions: aDecision()}
+	l.reports, l.each = reportsOf(set, append(scattered(units, 1, 0, units/2), scattered(units, 2, units/2, units)...), legs)
 	received := 0.0
-	for _, body := range l.memos {
-		received += float64(len(body)+ipAndUDP) / float64(len(l.memos)) * float64(l.each*(relays-1))
+	for _, body := range l.reports {
+		received += float64(len(body)+ipAndUDP) / float64(len(l.reports)) * float64(l.each*(relays-1))
 	}
 	before := heap()
 	d := newDriver(set)
@@ -363,7 +363,7 @@
 			}
 			d := newDriver(set)
 			d.onTrial(20)
-			d.run(1, load{queries: 77, finds: aFinding()})
+			d.run(1, load{queries: 77, decisions: aDecision()})
 			no := 0
 			for b.Loop() {
 				d.now += 1.0 / 77
@@ -379,11 +379,11 @@
 	}
 }
 
-// BenchmarkEncode writes one memo, and BenchmarkDecode reads it, by the legs in it.
+// BenchmarkEncode writes one report, and BenchmarkDecode reads it, by the legs in it.
 func BenchmarkEncode(b *testing.B) {
-	for _, legs := range memoSizes {
+	for _, legs := range reportSizes {
 		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
-			m := memoOf(legs)
+			m := reportOf(legs)
 			bytes := 0
 			for b.Loop() {
 				bytes = len(m.encode())
@@ -394,9 +394,9 @@
 }
 
 func BenchmarkDecode(b *testing.B) {
-	for _, legs := range memoSizes {
+	for _, legs := range reportSizes {
 		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
-			body := memoOf(legs).encode()
+			body := reportOf(legs).encode()
 			for b.Loop() {
 				if _, err := decode(1, body); err != nil {
 					b.Fatal(err)
@@ -406,15 +406,15 @@
 	}
 }
 
-// BenchmarkMerge takes one memo in at a fuser of 4,300 relays and 42,000 units, by the legs in it: reading it, and adding
+// BenchmarkMerge takes one report in at an aggregator of 4,300 relays and 42,000 units, by the legs in it: reading it, and adding
 // what it tells to the units' evidence.
 func BenchmarkMerge(b *testing.B) {
-	for _, legs := range memoSizes {
+	for _, legs := range reportSizes {
 		b.Run(fmt.Sprintf("legs=%d", legs), func(b *testing.B) {
 			const units = 42_000
 			set := fleetOf(4300, 0)
 			d := newDriver(set)
-			bodies, _ := memosOf(set, d.onTrial(units), legs)
+			bodies, _ := reportsOf(set, d.onTrial(units), legs)
 			no := 0
 			for b.Loop() {
 				d.now += 1.0 / 4300
@@ -425,26 +425,26 @@
 	}
 }
 
-var memoSizes = []int{1, 4, 12, 24, 36}
+var reportSizes = []int{1, 4, 12, 24, 36}
 
-func memoOf(legs int) memo {
-	m := memo{build: 861, stage: 1, verdicts: make([]verdict, 3)}
+func reportOf(legs int) report {
+	m := report{build: 861, stage: 1, verdicts: make([]verdict, 3)}
 	for i := range legs {
-		m.seen = append(m.seen, sighting{unit: markOf(relay.UnitID(i + 1)), how: relay.Honoured, newest: i%2 == 0, pace: 1})
+		m.observations = append(m.observations, observation{unit: hashOf(relay.UnitID(i + 1)), how: relay.Honoured, newest: i%2 == 0, pace: 1})
 	}
 	return m
 }
 
-// BenchmarkMarks counts units whose mark is that of another, by the number of units.
-func BenchmarkMarks(b *testing.B) {
+// BenchmarkHashes counts units whose hash is that of another, by the number of units.
+func BenchmarkHashes(b *testing.B) {
 	for _, units := range []int{1024, 4096, 12_000, 42_000} {
 		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
 			rng := rand.New(rand.NewSource(1))
 			alike, fleets := 0, 0
 			for b.Loop() {
-				first := map[mark]int{}
+				first := map[unitHash]int{}
 				for range units {
-					first[markOf(relay.UnitID(rng.Uint64()))]++
+					first[hashOf(relay.UnitID(rng.Uint64()))]++
 				}
 				for _, n := range first {
 					if n > 1 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"iter"
 	"math"
 	"math/rand"
 	"slices"
@@ -49,13 +50,13 @@
 		work     relay.Seconds // expected, of the query
 		due      relay.Seconds // time allowed
 	}
-	noteMemo struct {
-		from relay.RelayNo
-		memo memo
+	noteReport struct {
+		from   relay.RelayNo
+		report report
 	}
-	noteFinding struct {
-		from    relay.RelayNo
-		finding finding
+	noteDecision struct {
+		from     relay.RelayNo
+		decision decision
 	}
 )
 
@@ -84,12 +85,21 @@
 	stream  bool // the client owns a leg: nothing more to decide
 }
 
-func (q *query) out() (n int) {
-	for i := range q.legs {
-		if q.legs[i].open {
-			n++
+// openLegs goes over the legs that are still out.
+func (q *query) openLegs() iter.Seq2[relay.LegNo, *leg] {
+	return func(yield func(relay.LegNo, *leg) bool) {
+		for i := range q.legs {
+			if l := &q.legs[i]; l.open && !yield(relay.LegNo(i), l) {
+				return
+			}
 		}
 	}
+}
+
+func (q *query) out() (n int) {
+	for range q.openLegs() {
+		n++
+	}
 	return n
 }
 
@@ -120,16 +130,23 @@
 	soft  []float64 // legs that the design's share of the cap leaves
 }
 
+// empty takes away all that is left.
+func (x *exposure) empty() {
+	clear(x.hard)
+	clear(x.parts)
+	clear(x.soft)
+}
+
 func (x *exposure) slot(c relay.Category) int { return min(int(c), len(x.hard)-1) }
 
-// heard is the last memo of one relay, and the last finding where it fuses.
-type heard struct {
-	memo
-	at      relay.Seconds // of the memo
-	has     bool
-	found   finding
-	foundAt relay.Seconds
-	since   relay.Seconds // when it was first counted on as a fuser; 0: never
+// peer is the last report of one relay, and its last decision where it is an aggregator.
+type peer struct {
+	report
+	reportedAt relay.Seconds
+	reported   bool // it has sent a report
+	decision   decision
+	decidedAt  relay.Seconds
+	since      relay.Seconds // when it was first counted on as an aggregator; 0: never
 }
 
 // counts are outcomes of one build in one category: all, failed and late ones; those whose usual pace is
@@ -183,12 +200,12 @@
 	mail []letter
 	out  []relay.Order
 
-	begun  bool
-	roster roster
-	desk   desk
-	gate   gate
-	trial  trial
-	fuser  fuser
+	begun      bool
+	roster     roster
+	desk       desk
+	gate       gate
+	trial      trial
+	aggregator aggregator
 }
 
 // Step takes what has happened up to now and returns what to do about it.
@@ -208,7 +225,7 @@
 			p.post(&p.roster, e)
 		case relay.StageNews:
 			p.post(&p.trial, e)
-			p.post(&p.fuser, e)
+			p.post(&p.aggregator, e)
 		case relay.Scope:
 			p.post(&p.trial, e)
 		}
@@ -221,7 +238,7 @@
 			woken = true
 		case relay.Heard:
 			if n, err := decode(e.From, e.Body); err == nil {
-				p.post(&p.fuser, n)
+				p.post(&p.aggregator, n)
 			}
 		case relay.Query, relay.LegEnded, relay.Streaming, relay.ClientLeft:
 			p.post(&p.desk, e)
@@ -230,7 +247,7 @@
 	}
 	if woken {
 		p.do(relay.Wake{ID: 1, At: p.now + tick})
-		for _, a := range []actor{&p.roster, &p.trial, &p.fuser, &p.desk} {
+		for _, a := range []actor{&p.roster, &p.trial, &p.aggregator, &p.desk} {
 			p.post(a, noteTick{})
 		}
 		p.drain()
@@ -238,9 +255,26 @@
 	return p.out
 }
 
+// New returns the module of one relay, ready for its first Step.
+func New(set relay.Settings, seed int64) *Policy {
+	p := &Policy{set: set, rng: rand.New(rand.NewSource(seed))}
+	most := 1e-9 // the highest value of a category
+	for _, c := range set.Categories {
+		most = math.Max(most, c.Value)
+	}
+	for _, c := range set.Categories {
+		p.rows = append(p.rows, row{repeat: c.Repeat, group: c.Group, window: c.RepeatWindow, due: c.DueTime,
+			stretch: c.DueStretch, patience: c.Patience, gate: gatePart(c.Value, most)})
+	}
+	p.assemble()
+	// Relays that start together would all look and tell at the same moments, once a second.
+	p.trial.judgeAt, p.trial.reportedAt = judgeEvery*p.rng.Float64(), -verdictEvery*p.rng.Float64()
+	return p
+}
+
 // assemble makes the parts.
 func (p *Policy) assemble() {
-	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byMark: map[mark]*unit{}}
+	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byHash: map[unitHash]*unit{}}
 	p.desk = desk{p: p, queries: map[relay.QueryID]*query{}, flow: newRing(flowWidth, flowCount, 1),
 		links: newRing(flowWidth, linkBuckets, 2)}
 	p.gate = gate{p: p, answers: newRing(flowWidth, flowCount, 1),
@@ -248,15 +282,22 @@
 	p.trial = trial{p: p, keys: map[relay.Key]relay.Build{}, mine: make([]verdict, len(p.rows)),
 		legs: newRing(evidenceWidth, evidenceBuckets, len(p.rows)),
 		last: [2][]counts{make([]counts, len(p.rows)+1), make([]counts, len(p.rows)+1)}}
-	p.fuser = fuser{p: p, heard: make([]heard, max(p.set.Relays, int(p.set.Self)+1))}
+	p.aggregator = aggregator{p: p, peers: make([]peer, max(p.set.Relays, int(p.set.Self)+1))}
+}
+
+// cancel ends the legs of a query that are still out.
+func (d *desk) cancel(q *query) {
+	for no := range q.openLegs() {
+		d.p.do(relay.CancelLeg{Query: q.ID, Leg: no})
+	}
 }
 
 // recall takes back the legs to a build that have not gone yet.
 func (d *desk) recall(b relay.Build) {
 	for _, q := range d.open {
-		for i := range q.legs {
-			if q.legs[i].open && q.legs[i].build == b {
-				d.p.do(relay.Recall{Query: q.ID, Leg: relay.LegNo(i)})
+		for no, l := range q.openLegs() {
+			if l.build == b {
+				d.p.do(relay.Recall{Query: q.ID, Leg: no})
 			}
 		}
 	}
@@ -266,7 +307,7 @@
 type roster struct {
 	p      *Policy
 	byID   map[relay.UnitID]*unit
-	byMark map[mark]*unit
+	byHash map[unitHash]*unit
 	units  []*unit       // all ever listed, by id
 	failed bool          // a call failed, and none was made since
 	silent bool          // the last watch fell silent, and nothing has come since
@@ -332,49 +373,67 @@
 
 // trial knows where the newest build stands, bounds exposure to it, and forms verdicts on it.
 type trial struct {
-	p        *Policy
-	known    bool
-	news     relay.StageNews
-	since    relay.Seconds // when the present state began
-	offered  relay.Seconds // when the newest build was first heard of; 0: before this relay began
-	cycle    relay.Seconds // from the build before to that
-	listedAt relay.Seconds // when the units of the present stage were first listed; 0: not yet
-	doubted  bool          // the watch was opened anew as they were not
-	limits   []*exposure
-	scope    relay.Scope
-	scoped   bool                      // a scope was told
-	keys     map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
-	mine     []verdict                 // by category
-	last     [2][]counts               // what the earlier machines last showed, by category; own, and pooled
-	calm     counts                    // of all units when the build was first heard of
-	legs     ring                      // own legs at the newest build that count as evidence, by category
-	untold   []sighting                // legs that the fusers have not been told of
-	before   mean                      // logarithm of pace over the usual one at the earlier machines just now
-	beforeAt relay.Seconds             // last leg there
-	room     float64                   // part of the legs that the build on trial may get
-	judgeAt  relay.Seconds
-	toldAt   relay.Seconds
-}
-
-// fuser weighs all relays' verdicts, tells its finding, and votes.
-type fuser struct {
-	p       *Policy
-	heard   []heard
-	lookAt  relay.Seconds
-	fusing  bool
-	want    relay.Vote    // what should stand, by own or others' finding
-	wantAt  relay.Seconds // since when
-	found   relay.Vote    // own finding last told
-	foundAt relay.Seconds
-	why     string     // what speaks for going back
-	cast    relay.Vote // the vote that stands, or is under way
-	castAt  relay.Seconds
-	nextAt  relay.Seconds // not to vote before
-	sure    bool          // it was counted
-	cleanAt relay.Seconds // when the pooled counts were last not flagged
-	slowAt  relay.Seconds // when the fleet was last as quick as before the trial
-	blamed  relay.Build   // that its own outcomes spoke against, while it is in service; 0: none
-	pending bool
+	p          *Policy
+	known      bool
+	news       relay.StageNews
+	since      relay.Seconds // when the present state began
+	offered    relay.Seconds // when the newest build was first heard of; 0: before this relay began
+	cycle      relay.Seconds // from the build before to that
+	listedAt   relay.Seconds // when the units of the present stage were first listed; 0: not yet
+	doubted    bool          // the watch was opened anew as they were not
+	limits     []*exposure
+	scope      relay.Scope
+	scoped     bool                      // a scope was told
+	keys       map[relay.Key]relay.Build // answered by the newest build, or by one not announced yet
+	mine       []verdict                 // by category
+	last       [2][]counts               // what the earlier machines last showed, by category; own, and pooled
+	calm       counts                    // of all units when the build was first heard of
+	legs       ring                      // own legs at the newest build that count as evidence, by category
+	unreported []observation             // legs that the aggregators have not been told of
+	before     mean                      // logarithm of pace over the usual one at the earlier machines just now
+	beforeAt   relay.Seconds             // last leg there
+	room       float64                   // part of the legs that the build on trial may get
+	judgeAt    relay.Seconds
+	reportedAt relay.Seconds
+}
+
+// aggregator weighs all relays' verdicts, tells its decision, and votes.
+type aggregator struct {
+	p           *Policy
+	peers       []peer // by relay number
+	lookAt      relay.Seconds
+	aggregating bool
+	want        relay.Vote    // what should stand, by own or others' decision
+	wantAt      relay.Seconds // since when
+	announced   relay.Vote    // own decision, last told to all
+	announcedAt relay.Seconds
+	why         string     // what speaks for going back
+	cast        relay.Vote // the vote that stands, or is under way
+	castAt      relay.Seconds
+	nextAt      relay.Seconds // not to vote before
+	sure        bool          // it was counted
+	cleanAt     relay.Seconds // when the pooled counts were last not flagged
+	slowAt      relay.Seconds // when the fleet was last as quick as before the trial
+	pending     bool
+}
+
+// list takes the unit's entry in the roster. A fresh start, or another build under an old id, is a new process:
+// nothing known of the old holds.
+func (u *unit) list(e relay.UnitEntry) {
+	if !u.met || e.Build != u.Build || e.Started && e.StartedAt != u.StartedAt {
+		u.met, u.bad, u.pace, u.misses, u.brokenOn = true, 0, 0, 0, 0
+		u.cold, u.coldAt, u.first = u.p.rng.Float64(), u.p.now, u.p.rng.Float64()
+		u.seen[own].reset()
+		u.seen[told].reset()
+	}
+	if e.State == relay.Gone && u.State != relay.Gone {
+		u.goneAt = u.p.now
+	}
+	u.UnitEntry = e
+	u.started = math.Inf(-1)
+	if e.Started {
+		u.started = e.StartedAt
+	}
 }
 
 // as is what is known of the unit, in another state.
@@ -397,8 +456,8 @@
 				u.seen[i] = newRing(evidenceWidth, evidenceBuckets, len(r.p.rows)*figures)
 			}
 			r.byID[e.Unit] = u
-			if m := markOf(e.Unit); r.byMark[m] == nil {
-				r.byMark[m] = u
+			if m := hashOf(e.Unit); r.byHash[m] == nil {
+				r.byHash[m] = u
 			}
 			at := sort.Search(len(r.units), func(i int) bool { return r.units[i].id > e.Unit })
 			r.units = append(r.units, nil)
@@ -421,12 +480,12 @@
 // forget drops units that have been gone for long and hold nothing: with releases every day, machines come and go
 // for as long as a relay lives.
 func (r *roster) forget() {
-	kept, vacant := r.units[:0], []mark(nil)
+	kept, vacant := r.units[:0], []unitHash(nil)
 	for _, u := range r.units {
 		if u.met && u.State == relay.Gone && u.open == 0 && r.p.now-u.goneAt > forgetGone {
 			delete(r.byID, u.id)
-			if m := markOf(u.id); r.byMark[m] == u {
-				delete(r.byMark, m)
+			if m := hashOf(u.id); r.byHash[m] == u {
+				delete(r.byHash, m)
 				vacant = append(vacant, m)
 			}
 			continue
@@ -435,9 +494,9 @@
 	}
 	clear(r.units[len(kept):])
 	r.units = kept
-	for _, m := range vacant { // another unit may have the same mark, and has been behind this one so far
-		if i := slices.IndexFunc(kept, func(u *unit) bool { return markOf(u.id) == m }); i >= 0 {
-			r.byMark[m] = kept[i]
+	for _, m := range vacant { // another unit may have the same hash, and has been behind this one so far
+		if i := slices.IndexFunc(kept, func(u *unit) bool { return hashOf(u.id) == m }); i >= 0 {
+			r.byHash[m] = kept[i]
 		}
 	}
 }
@@ -475,6 +534,16 @@
 	}
 }
 
+// budgets gives the budgets that a query's part counts in, none where a scope keeps it from builds on trial, and
+// its group's number; -1: no scope holds.
+func (t *trial) budgets(q *query) (limits []*exposure, g int) {
+	g, open := t.group(q.Customer)
+	if !open {
+		return nil, g
+	}
+	return t.limits, g
+}
+
 // group is the group that a customer's queries count in, and whether it may meet builds on trial.
 func (t *trial) group(c relay.Customer) (g int, open bool) {
 	if !t.scoped {
