--- a/cmd/lichenroad/lab.go
+++ b/cmd/lichenroad/lab.go
@@ -22,7 +22,7 @@
 
 func (t *tool) labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Stand-ins on loopback, and a demonstration with them", RunE: needsVerb}
-	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare(), t.labShape(), t.labLedger())
+	c.AddCommand(t.labDemo(), t.labPlanner(), t.labSweep(), t.labCompare(), t.labShape(), t.labLedger(), t.labScale())
 	return c
 }
 
--- /dev/null
+++ b/lab/scale/hollow.go
@@ -0,0 +1,488 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"strings"
+
+	"lichenroad/internal/httpwire"
+	"lichenroad/internal/limits"
+	"lichenroad/internal/linewire"
+	"lichenroad/internal/roster"
+	"lichenroad/policy"
+	"lichenroad/relay"
+)
+
+const (
+	listPath      = "/api/targets"
+	discoveryHost = "10.0.0.1:8500"
+	latestEnd     = 1e-4 // s before a client gives up that its attempts end
+)
+
+// request is one request that a hollow relay has taken.
+type request struct {
+	query    relay.Query
+	work     float64
+	until    float64 // when its client gives up
+	attempts []attempt
+	over     bool
+	open     int
+}
+
+// attempt is one try of a request at a unit.
+type attempt struct {
+	unit *unit
+	at   float64
+	how  relay.Outcome // that it will end with, unless something happens to the unit
+	over bool
+}
+
+// hollow is one relay without its sockets: a host of the real state machines.
+type hollow struct {
+	*identity
+	world   *world
+	random  *rand.Rand
+	started float64 // when this life began
+	life    int
+	seed    int64
+
+	policy   *policy.Policy
+	reader   *roster.Reader
+	lines    linewire.Splitter
+	load     load
+	timers   timers
+	requests map[relay.QueryID]*request
+	listed   int64 // generation of the list; -1: none
+	first    bool  // the next list is the first whole one of this life
+	ordered  bool  // the next answer was ordered by the decision code
+	calling  int64 // number of the call that discovery has not answered; 0: none
+	calls    int64
+
+	inbox   []datagram
+	answers []answerIn
+	news    []newsIn
+	out     outbox
+
+	meter   meter
+	checker checker
+	events  []relay.Event
+	unknown int // entries of lists and attempts that name no unit of the service
+}
+
+// answerIn is an answer of discovery to a call, by its number; 0: the list as held before the start. Without an answer
+// the call failed.
+type answerIn struct {
+	call   int64
+	answer *listAnswer
+}
+
+// newsIn is a line of the platform; empty: a vote was not answered.
+type newsIn struct {
+	life int
+	line string
+}
+
+// outbox is what a relay gave out in a tick, for the world to take in the order of relays.
+type outbox struct {
+	tells []tell
+	calls []listCall
+	votes []string
+	cold  []coldAttempt
+}
+
+type tell struct {
+	class class
+	to    relay.RelayNo
+	body  []byte
+}
+
+type coldAttempt struct {
+	unit     *unit
+	at, work float64
+}
+
+func (o *outbox) empty() bool { return len(o.tells)+len(o.calls)+len(o.votes)+len(o.cold) == 0 }
+
+func (o *outbox) clear() {
+	clear(o.tells)
+	o.tells, o.calls, o.votes, o.cold = o.tells[:0], o.calls[:0], o.votes[:0], o.cold[:0]
+}
+
+func newHollow(w *world, id *identity) *hollow {
+	h := &hollow{identity: id, world: w, random: seeded(w.options.Seed, "hollow", id.index), listed: -1}
+	h.checker.instance = fmt.Sprintf("service %d relay %d", id.service.index, id.number)
+	return h
+}
+
+// start begins a process: fresh state machines, with the list as last held. It runs between ticks.
+func (h *hollow) start(now float64) {
+	h.life++
+	h.started = now
+	set := h.service.settings
+	set.Self, set.Zone = h.number, relay.Zone(h.zone)
+	h.policy = policy.New(set, h.random.Int63())
+	h.reader = roster.NewReader(h.world.zoneNames, kindNames(), func(unix float64) relay.Seconds {
+		return unix - epoch - now
+	})
+	h.lines = linewire.Splitter{}
+	h.load = load{random: h.random, rate: h.world.options.Rate, tenants: h.service.size.tenants,
+		routes: h.service.size.routes, lastID: h.load.lastID}
+	h.timers = timers{}
+	h.requests = map[relay.QueryID]*request{}
+	h.checker.restarted()
+	h.first, h.ordered, h.listed = true, true, -1
+	// The configuration holds the list and the news as of the start.
+	h.calling = 0
+	h.answers = append(h.answers[:0], answerIn{0, h.service.registry.answer(-1)})
+	h.news = append(h.news[:0], newsIn{h.life, linewire.Tell(h.service.platform.state(now))})
+	h.timers.set(timer{at: now + h.load.gap(), kind: arrivalTimer})
+}
+
+func kindNames() (out []string) {
+	for _, k := range machineKinds {
+		out = append(out, k.name)
+	}
+	return out
+}
+
+// stop ends the process with all that it holds.
+func (h *hollow) stop() {
+	for _, r := range h.requests {
+		if !r.over {
+			h.meter.requests.Left++
+		}
+	}
+	h.policy, h.reader, h.requests, h.timers = nil, nil, nil, timers{}
+	h.inbox, h.answers, h.news = nil, nil, nil
+	h.out.clear()
+}
+
+// advance plays one tick. Relays are advanced beside each other: it reads the world and changes only this relay.
+func (h *hollow) advance(from, to float64) {
+	if !h.alive {
+		return
+	}
+	h.meter.aliveSeconds += to - from
+	for _, a := range h.answers {
+		h.takeAnswer(from, a)
+	}
+	for _, n := range h.news {
+		h.takeNews(from, n)
+	}
+	h.answers, h.news = h.answers[:0], h.news[:0]
+	h.takeDatagrams(from)
+	for {
+		t, due := h.timers.due(to)
+		if !due {
+			break
+		}
+		h.timer(math.Max(t.at, from), t)
+	}
+}
+
+func (h *hollow) timer(now float64, t timer) {
+	switch t.kind {
+	case arrivalTimer:
+		h.timers.set(timer{at: now + h.load.gap(), kind: arrivalTimer})
+		h.take(now)
+	case attemptTimer:
+		h.attemptEnds(now, t.request, int(t.attempt))
+	case patienceTimer:
+		h.clientLeaves(now, t.request)
+	case wakeTimer:
+		h.step(now, relay.Woken{ID: t.wake})
+	}
+}
+
+// takeDatagrams hands over what other relays sent, all of a tick at once as the real loop does with what waits.
+func (h *hollow) takeDatagrams(now float64) {
+	if len(h.inbox) == 0 {
+		return
+	}
+	events := h.events[:0]
+	for _, d := range h.inbox {
+		h.meter.received(d.class, len(d.body)+datagramOverhead)
+		events = append(events, relay.Heard{From: d.from.number, Body: d.body})
+	}
+	clear(h.inbox)
+	h.inbox, h.events = h.inbox[:0], events
+	h.step(now, events...)
+}
+
+// take brings a client's request.
+func (h *hollow) take(now float64) {
+	query, work := h.load.next(now - h.started)
+	r := &request{query: query, work: work, until: query.Until + h.started}
+	h.requests[query.ID] = r
+	h.meter.requests.Taken++
+	h.checker.takes(now)
+	h.timers.set(timer{at: r.until, kind: patienceTimer, request: r})
+	h.step(now, query)
+}
+
+// step has the decision code see events, and carries out its orders.
+func (h *hollow) step(now float64, events ...relay.Event) {
+	before := threadTime()
+	orders := h.policy.Step(now-h.started, events)
+	h.meter.processor += threadTime() - before
+	h.meter.steps++
+	for _, o := range orders {
+		switch o := o.(type) {
+		case relay.SendLeg:
+			h.send(now, o)
+		case relay.CancelLeg:
+			h.cancel(now, o)
+		case relay.Deny:
+			h.final(o.Query, &h.meter.requests.Denied)
+		case relay.WriteOff:
+			h.final(o.Query, &h.meter.requests.WroteOff)
+		case relay.Wake:
+			h.timers.set(timer{at: h.started + o.At, kind: wakeTimer, wake: o.ID})
+		case relay.Tell:
+			h.tell(verdictClass, o.To, o.Body)
+		case relay.Vote:
+			line := linewire.Vote(o)
+			h.meter.sent(newsClass, len(line))
+			h.out.votes = append(h.out.votes, line)
+		case relay.Watch:
+			if h.ordered = true; h.calling == 0 || o.Anew {
+				h.watch(now, h.listed)
+			}
+		}
+	}
+}
+
+// tell sends a datagram. One to all relays leaves as one: the address of all is the platform's.
+func (h *hollow) tell(c class, to relay.RelayNo, body []byte) {
+	h.meter.sent(c, len(body)+datagramOverhead)
+	if to == relay.Everyone {
+		h.meter.classes[c].broadcasts++
+	}
+	h.meter.fused = h.meter.fused || isFinding(body)
+	h.out.tells = append(h.out.tells, tell{c, to, append([]byte(nil), body...)})
+}
+
+// send makes an attempt.
+func (h *hollow) send(now float64, o relay.SendLeg) {
+	r := h.requests[o.Query]
+	if r == nil {
+		return
+	}
+	u := h.service.byID[o.Unit]
+	if u == nil {
+		h.unknown++
+		r.attempts = append(r.attempts, attempt{at: now, how: relay.NoConnect})
+		r.open++
+		h.timers.set(timer{at: now, kind: attemptTimer, request: r, attempt: int32(len(r.attempts) - 1)})
+		return
+	}
+	h.checker.sends(now, r, u, h.world.unreachable(h.region, u.leaving, now))
+	h.meter.requests.Attempts++
+	if u.warmth(now) < 1 {
+		h.out.cold = append(h.out.cold, coldAttempt{u, now, r.work * machineKinds[u.kind].pace})
+	}
+	how, took := u.answer(now, h.place, r.work, h.service.platform.defect(u.build), h.random)
+	end := now + took
+	latest := r.until - latestEnd
+	if o.Wait > 0 {
+		latest = math.Min(latest, now+o.Wait)
+	}
+	if !h.world.network.reaches(h.region, u.region) {
+		how, end = relay.NoConnect, now+h.service.settings.Limits.ConnectTimeout
+	}
+	if end > latest {
+		how, end = relay.TimedOut, math.Max(latest, now)
+	}
+	r.attempts = append(r.attempts, attempt{unit: u, at: now, how: how})
+	r.open++
+	h.timers.set(timer{at: end, kind: attemptTimer, request: r, attempt: int32(len(r.attempts) - 1)})
+}
+
+// attemptEnds is the one end of an attempt. One whose unit's process ended meanwhile is broken.
+func (h *hollow) attemptEnds(now float64, r *request, no int) {
+	a := &r.attempts[no]
+	if a.over {
+		return
+	}
+	if a.unit != nil && a.how != relay.NoConnect && a.how != relay.Cancelled && a.unit.ended > a.at && a.unit.ended <= now {
+		a.how = relay.Broken
+	}
+	a.over = true
+	r.open--
+	if a.how == relay.Honoured && !r.over {
+		r.over = true
+		h.meter.requests.Honoured++
+	}
+	ended := relay.LegEnded{Query: r.query.ID, Leg: relay.LegNo(no), How: a.how, Took: now - a.at, Over: r.over}
+	if a.unit != nil {
+		ended.Unit = a.unit.id
+	}
+	h.step(now, ended)
+	h.forget(r)
+}
+
+func (h *hollow) cancel(now float64, o relay.CancelLeg) {
+	r := h.requests[o.Query]
+	if r == nil || int(o.Leg) >= len(r.attempts) || r.attempts[o.Leg].over {
+		return
+	}
+	r.attempts[o.Leg].how = relay.Cancelled
+	h.timers.set(timer{at: now, kind: attemptTimer, request: r, attempt: int32(o.Leg)})
+}
+
+// final takes the relay's own answer to a request.
+func (h *hollow) final(id relay.QueryID, count *int64) {
+	if r := h.requests[id]; r != nil && !r.over {
+		r.over = true
+		*count++
+		h.forget(r)
+	}
+}
+
+func (h *hollow) clientLeaves(now float64, r *request) {
+	if r.over {
+		return
+	}
+	r.over = true
+	h.meter.requests.Left++
+	h.step(now, relay.ClientLeft{Query: r.query.ID})
+	h.forget(r)
+}
+
+func (h *hollow) forget(r *request) {
+	if r.over && r.open == 0 {
+		delete(h.requests, r.query.ID)
+	}
+}
+
+// watch makes the next call to discovery.
+func (h *hollow) watch(now float64, after int64) {
+	path, wait := listPath, 0.0
+	if after >= 0 {
+		part := limits.WatchPart + (1-limits.WatchPart)*h.random.Float64()
+		wait = part * limits.WatchFor.Seconds()
+		path = fmt.Sprintf("%s?after=%d&wait_ms=%.0f", listPath, after, 1000*wait)
+	}
+	h.meter.sent(listClass, len(httpwire.Get(discoveryHost, path)))
+	h.calls++
+	h.calling = h.calls
+	h.out.calls = append(h.out.calls, listCall{from: h, number: h.calls, after: after, until: now + wait})
+}
+
+// takeAnswer reads an answer of discovery with the real reader, hands what is new to the decision code and calls again.
+func (h *hollow) takeAnswer(now float64, in answerIn) {
+	if in.call != h.calling {
+		return // of a call that was given up, or of a life before
+	}
+	h.calling = 0
+	if in.answer == nil {
+		h.step(now, relay.Roster{Form: relay.RosterFailed})
+		return
+	}
+	h.meter.received(listClass, len(in.answer.body)+bytesPerHead)
+	spent := h.meter.processor
+	h.listed = in.answer.generation
+	list, err := h.parse(in.answer.body)
+	if err == nil {
+		h.hand(now, list)
+	} else {
+		h.meter.listsRefused++
+		for _, part := range in.answer.parts() {
+			if list, err = h.parse(part); err != nil {
+				h.meter.unreadable++
+				continue
+			}
+			h.hand(now, list)
+		}
+	}
+	if h.first { // the list as held before the start: the decision code orders the watch by itself
+		h.first = false
+		h.meter.startProcessor += h.meter.processor - spent
+		h.meter.processor = spent
+		return
+	}
+	h.ordered = false
+	h.watch(now, h.listed)
+}
+
+func (h *hollow) parse(body []byte) (roster.List, error) {
+	before := threadTime()
+	list, err := h.reader.Parse(body)
+	h.meter.processor += threadTime() - before
+	return list, err
+}
+
+// hand tells the decision code of a list, or of what changed in it.
+func (h *hollow) hand(now float64, list roster.List) {
+	if !list.Whole && len(list.Lines) == 0 && !h.ordered {
+		return // nothing new
+	}
+	form := relay.RosterDelta
+	switch {
+	case h.first && list.Whole:
+		form = relay.RosterCached
+	case list.Whole:
+		form = relay.RosterFull
+	}
+	event := relay.Roster{Form: form, Units: make([]relay.UnitEntry, 0, len(list.Lines))}
+	for _, line := range list.Lines {
+		u := h.service.byID[line.Unit]
+		if u == nil {
+			h.unknown++
+			continue
+		}
+		h.checker.listed(now, u, line.State)
+		if line.State != relay.Ready && h.world.options.lacks(DrainNotices) {
+			continue
+		}
+		event.Units = append(event.Units, line.UnitEntry)
+	}
+	h.step(now, event)
+}
+
+// takeNews reads a line of the platform with the real parser.
+func (h *hollow) takeNews(now float64, in newsIn) {
+	if in.life != h.life {
+		return
+	}
+	if in.line == "" {
+		h.step(now, relay.StageNews{Reply: relay.NotCounted})
+		return
+	}
+	h.meter.received(newsClass, len(in.line))
+	before := threadTime()
+	var reply linewire.Reply
+	err := h.lines.Feed([]byte(in.line), func(line string) {
+		var fault error
+		if reply, fault = linewire.Parse(line); fault != nil {
+			h.meter.unreadable++
+		}
+	})
+	h.meter.processor += threadTime() - before
+	if err != nil {
+		h.meter.unreadable++
+		return
+	}
+	n := reply.News
+	if !reply.Told {
+		n.Reply = voteReply(reply)
+	}
+	if n.Valid {
+		h.checker.hears(now, n)
+		if h.world.options.lacks(ExposureCap) && n.Phase == relay.OnTrial {
+			n.Cap = 1
+		}
+	}
+	h.step(now, n)
+}
+
+func voteReply(r linewire.Reply) relay.Reply {
+	switch {
+	case strings.HasPrefix(r.Error, linewire.Moot):
+		return relay.Moot
+	case r.Error != "":
+		return relay.NotCounted
+	}
+	return relay.Counted
+}
