--- /dev/null
+++ b/cmd/lichenroad/scale_test.go
@@ -0,0 +1,54 @@
+//go:build !slim
+
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lichenroad/lab/scale"
+)
+
+func TestLabScale(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "scale.json")
+	args := []string{"lab", "scale", "--relays", "6", "--units", "20", "--services", "2", "--zones", "4", "--regions", "2",
+		"--shape", "skewed", "--seconds", "3", "--rate", "10", "--fault", "loss", "--fault", "reorder", "--json", file}
+	code, out, errs := call(args...)
+	if code != 0 || errs != "" || !strings.Contains(out, "broken: 0") {
+		t.Fatalf("%d %q %q", code, out, errs)
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r scale.Result
+	if err := json.Unmarshal(b, &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Relays != 6 || r.Hosted != 6 || len(r.Options.Faults) != 2 || r.Faults.Datagrams.Lost+r.Faults.Datagrams.Late == 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestLabScaleRefusals(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--relays", "0"}, exitCall, "--relays: 0 is not from 1 to 20000"},
+		{[]string{"--rate", "-3"}, exitCall, "--rate: -3 is not from 0.1 to 1000"},
+		{[]string{"--shape", "round"}, exitCall, `--shape: "round" is neither wide nor skewed`},
+		{[]string{"--fault", "flood"}, exitCall, `--fault: "flood" is none of `},
+		{[]string{"--without", "moat"}, exitCall, `--without: "moat" is none of `},
+		{[]string{"--shape", "wide", "--relays", "4300", "--units", "42000", "--measured", "4300"}, exitFault, "this size needs about "},
+	} {
+		code, out, errs := call(append([]string{"lab", "scale"}, c.args...)...)
+		if code != c.code || out != "" || !strings.HasPrefix(errs, "lichenroad: "+c.want) || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%v: %d %q %q", c.args, code, out, errs)
+		}
+	}
+}
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -380,7 +380,9 @@
 		h.step(now, relay.Roster{Form: relay.RosterFailed})
 		return
 	}
-	h.meter.received(listClass, len(in.answer.body)+bytesPerHead)
+	if !h.first { // the list as last held comes with the configuration
+		h.meter.received(listClass, len(in.answer.body)+bytesPerHead)
+	}
 	spent := h.meter.processor
 	h.listed = in.answer.generation
 	list, err := h.parse(in.answer.body)
--- a/lab/scale/options.go
+++ b/lab/scale/options.go
@@ -125,6 +125,9 @@
 		return fmt.Errorf("--services: %d of them need as many relays and units", o.Services)
 	}
 	for _, f := range o.Faults {
+		if o.Regions < 2 && (f == RegionSplit || f == OneWay) {
+			return fmt.Errorf("--fault: %s needs two regions", f)
+		}
 		if !slices.Contains(AllFaults, f) {
 			return fmt.Errorf("--fault: %q is none of %s", f, joined(AllFaults))
 		}
--- a/lab/scale/release.go
+++ b/lab/scale/release.go
@@ -21,7 +21,7 @@
 )
 
 // stages are the parts of the fleet that a build on trial gets, and the caps on its requests.
-var stages = []struct{ units, cap float64 }{{0.1, 0.1}, {0.4, 0.4}}
+var stages = []struct{ units, cap float64 }{{0.1, 0.05}, {0.4, 0.25}}
 
 // releaseKind is what is wrong with a release.
 type releaseKind int
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -22,21 +22,19 @@
 	CPUShare      Distribution `json:"cpu_share"`   // of one core, without the first list
 	StartSeconds  Distribution `json:"start_cpu_s"` // processor time of the first list of each life
 	HeapMB        Distribution `json:"heap_mb"`
-	MessagesIn    Distribution `json:"messages_in_per_s"` // datagrams between relays, of all classes
-	MessagesOut   Distribution `json:"messages_out_per_s"`
-	BytesIn       Distribution `json:"bytes_in_per_s"` // with the headers of UDP and IP
-	BytesOut      Distribution `json:"bytes_out_per_s"`
-	BroadcastsOut Distribution `json:"broadcasts_out_per_s"` // of the messages out
-
-	MembershipMessagesIn  Distribution `json:"membership_messages_in_per_s"` // of the messages above
-	MembershipMessagesOut Distribution `json:"membership_messages_out_per_s"`
-	MembershipBytesIn     Distribution `json:"membership_bytes_in_per_s"`
-	MembershipBytesOut    Distribution `json:"membership_bytes_out_per_s"`
+	Traffic                    // datagrams between relays, with the headers of UDP and IP
+	BroadcastsOut Distribution `json:"broadcasts_out_per_s"` // of the messages out, those to all relays at once
+	Membership    Traffic      `json:"membership"`           // of the datagrams, those of the membership protocol
+	Lists         Traffic      `json:"lists"`                // discovery, without TCP's overhead
+	News          Traffic      `json:"news"`                 // the platform, without TCP's overhead
+}
 
-	ListBytesIn  Distribution `json:"list_bytes_in_per_s"` // discovery, without TCP's overhead
-	ListBytesOut Distribution `json:"list_bytes_out_per_s"`
-	NewsBytesIn  Distribution `json:"news_bytes_in_per_s"` // the platform, without TCP's overhead
-	NewsBytesOut Distribution `json:"news_bytes_out_per_s"`
+// Traffic is what instances took and sent a second.
+type Traffic struct {
+	MessagesIn  Distribution `json:"messages_in_per_s"`
+	MessagesOut Distribution `json:"messages_out_per_s"`
+	BytesIn     Distribution `json:"bytes_in_per_s"`
+	BytesOut    Distribution `json:"bytes_out_per_s"`
 }
 
 // Decisions are the releases of the played services.
@@ -176,14 +174,27 @@
 	rate := func(count func(m *meter) int64) Distribution {
 		return over(func(m *meter) float64 { return float64(count(m)) / math.Max(m.aliveSeconds, tick) })
 	}
-	among := func(c func(t *traffic) int64) Distribution {
-		return rate(func(m *meter) int64 { return c(&m.classes[verdictClass]) + c(&m.classes[membershipClass]) })
-	}
-	of := func(k class, c func(t *traffic) int64) Distribution {
-		return rate(func(m *meter) int64 { return c(&m.classes[k]) })
+	of := func(list ...class) Traffic {
+		sum := func(count func(t *traffic) int64) Distribution {
+			return rate(func(m *meter) (n int64) {
+				for _, c := range list {
+					n += count(&m.classes[c])
+				}
+				return n
+			})
+		}
+		return Traffic{
+			MessagesIn:  sum(func(t *traffic) int64 { return t.messagesIn }),
+			MessagesOut: sum(func(t *traffic) int64 { return t.messagesOut }),
+			BytesIn:     sum(func(t *traffic) int64 { return t.bytesIn }),
+			BytesOut:    sum(func(t *traffic) int64 { return t.bytesOut }),
+		}
 	}
-	messagesIn, messagesOut := func(t *traffic) int64 { return t.messagesIn }, func(t *traffic) int64 { return t.messagesOut }
-	bytesIn, bytesOut := func(t *traffic) int64 { return t.bytesIn }, func(t *traffic) int64 { return t.bytesOut }
+	r.Traffic = of(verdictClass, membershipClass)
+	r.Membership, r.Lists, r.News = of(membershipClass), of(listClass), of(newsClass)
+	r.BroadcastsOut = rate(func(m *meter) int64 {
+		return m.classes[verdictClass].broadcasts + m.classes[membershipClass].broadcasts
+	})
 
 	instances := 0.0
 	for _, h := range list {
@@ -192,13 +203,6 @@
 	r.Instances = int(math.Round(instances))
 	r.CPUShare = over(func(m *meter) float64 { return float64(m.processor) / 1e9 / math.Max(m.aliveSeconds, tick) })
 	r.StartSeconds = over(func(m *meter) float64 { return float64(m.startProcessor) / 1e9 })
-	r.MessagesIn, r.MessagesOut = among(messagesIn), among(messagesOut)
-	r.BytesIn, r.BytesOut = among(bytesIn), among(bytesOut)
-	r.BroadcastsOut = among(func(t *traffic) int64 { return t.broadcasts })
-	r.MembershipMessagesIn, r.MembershipMessagesOut = of(membershipClass, messagesIn), of(membershipClass, messagesOut)
-	r.MembershipBytesIn, r.MembershipBytesOut = of(membershipClass, bytesIn), of(membershipClass, bytesOut)
-	r.ListBytesIn, r.ListBytesOut = of(listClass, bytesIn), of(listClass, bytesOut)
-	r.NewsBytesIn, r.NewsBytesOut = of(newsClass, bytesIn), of(newsClass, bytesOut)
 	heaps := measureHeaps(list)
 	r.HeapsOf, r.HeapMB = len(heaps), distribute(heaps)
 	return r
@@ -311,12 +315,17 @@
 }
 
 func (r *Role) rows() []tableRow {
+	out := []tableRow{{"cpu_share", r.CPUShare}, {"start_cpu_s", r.StartSeconds}, {"heap_mb", r.HeapMB}}
+	out = append(out, r.Traffic.rows("")...)
+	out = append(out, tableRow{"broadcasts_out_per_s", r.BroadcastsOut})
+	out = append(out, r.Membership.rows("membership_")...)
+	out = append(out, r.Lists.rows("list_")...)
+	return append(out, r.News.rows("news_")...)
+}
+
+func (t *Traffic) rows(prefix string) []tableRow {
 	return []tableRow{
-		{"cpu_share", r.CPUShare}, {"start_cpu_s", r.StartSeconds}, {"heap_mb", r.HeapMB},
-		{"messages_in_per_s", r.MessagesIn}, {"messages_out_per_s", r.MessagesOut},
-		{"bytes_in_per_s", r.BytesIn}, {"bytes_out_per_s", r.BytesOut}, {"broadcasts_out_per_s", r.BroadcastsOut},
-		{"membership_bytes_in_per_s", r.MembershipBytesIn}, {"membership_bytes_out_per_s", r.MembershipBytesOut},
-		{"list_bytes_in_per_s", r.ListBytesIn}, {"list_bytes_out_per_s", r.ListBytesOut},
-		{"news_bytes_in_per_s", r.NewsBytesIn}, {"news_bytes_out_per_s", r.NewsBytesOut},
+		{prefix + "messages_in_per_s", t.MessagesIn}, {prefix + "messages_out_per_s", t.MessagesOut},
+		{prefix + "bytes_in_per_s", t.BytesIn}, {prefix + "bytes_out_per_s", t.BytesOut},
 	}
 }
--- a/lab/scale/sample.go
+++ b/lab/scale/sample.go
@@ -9,21 +9,23 @@
 // a service has all of its first relays hosted (they fuse, or follow as fusers) and a sample of the others, and of the
 // long tail of small services some are played for all. The sample depends on the options alone, never on the machine.
 const (
-	hostedFirst    = 8         // relays of a service that are always hosted: the fusers, and as many deputies
-	headServices   = 16        // largest services that are always played
-	budgetSeconds  = 1800.0    // processor seconds that a run may take by the estimate
-	mostMemoryMB   = 12 * 1024 // bound of a run's memory
-	garbageFactor  = 2.0       // process memory over live heap, with the collector's default pace
-	baseMemoryMB   = 150.0     // of the program and its stand-ins
-	heapPerUnit    = 1.0 / 1024
-	heapPerSeen    = 3.6 / 1024 // MB more of a unit whose attempts were seen within 12 s
+	hostedFirst    = 8          // relays of a service that are always hosted: the fusers, and as many deputies
+	headServices   = 16         // largest services that are always played
+	budgetSeconds  = 1800.0     // processor seconds that a run may take by the estimate
+	mostMemoryMB   = 12 * 1024  // bound of a run's memory
+	garbageFactor  = 2.0        // process memory over live heap, with the collector's default pace
+	baseMemoryMB   = 150.0      // of the program and its stand-ins
+	heapEach       = 0.3        // MB of live heap
+	heapPerUnit    = 0.6 / 1024 // MB, of a unit on the list
+	heapPerMet     = 1.0 / 1024 // MB more, of a unit that the relay sent attempts to
+	heapPerHeard   = 1.2 / 1024 // MB more at a fuser, of a unit that others told of
 	heapPerRelay   = 0.4 / 1024 // MB, of a peer that is heard
-	heapEach       = 0.3        // MB
-	costPerPick    = 1.2e-7     // s a unit, for each request
-	costPerRequest = 8e-5       // s, with its share of the host
-	costPerLook    = 6e-6       // s a unit and second, of the periodic work
-	costPerFused   = 1.2e-5     // s a unit and second, of a fuser's periodic work
-	costPerHeard   = 2e-6       // s for each attempt that a fuser hears of
+	heapPerTenant  = 32.0 / (1 << 20)
+	costPerRequest = 3e-5   // s, with its share of the host
+	costPerPick    = 8.5e-8 // s a unit, for each request
+	costPerFused   = 9e-6   // s a unit and second, of a fuser's periodic work
+	costPerHeard   = 2e-7   // s for each attempt that a fuser hears of
+	costPerListed  = 1.2e-5 // s a unit, of the first list
 )
 
 // sample is how much of the fleet is hosted whole.
@@ -66,11 +68,13 @@
 		fusers := min(fuserNumbers, hosted)
 		e.instances += hosted
 		units, relays := float64(size.units), float64(size.relays)
-		e.processorSeconds += o.Seconds * (float64(hosted)*(o.Rate*(costPerRequest+costPerPick*units)+costPerLook*units) +
-			float64(fusers)*(costPerFused*units+costPerHeard*relays*o.Rate))
-		met := math.Min(units, o.Rate*math.Min(o.Seconds, 60))
-		live += float64(hosted)*(heapEach+heapPerUnit*units+heapPerSeen*met+heapPerRelay*relays+
-			32.0/(1<<20)*float64(size.tenants)) + float64(fusers)*heapPerSeen*units
+		perRelay := o.Rate * (costPerRequest + costPerPick*units)
+		perFuser := costPerFused*units + costPerHeard*relays*o.Rate
+		e.processorSeconds += o.Seconds*(float64(hosted)*perRelay+float64(fusers)*perFuser) +
+			float64(hosted)*costPerListed*units
+		met := math.Min(units, o.Rate*o.Seconds)
+		live += float64(hosted)*(heapEach+heapPerUnit*units+heapPerMet*met+heapPerRelay*relays+
+			heapPerTenant*float64(size.tenants)) + float64(fusers)*heapPerHeard*units
 	}
 	e.memoryMB = baseMemoryMB + garbageFactor*live + float64(o.Units+o.Relays)/1024
 	return e
@@ -79,7 +83,7 @@
 // chooseSample takes the largest sample within the budget, or says why there is none.
 func (o *Options) chooseSample() (sample, error) {
 	if o.Measured > 0 {
-		s := sample{ordinary: max(0, o.Measured), tailStride: 1}
+		s := sample{ordinary: o.Measured, tailStride: 1}
 		return s, o.fits(s)
 	}
 	everyRelay := sample{ordinary: o.Relays, tailStride: 1}
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+)
+
+// small is a fleet that plays in a second.
+func small(shape Shape, change func(o *Options)) Options {
+	o := Options{Relays: 14, Units: 60, Services: 3, Zones: 6, Regions: 3, Shape: shape, Seconds: 14, Seed: 3, Rate: 30, Jobs: 2}
+	if change != nil {
+		change(&o)
+	}
+	return o
+}
+
+func play(t *testing.T, o Options) *Result {
+	t.Helper()
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// exact is a result without processor time and memory.
+func exact(t *testing.T, r *Result) string {
+	t.Helper()
+	c := *r
+	c.ProcessPeakMB, c.WallSeconds = 0, 0
+	c.Roles = append([]Role(nil), r.Roles...)
+	for i := range c.Roles {
+		c.Roles[i].CPUShare, c.Roles[i].StartSeconds, c.Roles[i].HeapMB = Distribution{}, Distribution{}, Distribution{}
+	}
+	b, err := json.Marshal(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestValidationLines(t *testing.T) {
+	for _, c := range []struct {
+		change func(o *Options)
+		want   string
+	}{
+		{func(o *Options) {}, ""},
+		{func(o *Options) { o.Relays = 0 }, "--relays: 0 is not from 1 to 20000"},
+		{func(o *Options) { o.Units = 200_001 }, "--units: 200001 is not from 1 to 200000"},
+		{func(o *Options) { o.Services = -1 }, "--services: -1 is not from 1 to 20000"},
+		{func(o *Options) { o.Zones = 0 }, "--zones: 0 is not from 1 to 256"},
+		{func(o *Options) { o.Regions = 65 }, "--regions: 65 is not from 1 to 64"},
+		{func(o *Options) { o.Seconds = math.NaN() }, "--seconds: NaN is not from 1 to 3600"},
+		{func(o *Options) { o.Tenants = -1 }, "--tenants: -1 is not from 0 to 1e+06"},
+		{func(o *Options) { o.Routes = 2_000_000 }, "--routes: 2e+06 is not from 0 to 1e+06"},
+		{func(o *Options) { o.Rate = 0 }, "--rate: 0 is not from 0.1 to 1000"},
+		{func(o *Options) { o.Jobs = 0 }, "--jobs: 0 is not from 1 to 256"},
+		{func(o *Options) { o.Measured = -1 }, "--measured: -1 is not from 0 to 20000"},
+		{func(o *Options) { o.Shape = "round" }, `--shape: "round" is neither wide nor skewed`},
+		{func(o *Options) { o.Regions, o.Zones = 7, 6 }, "--regions: 7 of them need as many zones, not 6"},
+		{func(o *Options) { o.Services = 15 }, "--services: 15 of them need as many relays and units"},
+		{func(o *Options) { o.Faults = []Fault{"flood"} }, `--fault: "flood" is none of relay-kills, `},
+		{func(o *Options) { o.Regions, o.Faults = 1, []Fault{RegionSplit} }, "--fault: region-split needs two regions"},
+		{func(o *Options) { o.Without = []Defence{"moat"} }, `--without: "moat" is none of drain-notices, `},
+	} {
+		o := small(Skewed, c.change)
+		err := o.Validate()
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%+v: %v", o, err)
+		case c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("want %q, got %v", c.want, err)
+		}
+	}
+}
+
+// TestSameSeedSameFigures plays with every fault at once, with one thread and with several.
+func TestSameSeedSameFigures(t *testing.T) {
+	for _, shape := range []Shape{Wide, Skewed} {
+		o := small(shape, func(o *Options) { o.Faults = AllFaults })
+		first := exact(t, play(t, o))
+		o.Jobs = 5
+		if again := exact(t, play(t, o)); again != first {
+			t.Errorf("%s: other figures with other threads:\n%s\n%s", shape, first, again)
+		}
+		o.Seed++
+		if other := exact(t, play(t, o)); other == first {
+			t.Errorf("%s: another seed gave the same figures", shape)
+		}
+	}
+}
+
+// TestRefusesWhatNeedsTooMuchMemory asks for more whole relays than fit.
+func TestRefusesWhatNeedsTooMuchMemory(t *testing.T) {
+	o := small(Wide, func(o *Options) { o.Relays, o.Units, o.Measured = 4300, 42000, 4300 })
+	_, err := Run(context.Background(), o)
+	if err == nil || !strings.Contains(err.Error(), "MB for 4300 hosted relays, and a run may take 12288 MB") {
+		t.Errorf("%v", err)
+	}
+}
+
+// TestFullSizeHasASample holds the budget at the target on both shapes.
+func TestFullSizeHasASample(t *testing.T) {
+	for _, shape := range []Shape{Wide, Skewed} {
+		for _, seconds := range []float64{20, 120} {
+			o := Options{Relays: 4300, Units: 42000, Services: 2100, Zones: 16, Regions: 7, Shape: shape, Seconds: seconds, Rate: 77, Jobs: 8}
+			s, err := o.chooseSample()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if e := o.estimate(s); e.processorSeconds > budgetSeconds || e.memoryMB > mostMemoryMB || e.instances < fuserNumbers+16 {
+				t.Errorf("%s %g s: %+v %+v", shape, seconds, s, e)
+			}
+		}
+	}
+}
+
+// TestSampleStandsForAll holds the weights of what is hosted to the size of the fleet.
+func TestSampleStandsForAll(t *testing.T) {
+	o := Options{Relays: 430, Units: 900, Services: 100, Zones: 16, Regions: 7, Shape: Skewed, Seconds: 1, Rate: 5, Jobs: 1, Measured: 3}
+	w, err := newWorld(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stands := 0.0
+	for _, h := range w.hollows {
+		if h != nil {
+			stands += h.stands()
+		}
+	}
+	if math.Abs(stands-430) > 1e-6 {
+		t.Errorf("hosted relays stand for %g of 430", stands)
+	}
+	if len(w.hollows) != 430 || len(w.standIns) == 0 {
+		t.Errorf("%d relays, %d stand-ins", len(w.hollows), len(w.standIns))
+	}
+}
+
+// TestStandInsTellAsRelaysDo holds what made-up relays send to what whole ones do in the same run.
+func TestStandInsTellAsRelaysDo(t *testing.T) {
+	all := play(t, small(Wide, func(o *Options) { o.Relays, o.Rate, o.Measured = 40, 60, 40 }))
+	part := play(t, small(Wide, func(o *Options) { o.Relays, o.Rate, o.Measured = 40, 60, 4 }))
+	if all.Hosted != 40 || part.Hosted != 12 {
+		t.Fatalf("%d and %d hosted", all.Hosted, part.Hosted)
+	}
+	for i, name := range []string{relayRole, fuserRole} {
+		a, b := &all.Roles[i], &part.Roles[i]
+		if a.Name != name || b.Name != name || a.Instances != b.Instances {
+			t.Fatalf("%+v %+v", a, b)
+		}
+		for _, c := range []struct {
+			figure string
+			a, b   float64
+		}{{"messages in", a.MessagesIn.Mean, b.MessagesIn.Mean}, {"bytes in", a.BytesIn.Mean, b.BytesIn.Mean},
+			{"bytes out", a.BytesOut.Mean, b.BytesOut.Mean}} {
+			if math.Abs(c.a-c.b) > 0.1*c.a {
+				t.Errorf("%s, %s: %g where all are hosted, %g with stand-ins", name, c.figure, c.a, c.b)
+			}
+		}
+	}
+	if all.Decisions.BadBack != 1 || part.Decisions.BadBack != 1 {
+		t.Errorf("the bad build went back %d and %d times", all.Decisions.BadBack, part.Decisions.BadBack)
+	}
+}
+
+func TestDistribution(t *testing.T) {
+	var list []observation
+	for i := 1; i <= 100; i++ {
+		list = append(list, observation{float64(i), 1})
+	}
+	if d := distribute(list); d != (Distribution{50.5, 99, 100}) {
+		t.Errorf("%+v", d)
+	}
+	if d := distribute([]observation{{10, 1}, {1, 199}}); d != (Distribution{(10 + 199) / 200.0, 1, 10}) {
+		t.Errorf("weighted: %+v", d)
+	}
+	if d := distribute(nil); d != (Distribution{}) {
+		t.Errorf("none: %+v", d)
+	}
+}
+
+func TestTableNamesEveryFigure(t *testing.T) {
+	r := play(t, small(Skewed, func(o *Options) { o.Seconds = 2 }))
+	var b bytes.Buffer
+	if err := r.WriteTable(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"cpu_share", "heap_mb", "messages_in_per_s", "messages_out_per_s", "bytes_in_per_s", "bytes_out_per_s",
+		"list_bytes_in_per_s", "news_bytes_out_per_s", "releases:", "process:", "broken: 0"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("no %q in\n%s", want, b.String())
+		}
+	}
+}
--- /dev/null
+++ b/lab/scale/topology_test.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestApportionByZipf(t *testing.T) {
+	if got := apportion(20, 4); !slices.Equal(got, []int{9, 5, 3, 3}) {
+		t.Errorf("%v", got) // 1 each, and 16 by 12/25, 6/25, 4/25, 3/25: 7.68, 3.84, 2.56, 1.92
+	}
+	for _, c := range [][2]int{{4300, 2100}, {42000, 2100}, {21, 21}} {
+		got, sum := apportion(c[0], c[1]), 0
+		for _, n := range got {
+			sum += n
+		}
+		if sum != c[0] || slices.Min(got) < 1 || !slices.IsSortedFunc(got, func(a, b int) int { return b - a }) {
+			t.Errorf("%v: sum %d, %v", c, sum, got[:5])
+		}
+	}
+}
+
+func TestPlacesFillZonesEvenly(t *testing.T) {
+	p, zones, racks := newPlacer(4, 2), map[int]int{}, map[place]int{}
+	for range 4 * machinesPerRack * 2 {
+		at := p.place()
+		if at.region != at.zone%2 {
+			t.Fatalf("%+v", at)
+		}
+		zones[at.zone]++
+		racks[at]++
+	}
+	for z, n := range zones {
+		if n != 2*machinesPerRack {
+			t.Errorf("zone %d: %d", z, n)
+		}
+	}
+	for at, n := range racks {
+		if n != machinesPerRack {
+			t.Errorf("%+v: %d", at, n)
+		}
+	}
+}
+
+func TestWideIsOneService(t *testing.T) {
+	o := small(Wide, func(o *Options) { o.Tenants, o.Routes = 5, 7 })
+	if got := o.sizes(); len(got) != 1 || got[0] != (serviceSize{14, 60, 5, 7}) {
+		t.Errorf("%+v", got)
+	}
+}
--- /dev/null
+++ b/lab/scale/wire_test.go
@@ -0,0 +1,139 @@
+package scale
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"lichenroad/internal/roster"
+	"lichenroad/relay"
+)
+
+// TestOwnWireFormIsThatOfRealRelays reads what real relays tell with the second implementation, and writes it again.
+func TestOwnWireFormIsThatOfRealRelays(t *testing.T) {
+	w, err := newWorld(small(Wide, func(o *Options) { o.Relays, o.Rate, o.Seconds = 5, 300, 16 }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	reports, attempts, flagged := 0, 0, 0
+	for n := range int64(800) {
+		from, to := float64(n)*tick, float64(n+1)*tick
+		w.begin(n, from)
+		for _, h := range w.hollows {
+			h.advance(from, to)
+			for _, x := range h.out.tells {
+				if isFinding(x.body) {
+					continue
+				}
+				r, err := decodeReport(x.body)
+				if err != nil {
+					t.Fatalf("%x: %v", x.body, err)
+				}
+				if again := r.encode(); !bytes.Equal(again, x.body) {
+					t.Fatalf("%x was written as %x", x.body, again)
+				}
+				reports++
+				attempts += len(r.attempts)
+				for _, a := range r.attempts {
+					if !slices.ContainsFunc(w.services[0].units, func(u *unit) bool { return unitMark(u.id) == a.unit }) {
+						t.Fatalf("no unit has the mark %x", a.unit)
+					}
+				}
+				if slices.ContainsFunc(r.verdicts, func(v verdictReport) bool { return v.flagged }) {
+					flagged++
+				}
+			}
+		}
+		w.collect(to)
+	}
+	if reports < 100 || attempts < 10*reports || flagged == 0 {
+		t.Errorf("%d reports, %d attempts, %d flags", reports, attempts, flagged)
+	}
+}
+
+func reader() *roster.Reader {
+	return roster.NewReader([]string{"zone-0", "zone-1"}, kindNames(), func(unix float64) relay.Seconds { return unix - epoch })
+}
+
+// TestListIsWhatTheRealReaderReads writes a list and a change of it.
+func TestListIsWhatTheRealReaderReads(t *testing.T) {
+	old := newUnit("s0-u0", place{zone: 1, rack: 3}, 1, 1, -longRunning)
+	young := newUnit("s0-b2-1", place{}, 0, 2, 4.25)
+	r := newRegistry(5, []*unit{old})
+	whole, err := reader().Parse(r.answer(-1).body)
+	if err != nil || !whole.Whole || whole.Generation != 1 || len(whole.Lines) != 1 || whole.Bad != 0 {
+		t.Fatalf("%+v %v", whole, err)
+	}
+	if got, want := whole.Lines[0].UnitEntry, (relay.UnitEntry{Unit: old.id, Zone: 1, Kind: 1, Cell: 3, Build: 1, Weight: 1,
+		State: relay.Ready, Started: true, StartedAt: -longRunning}); got != want {
+		t.Errorf("%+v, not %+v", got, want)
+	}
+	r.add(4, young)
+	old.state = relay.Draining
+	r.note(4.9, old)
+	if r.publish(4); r.generation != 2 {
+		t.Fatal(r.generation)
+	}
+	if r.publish(4.4); r.generation != 2 {
+		t.Error("published too early")
+	}
+	if r.publish(4.9); r.generation != 3 || old.leaving != 4.9 {
+		t.Errorf("generation %d, leaving since %g", r.generation, old.leaving)
+	}
+	delta, err := reader().Parse(r.answer(1).body)
+	if err != nil || delta.Whole || delta.Generation != 3 || len(delta.Lines) != 2 {
+		t.Fatalf("%+v %v", delta, err)
+	}
+	if a, b := delta.Lines[0], delta.Lines[1]; a.Unit != old.id || a.State != relay.Draining || b.Unit != young.id || b.StartedAt != 4.25 {
+		t.Errorf("%+v", delta.Lines)
+	}
+	if got := r.since(2); len(got) != 1 || got[0] != old {
+		t.Errorf("%v", got)
+	}
+}
+
+// TestPartsOfALongListSayTheSame cuts a list that the reader refuses in one piece.
+func TestPartsOfALongListSayTheSame(t *testing.T) {
+	var units []*unit
+	for i := range 2*entriesPerPart + 5 {
+		units = append(units, newUnit("u"+zoneName(i), place{}, 0, 1, 0))
+	}
+	r := newRegistry(1, units)
+	seen, whole := map[relay.UnitID]bool{}, 0
+	for _, part := range r.answer(-1).parts() {
+		list, err := reader().Parse(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if list.Whole {
+			whole++
+		}
+		for _, line := range list.Lines {
+			seen[line.Unit] = true
+		}
+	}
+	if len(seen) != len(units) || whole != 1 {
+		t.Errorf("%d units in parts of %d, %d whole", len(seen), len(units), whole)
+	}
+}
+
+// TestCallsForWholeListsQueue has discovery work through calls in turn, and fail those that would wait too long.
+func TestCallsForWholeListsQueue(t *testing.T) {
+	r := newRegistry(800, nil) // 100 lists a second
+	served, failed, last := 0, 0, 0.0
+	for range 300 {
+		took, fails := r.queued(10)
+		if fails {
+			failed++
+			continue
+		}
+		served++
+		last = took
+	}
+	if served != 201 || failed != 99 || last < mostQueued || last > mostQueued+2*answerAfter {
+		t.Errorf("%d served, the last after %g s, %d failed", served, last, failed)
+	}
+	if took, fails := r.queued(20); fails || took != answerAfter {
+		t.Errorf("an empty queue took %g s", took)
+	}
+}
