--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -4,21 +4,14 @@
 	"fmt"
 	"math"
 	"math/rand"
-	"strings"
 
-	"lichenroad/internal/httpwire"
-	"lichenroad/internal/limits"
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/roster"
 	"lichenroad/policy"
 	"lichenroad/relay"
 )
 
-const (
-	listPath      = "/api/targets"
-	discoveryHost = "10.0.0.1:8500"
-	latestEnd     = 1e-4 // s before a client gives up that its attempts end
-)
+const latestEnd = 1e-4 // s before a client gives up that its attempts end
 
 // request is one request that a hollow relay has taken.
 type request struct {
@@ -70,19 +63,6 @@
 	unknown int // entries of lists and attempts that name no unit of the service
 }
 
-// answerIn is an answer of discovery to a call, by its number; 0: the list as held before the start. Without an answer
-// the call failed.
-type answerIn struct {
-	call   int64
-	answer *listAnswer
-}
-
-// newsIn is a line of the platform; empty: a vote was not answered.
-type newsIn struct {
-	life int
-	line string
-}
-
 // outbox is what a relay gave out in a tick, for the world to take in the order of relays.
 type outbox struct {
 	tells []tell
@@ -355,136 +335,3 @@
 		delete(h.requests, r.query.ID)
 	}
 }
-
-// watch makes the next call to discovery.
-func (h *hollow) watch(now float64, after int64) {
-	path, wait := listPath, 0.0
-	if after >= 0 {
-		part := limits.WatchPart + (1-limits.WatchPart)*h.random.Float64()
-		wait = part * limits.WatchFor.Seconds()
-		path = fmt.Sprintf("%s?after=%d&wait_ms=%.0f", listPath, after, 1000*wait)
-	}
-	h.meter.sent(listClass, len(httpwire.Get(discoveryHost, path)))
-	h.calls++
-	h.calling = h.calls
-	h.out.calls = append(h.out.calls, listCall{from: h, number: h.calls, after: after, until: now + wait})
-}
-
-// takeAnswer reads an answer of discovery with the real reader, hands what is new to the decision code and calls again.
-func (h *hollow) takeAnswer(now float64, in answerIn) {
-	if in.call != h.calling {
-		return // of a call that was given up, or of a life before
-	}
-	h.calling = 0
-	if in.answer == nil {
-		h.step(now, relay.Roster{Form: relay.RosterFailed})
-		return
-	}
-	if !h.first { // the list as last held comes with the configuration
-		h.meter.received(listClass, len(in.answer.body)+bytesPerHead)
-	}
-	spent := h.meter.processor
-	h.listed = in.answer.generation
-	list, err := h.parse(in.answer.body)
-	if err == nil {
-		h.hand(now, list)
-	} else {
-		h.meter.listsRefused++
-		for _, part := range in.answer.parts() {
-			if list, err = h.parse(part); err != nil {
-				h.meter.unreadable++
-				continue
-			}
-			h.hand(now, list)
-		}
-	}
-	if h.first { // the list as held before the start: the decision code orders the watch by itself
-		h.first = false
-		h.meter.startProcessor += h.meter.processor - spent
-		h.meter.processor = spent
-		return
-	}
-	h.ordered = false
-	h.watch(now, h.listed)
-}
-
-func (h *hollow) parse(body []byte) (roster.List, error) {
-	before := threadTime()
-	list, err := h.reader.Parse(body)
-	h.meter.processor += threadTime() - before
-	return list, err
-}
-
-// hand tells the decision code of a list, or of what changed in it.
-func (h *hollow) hand(now float64, list roster.List) {
-	if !list.Whole && len(list.Lines) == 0 && !h.ordered {
-		return // nothing new
-	}
-	form := relay.RosterDelta
-	switch {
-	case h.first && list.Whole:
-		form = relay.RosterCached
-	case list.Whole:
-		form = relay.RosterFull
-	}
-	event := relay.Roster{Form: form, Units: make([]relay.UnitEntry, 0, len(list.Lines))}
-	for _, line := range list.Lines {
-		u := h.service.byID[line.Unit]
-		if u == nil {
-			h.unknown++
-			continue
-		}
-		h.checker.listed(now, u, line.State)
-		if line.State != relay.Ready && h.world.options.lacks(DrainNotices) {
-			continue
-		}
-		event.Units = append(event.Units, line.UnitEntry)
-	}
-	h.step(now, event)
-}
-
-// takeNews reads a line of the platform with the real parser.
-func (h *hollow) takeNews(now float64, in newsIn) {
-	if in.life != h.life {
-		return
-	}
-	if in.line == "" {
-		h.step(now, relay.StageNews{Reply: relay.NotCounted})
-		return
-	}
-	h.meter.received(newsClass, len(in.line))
-	before := threadTime()
-	var reply linewire.Reply
-	err := h.lines.Feed([]byte(in.line), func(line string) {
-		var fault error
-		if reply, fault = linewire.Parse(line); fault != nil {
-			h.meter.unreadable++
-		}
-	})
-	h.meter.processor += threadTime() - before
-	if err != nil {
-		h.meter.unreadable++
-		return
-	}
-	n := reply.News
-	if !reply.Told {
-		n.Reply = voteReply(reply)
-	}
-	if n.Valid {
-		h.checker.hears(now, n)
-		if h.world.options.lacks(ExposureCap) && n.Phase == relay.OnTrial {
-			n.Cap = 1
-		}
-	}
-	h.step(now, n)
-}
-
-func voteReply(r linewire.Reply) relay.Reply {
-	switch {
-	case strings.HasPrefix(r.Error, linewire.Moot):
-		return relay.Moot
-	case r.Error != "":
-		return relay.NotCounted
-	}
-	return relay.Counted
-}
--- a/lab/scale/world.go
+++ b/lab/scale/world.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"math"
-	"runtime"
-	"sync"
-	"sync/atomic"
 
-	"lichenroad/internal/linewire"
 	"lichenroad/relay"
 )
 
@@ -38,14 +34,6 @@
 // readyUnits are the units that take requests.
 type readyUnits struct{ newer, earlier []*unit }
 
-// parcel is something for one relay that arrives at a time.
-type parcel struct {
-	at     float64
-	to     *hollow
-	answer *answerIn
-	news   *newsIn
-}
-
 const viewEvery = 0.1 // s between two looks of the stand-ins at units and fusers
 
 func newWorld(o Options) (*world, error) {
@@ -205,106 +193,6 @@
 	return w.fusersOf[s.index*w.options.Regions+region]
 }
 
-// reachesPlatform says whether a relay reaches discovery and the platform, which stand in the first region.
-func (w *world) reachesPlatform(r *identity) bool { return w.network.reaches(r.region, 0) }
-
-// unreachable is the time since another in which discovery could not be reached from a region.
-func (w *world) unreachable(region int, since, now float64) float64 {
-	if region != w.options.Regions-1 || region == 0 || math.IsInf(since, 1) || w.cutFrom > now {
-		return 0
-	}
-	return math.Max(0, math.Min(now, w.cutTo)-math.Max(since, w.cutFrom))
-}
-
-// tellNews has the platform tell a service's relays how its newest build stands.
-func (w *world) tellNews(now float64, s *service) {
-	line := linewire.Tell(s.platform.state(now))
-	for _, h := range s.hollows {
-		if h.alive && w.reachesPlatform(h.identity) {
-			w.mail = append(w.mail, parcel{at: now + newsDelay, to: h, news: &newsIn{h.life, line}})
-		}
-	}
-}
-
-// answerParked answers calls that wait for something new, all of them or those whose wait is over.
-func (w *world) answerParked(now float64, s *service, all bool) {
-	r := s.registry
-	left := r.parked[:0]
-	for _, c := range r.parked {
-		switch {
-		case !w.reachesPlatform(c.from.identity):
-			w.answer(now+unreachableFor, c, nil)
-		case all || now >= c.until:
-			w.answer(now+answerAfter, c, r.answer(c.after))
-		default:
-			left = append(left, c)
-		}
-	}
-	clear(r.parked[len(left):])
-	r.parked = left
-}
-
-func (w *world) answer(at float64, c listCall, a *listAnswer) {
-	w.mail = append(w.mail, parcel{at: at, to: c.from, answer: &answerIn{c.number, a}})
-}
-
-// call takes a call to discovery.
-func (w *world) call(now float64, c listCall) {
-	r := c.from.service.registry
-	switch {
-	case !w.reachesPlatform(c.from.identity):
-		w.answer(now+unreachableFor, c, nil)
-	case c.after < 0:
-		took, fails := r.queued(now)
-		if fails {
-			w.answer(now+took, c, nil)
-			return
-		}
-		w.answer(now+took, c, r.answer(-1))
-	case c.after < r.generation:
-		w.answer(now+answerAfter, c, r.answer(c.after))
-	default:
-		r.parked = append(r.parked, c)
-	}
-}
-
-// vote takes a relay's vote and answers it.
-func (w *world) vote(now float64, h *hollow, line string) {
-	if !w.reachesPlatform(h.identity) {
-		w.mail = append(w.mail, parcel{at: now + h.service.settings.Rollout.CallTimeout, to: h, news: &newsIn{life: h.life}})
-		return
-	}
-	call, err := linewire.ParseCall(line[:len(line)-len("\r\n")])
-	if err != nil {
-		h.meter.unreadable++
-		return
-	}
-	p := h.service.platform
-	answer := linewire.Refuse(linewire.Moot)
-	if p.vote(now, h.number, h.weight, call.Vote) == relay.Counted {
-		answer = linewire.Answer(p.state(now))
-	}
-	w.mail = append(w.mail, parcel{at: now + newsDelay, to: h, news: &newsIn{h.life, answer}})
-}
-
-// hand gives relays what has arrived.
-func (w *world) hand(now float64) {
-	left := w.mail[:0]
-	for _, m := range w.mail {
-		switch {
-		case m.at > now:
-			left = append(left, m)
-		case !m.to.alive:
-		case m.answer != nil:
-			m.to.answers = append(m.to.answers, *m.answer)
-		default:
-			m.to.news = append(m.to.news, *m.news)
-		}
-	}
-	clear(w.mail[len(left):])
-	w.mail = left
-}
-
 // collect takes what relays gave out in a tick, in their order.
 func (w *world) collect(now float64) {
 	for _, h := range w.hollows {
@@ -366,60 +254,3 @@
 		}
 	}
 }
-
-// participant is played within a tick.
-type participant interface{ advance(from, to float64) }
-
-// crew are the threads that play relays beside each other.
-type crew struct {
-	jobs int
-	work chan *round
-}
-
-// round is one tick's work.
-type round struct {
-	live     []participant
-	from, to float64
-	next     atomic.Int64
-	done     sync.WaitGroup
-}
-
-const roundChunk = 8 // relays that a thread takes at a time
-
-func newCrew(jobs int) *crew {
-	c := &crew{jobs: jobs, work: make(chan *round)}
-	for range jobs {
-		go func() {
-			runtime.LockOSThread() // processor time is counted by thread
-			defer runtime.UnlockOSThread()
-			for r := range c.work {
-				r.play()
-			}
-		}()
-	}
-	return c
-}
-
-func (r *round) play() {
-	defer r.done.Done()
-	for {
-		to := int(r.next.Add(roundChunk))
-		for i := to - roundChunk; i < min(to, len(r.live)); i++ {
-			r.live[i].advance(r.from, r.to)
-		}
-		if to >= len(r.live) {
-			return
-		}
-	}
-}
-
-func (c *crew) advance(live []participant, from, to float64) {
-	r := &round{live: live, from: from, to: to}
-	r.done.Add(c.jobs)
-	for range c.jobs {
-		c.work <- r
-	}
-	r.done.Wait()
-}
-
-func (c *crew) dismiss() { close(c.work) }
