--- a/lab/scale/discovery.go
+++ b/lab/scale/discovery.go
@@ -15,6 +15,7 @@
 	leastPace      = 50.0          // whole lists a second that it can give
 	relaysPerPace  = 8.0           // it can give all relays a list once in so many seconds, if that is more
 	mostQueued     = 2.0           // s that a call for a whole list may wait before it fails
+	longStanding   = 1.0           // s from the start in which a call does not queue: the fleet has long stood
 	answerAfter    = 0.02          // s that an answer takes
 	unreachableFor = 1.0           // s after which a call that can't reach it fails
 	entriesPerPart = 8192          // entries of one part of a list that the real reader refuses in one piece
@@ -23,10 +24,11 @@
 
 // listCall is a call of a relay to discovery.
 type listCall struct {
-	from   *hollow
-	number int64
-	after  int64   // generation that the relay has; -1: it wants the whole list
-	until  float64 // when discovery answers though nothing is new
+	from      *hollow
+	number    int64
+	after     int64   // generation that the relay has; -1: it wants the whole list
+	continues bool    // a watch that was answered before
+	until     float64 // when discovery answers though nothing is new
 }
 
 // listAnswer is discovery's answer. Where the reader refuses the body, the parts say the same in smaller pieces.
@@ -151,6 +153,9 @@
 
 // queued is how long a call for a whole list takes, and whether it fails.
 func (r *registry) queued(now float64) (took float64, fails bool) {
+	if now < longStanding {
+		return answerAfter, false
+	}
 	pace := max(leastPace, float64(r.relays)/relaysPerPace)
 	start := max(now, r.freeAt)
 	if start-now > mostQueued {
--- /dev/null
+++ b/lab/scale/member.go
@@ -0,0 +1,88 @@
+package scale
+
+import (
+	"lichenroad/internal/roster"
+	"lichenroad/membership"
+	"lichenroad/relay"
+)
+
+// clockGrain, in seconds, is more than what a time loses when it is counted from a relay's start: a wake-up that came a
+// rounding error early would be asked for again at the same moment, for ever.
+const clockGrain = 1e-6
+
+// member hosts the membership protocol's state machine beside the decision code, as the relay does.
+type member struct {
+	relay  *hollow
+	node   *membership.Node
+	wakeAt relay.Seconds // of the wake-up that is under way; membership.Never: none
+	lease  relay.Seconds // that the decision code was last told
+}
+
+// newMember returns the node of a relay. Stand-ins send no heartbeats, so the protocol is told of the hosted relays alone:
+// they send as many as the whole service would.
+func newMember(h *hollow) *member {
+	set := &h.service.settings
+	node := membership.New(membership.Settings{Self: h.number, Relays: len(h.service.hollows), Messages: set.Limits.Messages,
+		AskEvery: set.Rules.AskEvery, Epoch: epoch + h.started}, h.random.Int63())
+	return &member{relay: h, node: node, wakeAt: membership.Never, lease: -1}
+}
+
+// list tells the node of a list, of before the start or from discovery.
+func (m *member) list(now float64, list roster.List, held bool) {
+	given := membership.List{Generation: list.Generation, Whole: list.Whole}
+	for _, line := range list.Lines {
+		given.Units = append(given.Units, line.UnitEntry)
+	}
+	if held {
+		m.step(now, membership.Held{List: given})
+		return
+	}
+	m.step(now, membership.Answered{List: given})
+}
+
+// step has the node see an event, and carries out what it returns.
+func (m *member) step(now float64, event any) {
+	h := m.relay
+	before := threadTime()
+	out := m.node.Step(now-h.started+clockGrain, event)
+	h.meter.processor += threadTime() - before
+	for _, body := range out.Messages {
+		h.tell(membershipClass, relay.Everyone, body)
+	}
+	m.leave(now, out.Left)
+	if out.Lease != m.lease {
+		m.lease = out.Lease
+		h.step(now, relay.RosterLease{Until: out.Lease})
+	}
+	if out.Answers {
+		h.step(now, relay.DiscoveryAnswers{})
+	}
+	if out.WakeAt < m.wakeAt {
+		m.wakeAt = out.WakeAt
+		h.timers.set(timer{at: h.started + out.WakeAt, kind: membershipTimer})
+	}
+}
+
+// leave tells the decision code of units that peers know to have left.
+func (m *member) leave(now float64, left []relay.UnitID) {
+	if len(left) == 0 || m.relay.world.options.lacks(DrainNotices) {
+		return
+	}
+	h, event := m.relay, relay.Roster{Form: relay.RosterDelta}
+	for _, id := range left {
+		if u := h.service.byID[id]; u != nil {
+			h.checker.listed(now, u, relay.Draining)
+		}
+		event.Units = append(event.Units, relay.UnitEntry{Unit: id, State: relay.Draining, Bare: true})
+	}
+	h.meter.toldByPeers += len(left)
+	h.step(now, event)
+}
+
+// woken hands over a wake-up. Earlier ones that were asked for meanwhile come by themselves.
+func (m *member) woken(now float64) {
+	if now-m.relay.started+clockGrain >= m.wakeAt {
+		m.wakeAt = membership.Never
+	}
+	m.step(now, membership.Woken{})
+}
--- a/lab/scale/meter.go
+++ b/lab/scale/meter.go
@@ -38,6 +38,7 @@
 	fused          bool // it has told the others what it finds
 	requests       requestCounts
 	listsRefused   int
+	toldByPeers    int // units that peers told of as having left
 	unreadable     int // messages, lists and lines that the real code refused
 }
 
--- a/lab/scale/options.go
+++ b/lab/scale/options.go
@@ -51,10 +51,12 @@
 	DrainNotices Defence = "drain-notices"
 	// ExposureCap is the platform's bound on requests to a build on trial.
 	ExposureCap Defence = "exposure-cap"
+	// Leases are the membership protocol: without it a relay acts on its list however old it is.
+	Leases Defence = "membership"
 )
 
 // AllDefences lists the defences in the order of the documentation.
-var AllDefences = []Defence{DrainNotices, ExposureCap}
+var AllDefences = []Defence{DrainNotices, ExposureCap, Leases}
 
 // Bounds of the options.
 const (
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -170,7 +170,7 @@
 	over := func(figure func(m *meter) float64) Distribution {
 		var out []observation
 		for _, h := range list {
-			out = append(out, observation{figure(&h.meter), h.stands()})
+			out = append(out, observation{figure(&h.meter), h.standsFor()})
 		}
 		return distribute(out)
 	}
@@ -201,7 +201,7 @@
 
 	instances := 0.0
 	for _, h := range list {
-		instances += h.stands()
+		instances += h.standsFor()
 	}
 	r.Instances = int(math.Round(instances))
 	r.CPUShare = over(func(m *meter) float64 { return float64(m.processor) / 1e9 / math.Max(m.aliveSeconds, tick) })
@@ -211,8 +211,8 @@
 	return r
 }
 
-// stands is how many relays of the fleet the instance stands for.
-func (h *hollow) stands() float64 { return h.weight * h.service.weight }
+// standsFor is how many relays of the fleet the instance stands for.
+func (h *hollow) standsFor() float64 { return h.weight * h.service.weight }
 
 // measureHeaps drops some instances' state machines, one by one, and sees how much less is held. The list is in the
 // order of services, the largest first, so that it is spread over their sizes.
--- a/lab/scale/timers.go
+++ b/lab/scale/timers.go
@@ -6,10 +6,11 @@
 type timerKind uint8
 
 const (
-	arrivalTimer  timerKind = iota // the next request arrives
-	attemptTimer                   // an attempt ends
-	patienceTimer                  // a client gives up
-	wakeTimer                      // the decision code asked for it
+	arrivalTimer    timerKind = iota // the next request arrives
+	attemptTimer                     // an attempt ends
+	patienceTimer                    // a client gives up
+	wakeTimer                        // the decision code asked for it
+	membershipTimer                  // the membership protocol did
 )
 
 // timer is something that happens at one relay at a time.
