--- a/lab/scale/checker_test.go
+++ b/lab/scale/checker_test.go
@@ -20,7 +20,7 @@
 	if r := play(t, o); r.BrokenCount != 0 || r.Decisions.BadBack != 1 || !r.ColdChecked {
 		t.Errorf("with all defences: %+v, %+v", r.Broken, r.Decisions)
 	}
-	for defence, rule := range map[Defence]string{DrainNotices: drainRule, ExposureCap: exposureRule} {
+	for defence, rule := range map[Defence]string{DrainNotices: drainRule, ExposureCap: exposureRule, Leases: drainRule} {
 		o.Without = []Defence{defence}
 		r := play(t, o)
 		if got := rules(r); got[rule] == 0 || len(got) != 1 {
