--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -106,7 +106,7 @@
 		return unix - epoch - now
 	})
 	h.lines = linewire.Splitter{}
-	h.load = load{random: h.random, rate: h.world.options.Rate, tenants: h.service.size.tenants,
+	h.load = load{random: h.random, rate: h.service.size.rate, tenants: h.service.size.tenants,
 		routes: h.service.size.routes, lastID: h.load.lastID}
 	h.timers = timers{}
 	h.requests = map[relay.QueryID]*request{}
--- a/lab/scale/sample.go
+++ b/lab/scale/sample.go
@@ -68,11 +68,11 @@
 		fusers := min(fuserNumbers, hosted)
 		e.instances += hosted
 		units, relays := float64(size.units), float64(size.relays)
-		perRelay := o.Rate * (costPerRequest + costPerPick*units)
-		perFuser := costPerFused*units + costPerHeard*relays*o.Rate
+		perRelay := size.rate * (costPerRequest + costPerPick*units)
+		perFuser := costPerFused*units + costPerHeard*relays*size.rate
 		e.processorSeconds += o.Seconds*(float64(hosted)*perRelay+float64(fusers)*perFuser) +
 			float64(hosted)*costPerListed*units
-		met := math.Min(units, o.Rate*o.Seconds)
+		met := math.Min(units, size.rate*o.Seconds)
 		live += float64(hosted)*(heapEach+heapPerUnit*units+heapPerMet*met+heapPerRelay*relays+
 			heapPerTenant*float64(size.tenants)) + float64(fusers)*heapPerHeard*units
 	}
--- a/lab/scale/standin.go
+++ b/lab/scale/standin.go
@@ -62,7 +62,7 @@
 // attempts draws how many a relay makes in the time between two messages: a Poisson number, by its normal
 // approximation where it is large.
 func (s *standIn) attempts() int {
-	mean := s.world.options.Rate * tellEvery
+	mean := s.service.size.rate * tellEvery
 	if mean > 30 {
 		return max(0, int(math.Round(mean+math.Sqrt(mean)*s.random.NormFloat64())))
 	}
