--- a/lab/scale/release.go
+++ b/lab/scale/release.go
@@ -11,6 +11,7 @@
 const (
 	firstRelease  = 8.0  // s: by then the relays know the usual pace
 	releaseEvery  = 40.0 // s between two releases of a service; one that is still on trial then is withdrawn
+	retireAfter   = 5.0  // s from a release until the earlier units leave: by then the others are warm
 	withdrawAfter = 3.0  // s from the decision to send a build back to its end
 	newsEvery     = 5.0  // s between news that say the same again
 	voteLife      = 20.0 // s that a vote counts
@@ -81,6 +82,7 @@
 	releases []Release
 	launched int // units of the newest build
 	names    int
+	retireAt float64 // when the units of earlier builds leave; never: no release has been
 	backAt   float64 // when the newest build was sent back; never: it was not
 	placer   *placer
 }
@@ -92,13 +94,17 @@
 
 func newPlatform(s *service, p *placer) *platform {
 	return &platform{service: s, news: relay.StageNews{Valid: true, Build: 1, Phase: relay.Released, Cap: 1},
-		votes: make([]castVote, len(s.relays)), defects: map[relay.Build]defect{1: sound}, backAt: never, placer: p}
+		votes: make([]castVote, len(s.relays)), defects: map[relay.Build]defect{1: sound}, backAt: never, retireAt: never, placer: p}
 }
 
 func (p *platform) defect(b relay.Build) defect { return p.defects[b] }
 
-// due offers the next build when it is time, and ends builds that were sent back. It says whether there are news.
+// due offers the next build when it is time, has the earlier units leave behind a release, and ends builds that were sent
+// back. It says whether there are news.
 func (p *platform) due(now float64) bool {
+	if now >= p.retireAt {
+		p.retire(now)
+	}
 	switch {
 	case now >= firstRelease+releaseEvery*float64(len(p.releases)):
 		p.offer(now)
@@ -112,7 +118,16 @@
 	return true
 }
 
+// retire has the units of earlier builds leave. From then on the release stands.
+func (p *platform) retire(now float64) {
+	p.retireAt = never
+	p.drain(now, func(u *unit) bool { return u.build != p.news.Build })
+}
+
 func (p *platform) offer(now float64) {
+	if p.retireAt != never {
+		p.retire(now)
+	}
 	if n := len(p.releases); n > 0 {
 		p.releases[n-1].Ended = true
 		if p.news.Phase == relay.OnTrial {
@@ -157,6 +172,7 @@
 // vote takes a vote and says how it is answered.
 func (p *platform) vote(now float64, from relay.RelayNo, weight float64, v relay.Vote) relay.Reply {
 	if v.Build != p.news.Build || p.news.Phase == relay.GoingBack || p.news.Phase == relay.Withdrawn ||
+		p.news.Phase == relay.Released && p.retireAt == never ||
 		v.Verdict != relay.VoteBack && (v.Stage != p.news.Stage || p.news.Phase == relay.Released) {
 		return relay.Moot
 	}
@@ -177,7 +193,7 @@
 	r := &p.releases[len(p.releases)-1]
 	switch {
 	case sum[relay.VoteBack] >= math.Max(1, votesBack*relays)-1e-6:
-		r.BackAfter, r.Ended, p.backAt = now-r.OfferedAt, true, now
+		r.BackAfter, r.Ended, p.backAt, p.retireAt = now-r.OfferedAt, true, now, never
 		p.change(now, relay.GoingBack, p.news.Stage, 0)
 		p.drain(now, func(u *unit) bool { return u.build == p.news.Build })
 	case sum[relay.VoteOn] >= math.Max(1, votesForward*relays)-1e-6 && sum[relay.VoteHold] == 0:
@@ -197,7 +213,7 @@
 	r.ReleasedAfter, r.Ended = now-r.OfferedAt, true
 	p.change(now, relay.Released, p.news.Stage, 1)
 	p.launch(now, 1)
-	p.drain(now, func(u *unit) bool { return u.build != p.news.Build })
+	p.retireAt = now + retireAfter
 }
 
 // state is the news as of now.
