--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -38,7 +38,6 @@
 	random  *rand.Rand
 	started float64 // when this life began
 	life    int
-	seed    int64
 
 	policy   *policy.Policy
 	reader   *roster.Reader
@@ -206,7 +205,6 @@
 	before := threadTime()
 	orders := h.policy.Step(now-h.started, events)
 	h.meter.processor += threadTime() - before
-	h.meter.steps++
 	for _, o := range orders {
 		switch o := o.(type) {
 		case relay.SendLeg:
--- a/lab/scale/meter.go
+++ b/lab/scale/meter.go
@@ -34,7 +34,6 @@
 	startProcessor int64 // ns of that list
 	aliveSeconds   float64
 	classes        [classes]traffic
-	steps          int64
 	fused          bool // it has told the others what it finds
 	requests       requestCounts
 	listsRefused   int
