--- a/cmd/lichenroad/scale_test.go
+++ b/cmd/lichenroad/scale_test.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if !strings.Contains(string(b), `"broken": []`) {
+		t.Errorf("%s", b)
+	}
 	var r scale.Result
 	if err := json.Unmarshal(b, &r); err != nil {
 		t.Fatal(err)
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -116,7 +116,7 @@
 
 func (w *world) result() *Result {
 	r := &Result{Options: w.options, Services: len(w.services), Relays: len(w.relays), ColdChecked: !w.sampled,
-		BrokenCount: w.coldCount, Broken: slices.Clone(w.coldBroken)}
+		BrokenCount: w.coldCount, Broken: append([]Broken{}, w.coldBroken...)}
 	r.Faults = Faults{w.faultCounts, w.network.counts}
 	roles := map[string][]*hollow{}
 	for _, h := range w.hollows {
