--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -39,7 +39,6 @@
 	random  *rand.Rand
 	started float64 // when this life began
 	life    int
-	seed    int64
 
 	policy   *policy.Policy
 	member   *member // nil: it is switched off
@@ -226,7 +225,6 @@
 	before := threadTime()
 	orders := h.policy.Step(now-h.started, events)
 	h.meter.processor += threadTime() - before
-	h.meter.steps++
 	for _, o := range orders {
 		switch o := o.(type) {
 		case relay.SendLeg:
