--- a/policy/routing.go
+++ b/policy/routing.go
@@ -129,12 +129,9 @@
 
 // send is where every leg goes out.
 func (d *desk) send(q *query, u *unit) {
-	p, by := d.p, d.p.roster.leaseEnd // a leg that waits for a connection goes on no longer than the list holds
-	if window := q.repeatBy(); window > 0 {
-		by = math.Min(by, window)
-	}
-	if by == never {
-		by = 0
+	p, by := d.p, q.repeatBy()
+	if end := d.p.roster.leaseEnd; end != never && (by == 0 || end < by) {
+		by = end // it waits for a connection no longer than the list holds
 	}
 	q.legs = append(q.legs, leg{unit: u, zone: u.Zone, cell: u.Cell, build: u.Build, at: p.now,
 		age: p.now - u.started, open: true, mayRan: true, depth: u.open})
