--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -70,6 +70,7 @@
 	ListsRefused  int           `json:"lists_refused"` // by the real reader, as too long
 	Unreadable    int           `json:"unreadable"`
 	UnknownUnits  int           `json:"unknown_units"`
+	ToldByPeers   int           `json:"units_told_by_peers"` // as having left, before discovery told
 	Faults        Faults        `json:"faults"`
 	BrokenCount   int           `json:"broken_count"`
 	Broken        []Broken      `json:"broken"`
@@ -161,6 +162,7 @@
 	r.ListsRefused += h.meter.listsRefused
 	r.Unreadable += h.meter.unreadable
 	r.UnknownUnits += h.unknown
+	r.ToldByPeers += h.meter.toldByPeers
 	r.BrokenCount += h.checker.count
 	r.Broken = append(r.Broken, h.checker.broken...)
 }
