Calls to discovery are backed off by the size of the fleet; the first waits only under a lease

Without a lease the first call goes out at once, and fleets of up to 33 relays back off by 2 s at most. A list of before the first call no longer cancels it.

--- a/membership/backoff.go
+++ b/membership/backoff.go
@@ -17,8 +17,8 @@
 	// lets a call wait at first, doubled by each further failure, up to a pace slower than discovery's slowest.
 	firstBackoff = 2.0
 	mostBackoff  = 16.0
-	// backoffPace bounds it, in seconds for each relay, so that some relay of a small fleet calls about every second.
-	backoffPace = 1.0
+	// backoffPace bounds it, in seconds for each relay of the fleet: a few relays overload nobody, and learn late if they wait.
+	backoffPace = 0.06
 	// askPart is the part of the time without a call that the settings allow, behind which the next one is made.
 	askPart = 0.8
 )
@@ -54,8 +54,8 @@
 	if silent && b.failures == 1 {
 		return 0
 	}
-	most := math.Min(mostBackoff, firstBackoff*math.Exp2(float64(b.failures-1)))
-	most = math.Min(most, backoffPace*float64(b.relays))
+	bound := math.Max(firstBackoff, math.Min(mostBackoff, backoffPace*float64(b.relays)))
+	most := math.Min(bound, firstBackoff*math.Exp2(float64(b.failures-1)))
 	return math.Min(most, askPart*failedFactor*b.askEvery) * b.random.Float64()
 }
 
--- a/policy/roster.go
+++ b/policy/roster.go
@@ -15,15 +15,17 @@
 	forgetGone  = 60.0 // s after which a unit that is gone is forgotten: five windows of evidence
 )
 
-// begin has the first call made.
-func (r *roster) begin() {
-	if r.askAt = r.p.now + r.backoff.First(); r.askAt == r.p.now {
+// begin has the first call made: at once where no lease holds the relay back from a list that may be old.
+func (r *roster) begin(leased bool) {
+	if !leased {
 		r.ask()
+		return
 	}
+	r.callDue, r.askAt = true, r.p.now+r.backoff.First()
 }
 
 func (r *roster) ask() {
-	r.askAt, r.failed = r.p.now+watchWait, false
+	r.askAt, r.callDue = r.p.now+watchWait, false
 	r.p.do(relay.Watch{On: true})
 }
 
@@ -45,12 +47,12 @@
 	case relay.Roster:
 		if n.Form == relay.RosterFailed || n.Form == relay.RosterSilent {
 			// Which call failed is not said. What a silent watch missed counts as told soon: ask at once.
-			r.failed = true
+			r.callDue = true
 			r.askAt = r.p.now + r.backoff.Failed(n.Form == relay.RosterSilent)
 			return
 		}
-		// Behind a failure it may be of another call than the one that failed.
-		if n.Form != relay.RosterCached && !n.FromPeers && !r.failed {
+		// While a call is due the list is of another one, or of before the first.
+		if n.Form != relay.RosterCached && !n.FromPeers && !r.callDue {
 			r.askAt = never
 			r.backoff.Answered()
 		}
@@ -58,7 +60,7 @@
 	case relay.RosterLease:
 		r.leaseEnd = n.Until
 	case relay.DiscoveryAnswers:
-		if r.failed {
+		if r.callDue {
 			r.askAt = math.Min(r.askAt, r.p.now+r.backoff.PeerAnswered())
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -216,7 +216,7 @@
 		p.begun = true
 		p.do(relay.Wake{ID: 1, At: p.now + tick})
 		if p.set.RosterOnAsk {
-			p.roster.begin()
+			p.roster.begin(slices.ContainsFunc(events, isLease))
 		}
 	}
 	// All of a batch has happened by now: what it tells of units and builds holds for its queries too.
@@ -273,6 +273,11 @@
 	return p
 }
 
+func isLease(e relay.Event) bool {
+	_, yes := e.(relay.RosterLease)
+	return yes
+}
+
 // assemble makes the parts.
 func (p *Policy) assemble() {
 	p.roster = roster{p: p, byID: map[relay.UnitID]*unit{}, byHash: map[unitHash]*unit{}, leaseEnd: never,
@@ -307,12 +312,12 @@
 
 // roster keeps the list of units and the watch on it.
 type roster struct {
-	p      *Policy
-	byID   map[relay.UnitID]*unit
-	byHash map[unitHash]*unit
-	units  []*unit       // all ever listed, by id
-	failed bool          // a call failed, and none was made since
-	askAt  relay.Seconds // when to ask again; never: an answer has come, so the watch stands
+	p       *Policy
+	byID    map[relay.UnitID]*unit
+	byHash  map[unitHash]*unit
+	units   []*unit       // all ever listed, by id
+	callDue bool          // no call was made since the start, or since one failed
+	askAt   relay.Seconds // when to ask again; never: an answer has come, so the watch stands
 
 	backoff  membership.Backoff // of calls to discovery
 	leaseEnd relay.Seconds      // until when the list may be acted on; never: no lease was named
