The reload test waits for readiness with an empty query, as a front does

A relay turns queries away until its list is confirmed, so one that comes as soon as the port is open may be denied. The assertions are the same.

--- a/cmd/lichenroad/reload_test.go
+++ b/cmd/lichenroad/reload_test.go
@@ -82,6 +82,9 @@
 		c := &client{t, n, bufio.NewReader(n)}
 		n.Write(pgwire.Startup("worker", "catalog"))
 		c.until('Z')
+		c.send("") // answered when the relay is ready, as a front waits for
+		c.until('I')
+		c.until('Z')
 		c.send(read("look", 1500))
 		v, _ := c.answer()
 		return v
