--- /dev/null
+++ b/membership/bench_test.go
@@ -0,0 +1,209 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+
+	"lichenroad/relay"
+)
+
+// Benchmarks at several sizes, for docs/CAPACITY.md: lichenroad lab fit puts a curve through what they measure.
+
+const (
+	datagramHeaders = 20 + 8 // bytes of IP and UDP
+	leastDelay      = 0.02   // s that a datagram takes
+	mostDelay       = 0.04
+	watchWait       = 15.0 // s that a call to discovery waits
+	changesPerDay   = 6300 // of the list, at the target
+	secondsPerDay   = 86400.0
+	settleTime      = 30.0 // s before the clock of a benchmark runs
+)
+
+// arrival is an event on its way to a node; from nobody: a wake-up.
+type arrival struct {
+	at    relay.Seconds
+	no    int // in the order of sending, for equal times
+	to    int
+	event any
+}
+
+type arrivals []arrival
+
+func (a arrivals) Len() int { return len(a) }
+func (a arrivals) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].no < a[j].no
+}
+func (a arrivals) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(x any)   { *a = append(*a, x.(arrival)) }
+func (a *arrivals) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// benchFleet is a fleet of nodes in virtual time, with a discovery that answers each watch at once on a change.
+type benchFleet struct {
+	random     *rand.Rand
+	nodes      []*Node
+	wakeAt     []relay.Seconds
+	queue      arrivals
+	sent       int
+	generation int64
+	units      int
+
+	steps    int
+	messages float64 // sent by all
+	bytes    float64
+}
+
+func newBenchFleet(nodes, units int) *benchFleet {
+	f := &benchFleet{random: rand.New(rand.NewSource(1)), generation: 1, units: units, wakeAt: make([]relay.Seconds, nodes)}
+	list := listOf(units, f.generation)
+	for i := range nodes {
+		f.nodes = append(f.nodes, New(Settings{Self: relay.RelayNo(i), Relays: nodes, Messages: true, AskEvery: 10, Epoch: 1.7e9}, int64(i)))
+		f.wakeAt[i] = Never
+		f.at(watchWait*f.random.Float64(), i, Answered{list})
+	}
+	return f
+}
+
+func listOf(units int, generation int64) List {
+	l := List{Generation: generation, Whole: true}
+	for i := range units {
+		l.Units = append(l.Units, relay.UnitEntry{Unit: relay.UnitID(uint64(i+1) * 0x9e3779b97f4a7c15), Build: 41, State: relay.Ready})
+	}
+	return l
+}
+
+func (f *benchFleet) at(t relay.Seconds, to int, event any) {
+	f.sent++
+	heap.Push(&f.queue, arrival{t, f.sent, to, event})
+}
+
+// change has a unit replaced, and every watch told of it within two tenths of a second.
+func (f *benchFleet) change(now relay.Seconds) {
+	f.generation++
+	unit := relay.UnitID(uint64(f.random.Intn(f.units)+1) * 0x9e3779b97f4a7c15)
+	list := List{Generation: f.generation, Units: []relay.UnitEntry{{Unit: unit, Build: 41, State: relay.Draining}}}
+	for i := range f.nodes {
+		f.at(now+0.2*f.random.Float64(), i, Answered{list})
+	}
+}
+
+// run plays up to a time.
+func (f *benchFleet) run(until relay.Seconds) {
+	for len(f.queue) > 0 && f.queue[0].at < until {
+		a := heap.Pop(&f.queue).(arrival)
+		if _, woken := a.event.(Woken); woken && a.at < f.wakeAt[a.to] {
+			continue // it was put off
+		}
+		out := f.nodes[a.to].Step(a.at, a.event)
+		f.steps++
+		if _, answered := a.event.(Answered); answered {
+			f.nodes[a.to].Step(a.at, CallBegun{Wait: watchWait, Continues: true})
+		}
+		for _, body := range out.Messages {
+			f.messages++
+			f.bytes += float64(len(body) + datagramHeaders)
+			for i := range f.nodes {
+				if i != a.to {
+					f.at(a.at+leastDelay+(mostDelay-leastDelay)*f.random.Float64(), i, Heard{relay.RelayNo(a.to), body})
+				}
+			}
+		}
+		if out.WakeAt != f.wakeAt[a.to] && out.WakeAt != Never {
+			f.at(out.WakeAt, a.to, Woken{})
+		}
+		f.wakeAt[a.to] = out.WakeAt
+	}
+}
+
+// BenchmarkFleetSecond is a second of a whole fleet at the target's rate of changes. What all send is what each takes in,
+// but its own.
+func BenchmarkFleetSecond(b *testing.B) {
+	for _, size := range []struct{ relays, units int }{{4, 150}, {43, 150}, {300, 150}, {1290, 150}, {4300, 150}, {300, 42_000}} {
+		relays, units := size.relays, size.units
+		b.Run(fmt.Sprintf("relays=%d/units=%d", relays, units), func(b *testing.B) {
+			f := newBenchFleet(relays, units)
+			f.run(settleTime)
+			f.messages, f.bytes, f.steps = 0, 0, 0
+			now, owed := settleTime, 0.0
+			for b.Loop() {
+				for owed += changesPerDay / secondsPerDay; owed >= 1; owed-- {
+					f.change(now)
+				}
+				for i := range f.nodes { // each watch comes back once in its wait
+					if i%int(watchWait) == int(now)%int(watchWait) {
+						f.at(now+f.random.Float64(), i, Answered{List{Generation: f.generation}})
+					}
+				}
+				now++
+				f.run(now)
+			}
+			seconds := now - settleTime
+			b.ReportMetric(f.messages/seconds, "messages-in/s")
+			b.ReportMetric(f.bytes/seconds, "bytes-in/s")
+			b.ReportMetric(f.bytes/seconds/float64(relays), "bytes-out/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/seconds/float64(relays), "ns-a-relay/s")
+		})
+	}
+}
+
+// BenchmarkHold is a node's first whole list, and what it holds of it.
+func BenchmarkHold(b *testing.B) {
+	for _, units := range []int{150, 1000, 4096, 12_000, 42_000} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			list := listOf(units, 1)
+			var n *Node
+			before := inUse()
+			for b.Loop() {
+				n = New(Settings{Relays: 4300, Messages: true, AskEvery: 10}, 1)
+				n.Step(1, Answered{list})
+			}
+			b.ReportMetric(inUse()-before, "heap-B")
+			runtime.KeepAlive(n)
+			runtime.KeepAlive(list)
+		})
+	}
+}
+
+// BenchmarkChange is one unit that leaves, at a node that holds so many.
+func BenchmarkChange(b *testing.B) {
+	for _, units := range []int{150, 1000, 4096, 12_000, 42_000} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			n := New(Settings{Relays: 4300, Messages: true, AskEvery: 10}, 1)
+			list := listOf(units, 1)
+			n.Step(1, Answered{list})
+			no := 0
+			for b.Loop() {
+				e := list.Units[no%units]
+				if no/units%2 == 0 {
+					e.State = relay.Draining
+				}
+				no++
+				n.Step(1+float64(no), Answered{List{Generation: int64(1 + no), Units: []relay.UnitEntry{e}}})
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeat is a heartbeat of a peer with the same list, read and taken in.
+func BenchmarkHeartbeat(b *testing.B) {
+	n := New(Settings{Relays: 4300, Messages: true, AskEvery: 10, Epoch: 1.7e9}, 1)
+	n.Step(1, Answered{listOf(150, 1)})
+	body := message{view: n.view, answered: n.toWire(1)}.encode()
+	for b.Loop() {
+		n.Step(2, Heard{From: 7, Body: body})
+	}
+	b.ReportMetric(float64(len(body)+datagramHeaders), "wire-B")
+}
+
+func inUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
