lab scale and plan simulate write results by the tool's own writeJSON; sorts by cmp.Compare

Said once what stood twice: writeJSON of the command line, and two hand-written comparisons of lab/scale.

--- a/cmd/lichenroad/scale.go
+++ b/cmd/lichenroad/scale.go
@@ -3,13 +3,11 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"runtime"
 
 	"github.com/spf13/cobra"
 
-	"lichenroad/lab"
 	"lichenroad/lab/scale"
 )
 
@@ -56,14 +54,8 @@
 		if err != nil {
 			return failed(err)
 		}
-		if *file != "" {
-			b, err := json.MarshalIndent(r, "", "  ")
-			if err == nil {
-				err = lab.WriteFile(*file, append(b, '\n'))
-			}
-			if err != nil {
-				return failed(err)
-			}
+		if err := t.writeJSON(*file, r); err != nil {
+			return err
 		}
 		if err := r.WriteTable(t.out); err != nil {
 			return failed(err)
--- a/cmd/lichenroad/simulate.go
+++ b/cmd/lichenroad/simulate.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -69,14 +68,8 @@
 		if err != nil && ctx.Err() == nil {
 			return failed(err)
 		}
-		if *file != "" {
-			b, err := json.MarshalIndent(r, "", "  ")
-			if err == nil {
-				err = lab.WriteFile(*file, append(b, '\n'))
-			}
-			if err != nil {
-				return failed(err)
-			}
+		if err := t.writeJSON(*file, r); err != nil {
+			return err
 		}
 		if *dir != "" {
 			name, err := r.Report(p, *dir)
--- a/lab/scale/faults.go
+++ b/lab/scale/faults.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -83,13 +84,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b faultEvent) int {
-		switch {
-		case a.at < b.at:
-			return -1
-		case a.at > b.at:
-			return 1
-		}
-		return 0
+		return cmp.Compare(a.at, b.at)
 	})
 	return out
 }
--- a/lab/scale/meter.go
+++ b/lab/scale/meter.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"runtime/metrics"
 	"slices"
 
@@ -123,13 +124,7 @@
 	d.Mean = sum / total
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b observation) int {
-		switch {
-		case a.value < b.value:
-			return -1
-		case a.value > b.value:
-			return 1
-		}
-		return 0
+		return cmp.Compare(a.value, b.value)
 	})
 	seen := 0.0
 	for _, o := range sorted {
