--- a/review/tools/chaos/main.go
+++ b/review/tools/chaos/main.go
@@ -307,6 +307,10 @@
 				switch {
 				case err != nil && ran == 0 && !strings.Contains(err.Error(), "timeout"):
 					w.count("closed unread")
+					if took > 5*time.Millisecond || i > 0 { // an end that crossed the request comes at once
+						w.count("closed unread, late: " + err.Error()[:min(len(err.Error()), 3)])
+						w.record.Printf("id=%s (%d of %d): %v after %.3f s, not run", id, i+1, len(ids), err, took.Seconds())
+					}
 					gone = true
 				case err != nil:
 					w.fault("lost: id=%s (%s, %d runs, %d of %d): %v after %.3f s of %.3f", id, r.class, ran, i+1, len(ids), err, took.Seconds(), waits[i].Seconds())
@@ -346,6 +350,7 @@
 	seconds := flag.Int("seconds", 60, "how long")
 	clients := flag.Int("clients", 40, "connections")
 	trouble := flag.Float64("trouble", 1, "factor on the chances of trouble")
+	restart := flag.Bool("restart", false, "SIGTERM while clients still come")
 	program := flag.String("program", "exec bin/lichenroad serve", "the relay")
 	flag.Parse()
 	dir, _ := os.MkdirTemp("", "chaos")
@@ -441,6 +446,11 @@
 			_ = relay.Process.Signal(syscall.SIGHUP)
 		}
 	}
+	if *restart {
+		record.Printf("SIGTERM")
+		_ = relay.Process.Signal(syscall.SIGTERM)
+		time.Sleep(5 * time.Second)
+	}
 	w.stop.Store(true)
 	wg.Wait()
 	peak, err := rig.PeakMemory(relay.Process.Pid)
--- a/review/tools/memory/main.go
+++ b/review/tools/memory/main.go
@@ -176,6 +176,7 @@
 		}
 		id := uint64(number)<<32 | i
 		r.sent.Add(1)
+		r.record.Printf("usual client %d sends id=%016x", number, id)
 		err := c.Send(rig.Read(id, id, "basket", deadline))
 		var answer rig.Answer
 		if err == nil {
@@ -191,6 +192,8 @@
 			r.served.Add(1)
 		default:
 			r.failed.Add(1)
+		}
+		if err == nil {
 			r.record.Printf("usual client %d: id=%016x %v", number, id, answer)
 		}
 	}
@@ -213,6 +216,7 @@
 			continue
 		}
 		r.badSent.Add(1)
+		r.record.Printf("bad client %d sends a value of %d bytes", number, valueBytes)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
--- a/review/tools/shutdown/main.go
+++ b/review/tools/shutdown/main.go
@@ -177,6 +177,7 @@
 	id := fmt.Sprintf("%016x", number)
 	r.sent.Add(1)
 	sentAt := time.Now()
+	r.record.Printf("client sends id=%s", id)
 	err := c.Send(rig.Read(number, number, "next-turn", deadline))
 	var answer rig.Answer
 	if err == nil {
@@ -194,6 +195,7 @@
 		r.record.Printf("client: id=%s: %v after %.3f s, no unit has begun it", id, err, took)
 	case answer.Served:
 		r.served.Add(1)
+		r.record.Printf("client: id=%s: %v after %.3f s", id, answer, took)
 	case answer.Code == "53300" || answer.Code == "57P03":
 		r.refused.Add(1)
 		r.record.Printf("client: id=%s: %v after %.3f s", id, answer, took)
