clients, upstream: netpoll's poller no longer reads ahead of the read callbacks

Cause: netpoll's poller reads a socket whenever it has input, whether or not the read callback has handled what came before. The relay runs on one processor, and the poller's calls to the kernel don't give it up, so a callback starts late. A trial that logged what waited at the start of each callback found up to 14 MB of one connection, while the callback itself took 13 us to 0.8 ms: what grew was the input read ahead, not the time that the error needed. Receive buffers that the kernel lets grow for a fast peer (up to 32 MB here) make single reads of up to 8 MB out of it. The same holds for endpoints.

Change: package readahead sets netpoll's runner, so that the poller waits for each read callback that it starts; a callback whose connection is being closed releases the poller, which it needs to end. Receive buffers of client and endpoint sockets have a fixed size. Further input waits in the kernel, and TCP slows the peer down.

It now knows which connection it waits for, where netpoll tells (those accepted).

--- a/imports_test.go
+++ b/imports_test.go
@@ -17,7 +17,7 @@
 // layers; test files are exempt. docs/ARCHITECTURE.md describes the layers.
 var layers = [][]string{
 	{"relay", "plan", "simwire", "experiment", "policy/window", "internal/buffer", "internal/httpwire", "internal/limits",
-		"internal/metrics", "internal/sockets", "internal/xmlconfig", "lab/logsummary", "lab/relayconfig", "lab/slope", "compat"},
+		"internal/metrics", "internal/readahead", "internal/sockets", "internal/xmlconfig", "lab/logsummary", "lab/relayconfig", "lab/slope", "compat"},
 	{"settings", "policy/peerwire", "membership", "rollout", "trace", "internal/linewire", "internal/pgwire",
 		"internal/planxml"},
 	{"policy", "internal/config", "lab/fakes"},
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -5,7 +5,10 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,7 +199,7 @@
 		h.respond(client, c)
 
 		unblock := make(chan struct{})
-		hook := func() { <-unblock }
+		hook := func(*conn) { <-unblock }
 		h.server.beforeRead.Store(&hook)
 		client.Write(queryMessage)
 		h.waitFor("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(queryMessage) && c.current == nil })
@@ -242,7 +245,7 @@
 
 	client, c = h.session()
 	unblock := make(chan struct{})
-	hook := func() { <-unblock }
+	hook := func(*conn) { <-unblock }
 	h.server.beforeRead.Store(&hook)
 	client.Write(queryMessage)
 	h.waitWithoutLoop("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(queryMessage) })
@@ -401,3 +404,63 @@
 	}
 	h.finish(c)
 }
+
+// TestInputOfAFastClientIsNotReadAhead guards against a relay that is killed for its memory: clients send values of 60 MB at
+// full speed, each far too long, while the read callbacks are late. At most what a socket's receive buffer holds may be read
+// of a connection before its callback has handled it, and each client must get its error.
+func TestInputOfAFastClientIsNotReadAhead(t *testing.T) {
+	const (
+		clients       = 4
+		valueBytes    = 60 << 20
+		lateCallbacks = 50
+		delay         = time.Millisecond               // of a callback that gets no processor time
+		maxUnread     = 2 * limits.SocketReceiveBuffer // the kernel doubles the buffer
+	)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as in a relay with one core: poller and callbacks take turns
+	h := newHarness(t, 100, 10)
+	var calls, longest atomic.Int64
+	hook := func(c *conn) {
+		if calls.Add(1) <= lateCallbacks {
+			time.Sleep(delay)
+		}
+		longest.Store(max(longest.Load(), int64(c.net.Reader().Len())))
+	}
+	h.server.beforeRead.Store(&hook)
+	var open sync.WaitGroup
+	for range clients {
+		client := h.dial()
+		open.Go(func() {
+			client.Write(startupMessage)
+			client.Write(binary.BigEndian.AppendUint32([]byte{pgwire.TypeQuery}, valueBytes))
+			part := make([]byte, 1<<20)
+			for sent := 0; sent < valueBytes; sent += len(part) {
+				if _, err := client.Write(part); err != nil {
+					break // the relay has closed the connection
+				}
+			}
+		})
+		open.Go(func() {
+			defer client.Close()
+			kind, body, err := client.read()
+			for err == nil && kind != 'E' {
+				kind, body, err = client.read()
+			}
+			if _, code, _, _ := pgwire.ParseError(body); err != nil || code != pgwire.CodeTooLong {
+				t.Errorf("error code %q, error %v; want that of a message that is too long", code, err)
+			}
+		})
+	}
+	closed := make(chan struct{})
+	go func() { open.Wait(); close(closed) }()
+	h.waitFor("each client to get its error", func() bool {
+		select {
+		case <-closed:
+			return true
+		default:
+			return false
+		}
+	})
+	if longest.Load() > maxUnread {
+		t.Errorf("%d bytes of a connection were read ahead, want at most %d", longest.Load(), maxUnread)
+	}
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -10,6 +10,7 @@
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
+	"lichenroad/internal/readahead"
 	"lichenroad/relay"
 )
 
@@ -52,7 +53,8 @@
 }
 
 // handleClosed runs once after the connection has ended. No read is in progress then.
-func (c *conn) handleClosed(netpoll.Connection) error {
+func (c *conn) handleClosed(connection netpoll.Connection) error {
+	readahead.Closing(connection)
 	c.mu.Lock()
 	c.closed = true
 	if c.closeReason == "" {
--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -31,7 +31,7 @@
 // read handles the input that has arrived. Runs on the reading goroutine.
 func (c *conn) read() error {
 	if hook := c.server.beforeRead.Load(); hook != nil {
-		(*hook)()
+		(*hook)(c)
 	}
 	receivedAt := c.server.loop.Clock.Now()
 	reader := c.net.Reader()
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -4,8 +4,8 @@
 // Input is posted to the pipeline's loop, which keeps the order of requests and the lists of idle connections. A
 // netpoll poller runs the read callback of a connection, one call at a time, and its close callback after the last one.
 // Each connection has a goroutine that writes while there is something to write (outbox.go). The package imports the
-// codec (internal/pgwire), the limits (internal/limits), socket calls that Go lacks (internal/sockets) and the
-// counters.
+// codec (internal/pgwire), the limits (internal/limits), socket calls that Go lacks (internal/sockets), the bound on
+// unread input (internal/readahead) and the counters.
 package clients
 
 import (
@@ -22,6 +22,7 @@
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
+	"lichenroad/internal/readahead"
 	"lichenroad/internal/sockets"
 	"lichenroad/relay"
 )
@@ -39,7 +40,7 @@
 	openConns      atomic.Int64
 	lastSession    atomic.Uint32
 	listenerClosed atomic.Bool
-	beforeRead     atomic.Pointer[func()] // for tests: called at the start of each read
+	beforeRead     atomic.Pointer[func(*conn)] // for tests: called at the start of each read
 
 	// Used by the loop goroutine only.
 	conns           map[*conn]struct{}
@@ -65,7 +66,8 @@
 // Listen listens on a TCP address and serves connections until Close or Shutdown. If the listener fails before that,
 // onFailure is called on another goroutine. The returned error wraps that of the socket or of netpoll's event loop.
 func (s *Server) Listen(address string, onFailure func(error)) error {
-	listener, err := net.Listen("tcp", address)
+	readahead.Install()
+	listener, err := sockets.Listen(address, limits.SocketReceiveBuffer)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -118,7 +120,7 @@
 		return context.Background()
 	}
 	s.loop.Post(pipeline.Func(func(*pipeline.Loop) { s.addConn(c) }))
-	return context.WithValue(context.Background(), connKey{}, c)
+	return context.WithValue(readahead.Context(n), connKey{}, c)
 }
 
 // rejectConn sends an error on a connection beyond all limits and closes it. The client may have sent its first request
--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -28,6 +28,11 @@
 	// amount again.
 	BufferFraction = 0.25
 
+	// SocketReceiveBuffer is the size in bytes of the receive buffer of a socket whose peer may send without end, before the
+	// kernel doubles it. It bounds how much netpoll reads of a connection at once. Without it the kernel lets the buffer of a
+	// fast peer grow to many megabytes; its default for a new connection has the same size.
+	SocketReceiveBuffer = 64 << 10
+
 	// PollerCount is the number of netpoll's pollers. Two pollers, or one more thread for Go, did not shorten response times
 	// and used more CPU.
 	PollerCount = 1
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,11 +1,14 @@
 // Package sockets provides operations on descriptors that the network library lacks: checking whether a socket has unread
-// input or a listener has connections to accept, and making a listener stop accepting without closing it. The functions
-// have no state, are safe for concurrent use and never block. The package imports golang.org/x/sys/unix and the standard
-// library.
+// input or a listener has connections to accept, making a listener stop accepting without closing it, and bounding the
+// kernel's receive buffers. The functions have no state, are safe for concurrent use and never block. The package imports
+// golang.org/x/sys/unix and the standard library.
 package sockets
 
 import (
+	"context"
+	"errors"
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -41,6 +44,24 @@
 	})
 }
 
+// Listen listens on a TCP address. The kernel holds at most twice receiveBuffer bytes of unread input for each connection that
+// is accepted. The returned error is that of the socket.
+func Listen(address string, receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) { optionErr = SetReceiveBuffer(int(fd), receiveBuffer) })
+		return errors.Join(err, optionErr)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// SetReceiveBuffer sets the size in bytes of a socket's receive buffer, which the kernel doubles and from then on does not
+// change by itself. Connections inherit it from their listener. The caller must make sure that the descriptor is not closed
+// meanwhile.
+func SetReceiveBuffer(fd, bytes int) error {
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+}
+
 // withDescriptor calls a function with the descriptor of a listener. It does nothing if the listener is closed or not TCP.
 func withDescriptor(listener net.Listener, call func(fd uintptr)) {
 	tcp, ok := listener.(*net.TCPListener)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,11 +48,12 @@
 	idleDeferred   bool  // the connection becomes idle when that write returns
 
 	// Used by the reading goroutine only.
-	splitter   pgwire.Splitter
-	response   *buffer.Chain // the part received so far; nil if no response has begun
-	rowCount   int
-	rowValue   string // empty if it is too long for a load report
-	loadReport []float32
+	splitter     pgwire.Splitter
+	response     *buffer.Chain // the part received so far; nil if no response has begun
+	rowCount     int
+	rowValue     string // empty if it is too long for a load report
+	loadReport   []float32
+	inputInvalid bool // input could not be parsed: the rest is discarded
 
 	// Used by the loop goroutine and the writing goroutine.
 	sentAt atomic.Int64 // when the last byte was written, in ns of the loop's clock; 0 before that
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
 	"lichenroad/relay"
 	"lichenroad/settings"
@@ -339,3 +343,59 @@
 		}
 	}
 }
+
+// TestInputOfAFastEndpointIsNotReadAhead guards against a relay that is killed for its memory: an endpoint sends load reports
+// without end, faster than they are parsed. At most what a socket's receive buffer holds may be read of the connection
+// before its callback has handled it.
+func TestInputOfAFastEndpointIsNotReadAhead(t *testing.T) {
+	const (
+		floodBytes = 16 << 20
+		maxUnread  = 2 * limits.SocketReceiveBuffer // the kernel doubles the buffer
+	)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as in a relay with one core: poller and callbacks take turns
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	h := newHarness(t, func(s *settings.Site) { s.LoadReportFields = []string{"inflight"} })
+	h.pool.EndpointListed(relay.Endpoint{ID: 1}, "s-1", ln.Addr().String())
+	h.endpoint.pendingConns++
+	go dial(h.pool, h.endpoint, ln.Addr().String())
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	peer.Write(pgwire.StartupResponse(1))
+	for until := time.Now().Add(testTimeout); len(h.endpoint.idle) == 0; time.Sleep(time.Millisecond) {
+		if h.drain(); time.Now().After(until) {
+			t.Fatal("no connection")
+		}
+	}
+	c := h.endpoint.idle[0]
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		report := append(pgwire.AppendHeader(nil, pgwire.TypeParameterStatus, len("vitals\x00inflight=7\x00")), "vitals\x00inflight=7\x00"...)
+		part := bytes.Repeat(report, 1<<15)
+		for n := 0; n < floodBytes; n += len(part) {
+			if _, err := peer.Write(part); err != nil {
+				t.Error(err)
+				return
+			}
+		}
+	}()
+	longest := 0
+	for isSent := false; !isSent; time.Sleep(50 * time.Microsecond) {
+		longest = max(longest, c.net.Reader().Len())
+		select {
+		case <-sent:
+			isSent = true
+		default:
+		}
+	}
+	if longest > maxUnread {
+		t.Errorf("%d bytes of a connection were read ahead, want at most %d", longest, maxUnread)
+	}
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -5,9 +5,12 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
+	"lichenroad/internal/readahead"
+	"lichenroad/internal/sockets"
 )
 
 // dial opens a connection and writes its startup message. It runs on a goroutine of its own.
@@ -49,10 +52,15 @@
 	}))
 }
 
-// attachCallbacks sets netpoll's callbacks and the write timeout. The setters never fail.
+// attachCallbacks bounds the input that is not read yet, and sets the write timeout and netpoll's callbacks. The setters
+// never fail.
 func (c *conn) attachCallbacks() {
+	if socket, ok := c.net.(netpoll.Conn); ok {
+		_ = sockets.SetReceiveBuffer(socket.Fd(), limits.SocketReceiveBuffer) // never fails for an open socket
+	}
 	_ = c.net.SetWriteTimeout(toDuration(c.pool.connectTimeout))
 	_ = c.net.AddCloseCallback(func(netpoll.Connection) error {
+		readahead.Closing(nil)
 		// No read is in progress here, and none follows.
 		c.splitter.Free()
 		c.response.Free()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,8 +4,8 @@
 //
 // Its state is used on the pipeline's loop goroutine only. Dialling a connection (dial.go), writing a long request
 // (write.go) and reading input (read.go) run on other goroutines, which post their results to the loop. The package
-// implements pipeline.Upstream and imports the codec (internal/pgwire), the limits (internal/limits) and the counters
-// (internal/metrics).
+// implements pipeline.Upstream and imports the codec (internal/pgwire), the limits (internal/limits), the bound on unread
+// input (internal/readahead) and the counters (internal/metrics).
 package upstream
 
 import (
@@ -15,6 +15,7 @@
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
+	"lichenroad/internal/readahead"
 	"lichenroad/relay"
 )
 
@@ -39,6 +40,7 @@
 
 // New returns a pool that holds at most maxConns connections.
 func New(l *pipeline.Loop, maxConns int) *Pool {
+	readahead.Install()
 	p := &Pool{
 		loop:               l,
 		endpoints:          map[relay.EndpointID]*endpointConns{},
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -19,22 +19,30 @@
 	for reader.Len() > 0 {
 		receivedAt := c.pool.loop.Clock.Now()
 		input, err := reader.Next(min(reader.Len(), buffer.Size))
-		if err == nil {
-			err = c.splitter.Feed(input, func(m pgwire.Message) error { return c.handleMessage(m, receivedAt) })
-		}
 		if err != nil {
-			c.pool.loop.Metrics.Add(metrics.BadInput, 1)
-			c.pool.loop.Post(protocolError{c, err})
-			_ = reader.Skip(reader.Len()) // never fails for the available length; the connection is closed anyway
 			break
 		}
+		if !c.inputInvalid {
+			c.parse(input, receivedAt)
+		}
 	}
-	if c.response != nil || c.splitter.Partial() {
+	if !c.inputInvalid && (c.response != nil || c.splitter.Partial()) {
 		c.pool.loop.Post(responseBegun{c})
 	}
 	return reader.Release()
 }
 
+// parse handles a part of the input. After an error the loop closes the connection, and further input is discarded. Runs on
+// the reading goroutine.
+func (c *conn) parse(input []byte, receivedAt relay.Seconds) {
+	err := c.splitter.Feed(input, func(m pgwire.Message) error { return c.handleMessage(m, receivedAt) })
+	if err != nil {
+		c.inputInvalid = true
+		c.pool.loop.Metrics.Add(metrics.BadInput, 1)
+		c.pool.loop.Post(protocolError{c, err})
+	}
+}
+
 // handleMessage handles one message from the endpoint. An error ends the connection. Runs on the reading goroutine.
 func (c *conn) handleMessage(m pgwire.Message, receivedAt relay.Seconds) error {
 	defer m.Body.Free()
