releasecontroller: calls of a fast relay are no longer read ahead of the loop

Controller.post says that waiting slows the peer down, but netpoll's poller read on meanwhile.

Change: the listeners use readahead, as those for clients do, and receive buffers of a fixed size.

TestInputOfAFastRelayIsNotReadAhead failed 5 of 5 times without the change (0.2 to 4.4 MB read ahead of the callback, 128 KiB allowed).

--- a/internal/releasecontroller/controller_test.go
+++ b/internal/releasecontroller/controller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/planxml"
 	"lichenroad/plan"
 	"lichenroad/rollout"
@@ -281,3 +284,47 @@
 		t.Error("the valid plan is not in effect: exposure limit ", got)
 	}
 }
+
+// TestInputOfAFastRelayIsNotReadAhead guards against a release controller whose memory grows with the speed of a peer: a
+// relay writes calls at full speed and reads the replies. At most what a socket's receive buffer holds may be read of the
+// connection before its calls have been handled.
+func TestInputOfAFastRelayIsNotReadAhead(t *testing.T) {
+	const (
+		floodBytes = 8 << 20
+		maxUnread  = 2 * limits.SocketReceiveBuffer // the kernel doubles the buffer
+	)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as on one core: poller and callbacks take turns
+	r := start(t, t.TempDir(), 1000, nil)
+	client := dial(t, r.addresses.Relays["a"]["r0"])
+	client.call("VOTE 1 1 wait")
+	conns := make(chan *relayConn, 1)
+	r.controller.post(func(ctl *Controller) {
+		for c := range ctl.conns {
+			conns <- c
+		}
+	})
+	c := <-conns
+	sent := make(chan struct{})
+	go io.Copy(io.Discard, client.reader)
+	go func() {
+		defer close(sent)
+		part := bytes.Repeat([]byte("VOTE 1 1 wait\r\n"), 1<<12)
+		for n := 0; n < floodBytes; n += len(part) {
+			if _, err := client.Write(part); err != nil {
+				return // the controller closes a connection whose replies are not read in time
+			}
+		}
+	}()
+	longest := 0
+	for isSent := false; !isSent; time.Sleep(50 * time.Microsecond) {
+		longest = max(longest, c.connection.Reader().Len())
+		select {
+		case <-sent:
+			isSent = true
+		default:
+		}
+	}
+	if longest > maxUnread {
+		t.Errorf("%d bytes of a connection were read ahead, want at most %d", longest, maxUnread)
+	}
+}
--- a/internal/releasecontroller/relayconn.go
+++ b/internal/releasecontroller/relayconn.go
@@ -10,6 +10,7 @@
 
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/readahead"
 	"lichenroad/relay"
 )
 
@@ -50,7 +51,8 @@
 }
 
 // closed is netpoll's close callback. It logs the end of the connection and removes it from the controller.
-func (c *relayConn) closed(netpoll.Connection) error {
+func (c *relayConn) closed(connection netpoll.Connection) error {
+	readahead.Closing(connection)
 	controller := c.listener.controller
 	c.listener.open.Add(-1)
 	c.mu.Lock()
--- a/internal/releasecontroller/relaylistener.go
+++ b/internal/releasecontroller/relaylistener.go
@@ -9,7 +9,10 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/readahead"
+	"lichenroad/internal/sockets"
 	"lichenroad/plan"
 )
 
@@ -29,7 +32,8 @@
 // listen opens a listener and returns its address. It must be called before the loop starts.
 func (ctl *Controller) listen(service plan.ServiceIndex, relay, address string) (string, error) {
 	l := &relayListener{controller: ctl, service: service, relay: relay}
-	listener, err := net.Listen("tcp", address)
+	readahead.Install()
+	listener, err := sockets.Listen(address, limits.SocketReceiveBuffer)
 	if err != nil {
 		return "", fmt.Errorf("listen: %w", err)
 	}
@@ -58,5 +62,5 @@
 	} else {
 		l.controller.post(func(ctl *Controller) { ctl.conns[c] = struct{}{} })
 	}
-	return context.WithValue(context.Background(), connKey{}, c)
+	return context.WithValue(readahead.Context(connection), connKey{}, c)
 }
