clients: one place has the times of a shutdown, so that the relay outlives its requests

Cause: two places computed the times from the same SIGTERM by different rules. clients.Server gave requests until 0.15 s before the earliest SIGKILL (3 s at most, and 0.7 s: 3.55 s), the program ended 0.5 s after the longest deadline (3 s at least: 3.5 s). A trial that logged the end of the loop: 3.5008 s after SIGTERM, respondBy at 3.5500 s, 2 requests open. The second rule has the opposite fault for shorter deadlines: with 2 s the relay ended at 3.5 s if a connection stayed open, while SIGKILL may come at 2.7 s.

Change: newShutdownTimes computes all times, so that the end follows the last deadline: 0.05 s before the earliest SIGKILL, or as before 0.5 s after the longest deadline if that is later. Server.Shutdown ends the shutdown; cmd/lichenroad has no time of its own.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -171,14 +171,9 @@
 	return nil
 }
 
-// shutdownGracefully starts a graceful shutdown of the server for clients. The loop stops when no connection is left, or
-// limits.ForcedShutdownDelay after the longest deadline that an open request can have.
+// shutdownGracefully starts a graceful shutdown of the server for clients, at whose end the loop stops.
 func (p *relayProcess) shutdownGracefully() {
-	maxWait := max(limits.PlatformMaxDeadline, p.loop.Site.MaxDeadline())
-	p.loop.Post(pipeline.Func(func(l *pipeline.Loop) {
-		p.clients.Shutdown(p.end)
-		l.RunAt(l.Clock.Now()+maxWait+limits.ForcedShutdownDelay, p.end)
-	}))
+	p.loop.Post(pipeline.Func(func(*pipeline.Loop) { p.clients.Shutdown(p.end) }))
 }
 
 // reload applies the configuration that was read again: it switches to the new addresses of discovery and platform, and
--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -496,3 +496,59 @@
 		t.Error("the listener still accepts connections")
 	}
 }
+
+// awaitStop waits until a relay has stopped, and returns how long ago SIGTERM was.
+func awaitStop(t *testing.T, p *relayProcess, sigterm time.Time) time.Duration {
+	t.Helper()
+	select {
+	case <-p.stop:
+	case <-time.After(testTimeout):
+		t.Error("the relay does not stop")
+	}
+	return time.Since(sigterm)
+}
+
+// TestRequestsAtTheEndOfAShutdownAreAnswered guards against a relay that ends after SIGTERM with requests that it took
+// unanswered, as their endpoint hangs. With a longest deadline of 3 s, a request that begins more than 0.5 s after SIGTERM
+// is open until just before the end.
+func TestRequestsAtTheEndOfAShutdownAreAnswered(t *testing.T) {
+	t.Parallel()
+	const (
+		deadlineMillis = 3000
+		begin          = 530 * time.Millisecond // after SIGTERM; the connection is kept as a request is open on it
+	)
+	release := make(chan struct{})
+	endpoint := newFakeEndpoint(t, func(s string) behaviour {
+		if strings.Contains(s, "c=pay") {
+			<-release
+			return succeed
+		}
+		return noResponse
+	})
+	p := startRelay(t, newFakeDiscovery(t, endpoint), func(c *config.Config) {
+		for i := range c.Site.Classes {
+			c.Site.Classes[i].Deadline = deadlineMillis / 1e3
+		}
+	})
+	c := dialClient(t, p)
+	c.readUntil('Z')
+	c.send(selectStatement("pay", deadlineMillis))
+	<-endpoint.received
+	sigterm := time.Now()
+	p.shutdownGracefully()
+	c.send(selectStatement("look", deadlineMillis)) // begins when the request before it has its response
+	time.AfterFunc(begin, func() { close(release) })
+	if v, code := c.readResponse(); v == "" {
+		t.Error("the request from before SIGTERM failed:", code)
+	}
+	if v, code := c.readResponse(); v != "" || code == "closed" {
+		t.Errorf("got value %q, code %q; want an error response to the request that hangs", v, code)
+	}
+	if !c.closedByRelay() {
+		t.Error("the connection is not closed after the response")
+	}
+	c.Close()
+	if took := awaitStop(t, p, sigterm); took >= 3700*time.Millisecond {
+		t.Errorf("the relay stopped %v after SIGTERM, want before SIGKILL at 3.7 s", took)
+	}
+}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -464,3 +464,27 @@
 		t.Errorf("%d bytes of a connection were read ahead, want at most %d", longest.Load(), maxUnread)
 	}
 }
+
+// TestShutdownTimes guards against a relay that ends after SIGTERM while requests that it has taken may still be open: for
+// every longest deadline the program ends after that of the last request, and before SIGKILL if no deadline lasts longer.
+func TestShutdownTimes(t *testing.T) {
+	const (
+		sigterm     = 100.0
+		step        = 0.01
+		maxDeadline = 12.0
+		lateness    = 0.05 // of a request's end after its deadline
+	)
+	for longest := step; longest < maxDeadline; longest += step {
+		times := newShutdownTimes(sigterm, longest)
+		earliestKill := sigterm + min(longest, 3) + 0.7
+		if times.respondBy >= earliestKill || times.end <= times.respondBy+lateness {
+			t.Errorf("longest deadline %.2f s: the times %+v are out of order", longest, times)
+		}
+		if times.end <= sigterm+longest+lateness {
+			t.Errorf("longest deadline %.2f s: requests from before SIGTERM are open at the end at %.2f", longest, times.end)
+		}
+		if longest <= 3 && times.end >= earliestKill {
+			t.Errorf("longest deadline %.2f s: the end at %.2f is not before SIGKILL", longest, times.end)
+		}
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -48,7 +48,7 @@
 	idle            list.List     // *conn after startup without an open request, the longest idle first
 	respondBy       relay.Seconds // deadline after SIGTERM for the responses to all requests; 0 before SIGTERM
 	shuttingDown    bool
-	onShutdown      func() // called once when everything is closed
+	onShutdown      func() // called once at the end of a shutdown
 }
 
 // New returns a server for at most maxConns connections. It keeps up to maxOverLimit more until their startup, to
--- a/internal/clients/shutdown.go
+++ b/internal/clients/shutdown.go
@@ -4,24 +4,43 @@
 	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/sockets"
+	"lichenroad/relay"
 )
 
+// shutdownTimes are the times of a graceful shutdown, one after the other. All of them count from SIGTERM.
+type shutdownTimes struct {
+	respondBy relay.Seconds // the latest deadline of a request that begins after SIGTERM
+	end       relay.Seconds // when the program ends, even if connections are open
+}
+
+// newShutdownTimes returns the times of a shutdown for requests with deadlines of up to longestDeadline. The program ends
+// before the earliest SIGKILL, unless a request from before SIGTERM may be open for longer.
+func newShutdownTimes(sigterm, longestDeadline relay.Seconds) shutdownTimes {
+	earliestKill := sigterm + min(longestDeadline, limits.PlatformMaxDeadline) + limits.KillDelay
+	end := max(earliestKill-limits.ExitMargin, sigterm+longestDeadline+limits.ForcedShutdownDelay)
+	return shutdownTimes{
+		respondBy: earliestKill - limits.FinalAnswerMargin,
+		end:       end,
+	}
+}
+
 // Shutdown ends service gracefully: new connections are accepted and served for limits.ShutdownAcceptTime, then the
-// listener closes, and each connection is closed as soon as it has no open request. onShutdown runs when everything is
-// closed. Must run on the loop goroutine.
+// listener closes, and each connection is closed as soon as it has no open request. onShutdown runs once, when everything is
+// closed or at the end of the shutdownTimes. Must run on the loop goroutine.
 func (s *Server) Shutdown(onShutdown func()) {
 	now := s.loop.Clock.Now()
 	s.loop.OpenService() // answers the empty queries that wait for service to open
-	longestDeadline := min(s.loop.Site.MaxDeadline(), limits.PlatformMaxDeadline)
-	s.respondBy = now + longestDeadline + limits.KillDelay - limits.FinalAnswerMargin
+	times := newShutdownTimes(now, s.loop.Site.MaxDeadline())
+	s.respondBy, s.onShutdown = times.respondBy, onShutdown
 	s.loop.RunAt(now+limits.ShutdownAcceptTime.Seconds(), func() {
-		s.shuttingDown, s.onShutdown = true, onShutdown
+		s.shuttingDown = true
 		s.stopAccepting()
 		for c := range s.conns {
 			c.closeWhenQuiescent()
 		}
 		s.finishShutdown()
 	})
+	s.loop.RunAt(times.end, s.endShutdown)
 }
 
 // stopAccepting takes the listening socket out of service. It first waits, until respondBy at the latest, for the
@@ -37,10 +56,17 @@
 	s.finishShutdown()
 }
 
-// finishShutdown calls onShutdown once if the listener and all connections are closed. Runs on the loop goroutine.
+// finishShutdown ends the shutdown if the listener and all connections are closed. Runs on the loop goroutine.
 func (s *Server) finishShutdown() {
 	allClosed := s.listenerClosed.Load() && len(s.conns) == 0 && s.openConns.Load() == 0
-	if s.shuttingDown && allClosed && s.onShutdown != nil {
+	if s.shuttingDown && allClosed {
+		s.endShutdown()
+	}
+}
+
+// endShutdown calls onShutdown once. Runs on the loop goroutine.
+func (s *Server) endShutdown() {
+	if s.onShutdown != nil {
 		s.onShutdown()
 		s.onShutdown = nil
 	}
