clients: a request that outlasts a shutdown is answered before the relay ends

What callers saw: a client that says that it waits for longer than any class of the settings, with its request at an endpoint that hangs when SIGTERM comes, got no answer: the relay ended with the request open.

Change: 0.05 s before a relay ends with connections open, the requests that are left are failed (Loop.AbortRequest), the module is notified as if the client had left, and connections close when the answers are written.

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -552,3 +552,28 @@
 		t.Errorf("the relay stopped %v after SIGTERM, want before SIGKILL at 3.7 s", took)
 	}
 }
+
+// TestRequestThatOutlastsAShutdownIsAnswered guards against a relay that ends after SIGTERM with a request unanswered whose
+// client waits for longer than any class of the settings. The relay must answer it and end before SIGKILL.
+func TestRequestThatOutlastsAShutdownIsAnswered(t *testing.T) {
+	t.Parallel()
+	endpoint := newFakeEndpoint(t, always(noResponse))
+	p := startRelay(t, newFakeDiscovery(t, endpoint), nil) // the longest deadline is 2 s
+	c := dialClient(t, p)
+	c.readUntil('Z')
+	c.send(selectStatement("pay", 8000))
+	<-endpoint.received
+	sigterm := time.Now()
+	p.shutdownGracefully()
+	if v, code := c.readResponse(); v != "" || code != pgwire.CodeSystemError {
+		t.Errorf("got value %q, code %q; want that of a failed request", v, code)
+	}
+	if !c.closedByRelay() {
+		t.Error("the connection is not closed after the response")
+	}
+	c.Close()
+	if took := awaitStop(t, p, sigterm); took >= 2700*time.Millisecond {
+		t.Errorf("the relay stopped %v after SIGTERM, want before SIGKILL at 2.7 s", took)
+	}
+	checkCounters(t, p)
+}
--- a/internal/clients/shutdown.go
+++ b/internal/clients/shutdown.go
@@ -10,6 +10,7 @@
 // shutdownTimes are the times of a graceful shutdown, one after the other. All of them count from SIGTERM.
 type shutdownTimes struct {
 	respondBy relay.Seconds // the latest deadline of a request that begins after SIGTERM
+	abort     relay.Seconds // when requests that are still open are ended
 	end       relay.Seconds // when the program ends, even if connections are open
 }
 
@@ -20,6 +21,7 @@
 	end := max(earliestKill-limits.ExitMargin, sigterm+longestDeadline+limits.ForcedShutdownDelay)
 	return shutdownTimes{
 		respondBy: earliestKill - limits.FinalAnswerMargin,
+		abort:     end - limits.FinalFlushTime,
 		end:       end,
 	}
 }
@@ -40,9 +42,19 @@
 		}
 		s.finishShutdown()
 	})
+	s.loop.RunAt(times.abort, s.abortRequests)
 	s.loop.RunAt(times.end, s.endShutdown)
 }
 
+// abortRequests ends the open requests: their clients wait for longer than the program runs. Runs on the loop goroutine.
+func (s *Server) abortRequests() {
+	for c := range s.conns {
+		if c.current != nil && c.current.request != nil {
+			s.loop.AbortRequest(c.current.request)
+		}
+	}
+}
+
 // stopAccepting takes the listening socket out of service. It first waits, until respondBy at the latest, for the
 // connections in the kernel's backlog to be accepted: they would be reset, although their first request may already
 // have arrived. Runs on the loop goroutine.
--- a/internal/limits/shutdown.go
+++ b/internal/limits/shutdown.go
@@ -18,6 +18,10 @@
 	// ExitMargin is the time before SIGKILL, in seconds, by which the program ends if no deadline lasts longer.
 	ExitMargin = 0.05
 
+	// FinalFlushTime is the time, in seconds, before the end of the program at which requests that are still open get their
+	// final answers, so that these are written.
+	FinalFlushTime = 0.05
+
 	// ShutdownAcceptTime is how long new connections are accepted after SIGTERM. They arrive for 0.4 s; the rest is margin.
 	ShutdownAcceptTime = 500 * time.Millisecond
 
