platform, discovery: input of a peer that sends without end no longer fills the memory

These connections have no read callback, a goroutine waits for their input, and netpoll's poller reads on meanwhile without a limit; discovery's answers were copied as a whole besides.

Change: readahead.Dial and Listen bound the receive buffer of every connection, in place of the callers. A connection to the platform on which over 256 KiB wait is given up as bad input: there the platform would cut off the relay. Answers of discovery are handled 64 KiB at a time. The poller is not made to wait here, as it would wait for a goroutine that may be busy, so the bound is not strict.

TestPlatformThatSendsTooFast fails without the check (it reads a line there).

--- a/imports_test.go
+++ b/imports_test.go
@@ -17,9 +17,9 @@
 // layers; test files are exempt. docs/ARCHITECTURE.md describes the layers.
 var layers = [][]string{
 	{"relay", "plan", "simwire", "experiment", "policy/window", "internal/buffer", "internal/httpwire", "internal/limits",
-		"internal/metrics", "internal/readahead", "internal/sockets", "internal/xmlconfig", "lab/logsummary", "lab/relayconfig", "lab/slope", "compat"},
+		"internal/metrics", "internal/sockets", "internal/xmlconfig", "lab/logsummary", "lab/relayconfig", "lab/slope", "compat"},
 	{"settings", "policy/peerwire", "membership", "rollout", "trace", "internal/linewire", "internal/pgwire",
-		"internal/planxml"},
+		"internal/planxml", "internal/readahead"},
 	{"policy", "internal/config", "lab/fakes"},
 	{"internal/pipeline", "internal/releasecontroller"},
 	{"internal/clients", "internal/discovery", "internal/peers", "internal/platform", "internal/upstream"},
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -67,7 +67,7 @@
 // onFailure is called on another goroutine. The returned error wraps that of the socket or of netpoll's event loop.
 func (s *Server) Listen(address string, onFailure func(error)) error {
 	readahead.Install()
-	listener, err := sockets.Listen(address, limits.SocketReceiveBuffer)
+	listener, err := readahead.Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/discovery/conn.go
+++ b/internal/discovery/conn.go
@@ -10,8 +10,12 @@
 	"lichenroad/internal/httpwire"
 	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/readahead"
 )
 
+// maxChunk is how many bytes of a response are handled at once, so that no long one is copied as a whole.
+const maxChunk = 64 << 10
+
 // statusOK is the HTTP status code of an answer that contains a list.
 const statusOK = 200
 
@@ -109,7 +113,7 @@
 	if c.net != nil {
 		return nil
 	}
-	connection, err := netpoll.DialConnection("tcp", c.server.address, limits.DiscoveryDialTimeout)
+	connection, err := readahead.Dial(c.server.address, limits.DiscoveryDialTimeout)
 	if err != nil {
 		return &pollError{metrics.ClosedByConnectError, err}
 	}
@@ -160,7 +164,7 @@
 		if _, err := reader.Peek(1); err != nil {
 			return response, endOfInput(&response, err)
 		}
-		chunk, _ := reader.Next(reader.Len()) // cannot fail: all of these bytes are buffered
+		chunk, _ := reader.Next(min(reader.Len(), maxChunk)) // cannot fail: all of these bytes are buffered
 		_, err := response.Feed(chunk)
 		_ = reader.Release() // the next Peek reports any error of the connection
 		if err != nil {
--- a/internal/limits/platform.go
+++ b/internal/limits/platform.go
@@ -19,6 +19,10 @@
 	// after about 10 s.
 	VoteConnIdleTimeout = 5 * time.Second
 
+	// MaxUnreadPlatformInput is the number of bytes of a connection that may wait to be handled. The platform itself cuts off a
+	// reader that falls this far behind.
+	MaxUnreadPlatformInput = 256 << 10
+
 	// MaxQueuedVotes is the number of votes that may wait to be sent. The decision module has one open vote at a time.
 	MaxQueuedVotes = 64
 )
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -7,8 +7,10 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"lichenroad/internal/limits"
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/readahead"
 )
 
 var (
@@ -16,6 +18,8 @@
 	errLineTimeout = errors.New("timeout waiting for a line")
 	// errUnexpectedLine reports a reply without a request, or of a kind that does not fit the request.
 	errUnexpectedLine = fmt.Errorf("%w: unexpected reply", linewire.ErrMalformed)
+	// errTooFast reports that the platform sends faster than its lines are handled.
+	errTooFast = errors.New("too many lines at once")
 )
 
 // lineConn is a connection that one goroutine reads line by line.
@@ -31,7 +35,7 @@
 
 // dial opens a connection. It logs and counts failures itself.
 func (c *Client) dial(address string) (*lineConn, error) {
-	connection, err := netpoll.DialConnection("tcp", address, c.timeout)
+	connection, err := readahead.Dial(address, c.timeout)
 	if err != nil {
 		end := metrics.ConnectionEnd{Peer: metrics.PeerPlatform, Name: address, Reason: metrics.ClosedByConnectError, Err: err}
 		end.Log(c.loop.Log)
@@ -81,6 +85,9 @@
 		}
 		return err
 	}
+	if waiting := reader.Len(); waiting > limits.MaxUnreadPlatformInput {
+		return fmt.Errorf("%w: %d bytes are waiting", errTooFast, waiting)
+	}
 	received, err := reader.Next(reader.Len())
 	if err != nil {
 		return err
@@ -93,7 +100,7 @@
 // closeReason returns why a connection is closed after err, which comes from nextLine or from handling a line. It counts bad
 // input. All other errors, and nil, are taken as a close by the peer.
 func (c *Client) closeReason(err error) metrics.CloseReason {
-	badInput := errors.Is(err, linewire.ErrMalformed) || errors.Is(err, linewire.ErrTooLong)
+	badInput := errors.Is(err, linewire.ErrMalformed) || errors.Is(err, linewire.ErrTooLong) || errors.Is(err, errTooFast)
 	switch {
 	case errors.Is(err, errLineTimeout):
 		return metrics.ClosedByResponseTimeout
--- a/internal/platform/vote_test.go
+++ b/internal/platform/vote_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 	"lichenroad/settings"
 )
 
+// testTimeout bounds the wait for things that should happen immediately.
+const testTimeout = 10 * time.Second
+
 // TestVoteBetweenIdleCheckAndClose sends a vote after the check that finds the connection idle, but before the connection is
 // closed for it. The connection must stay open until the vote is answered. A vote after the close must be refused, so that it
 // is not reported as one that may have been counted.
@@ -67,6 +71,41 @@
 	opened.connection.Close()
 }
 
+// TestPlatformThatSendsTooFast guards against memory that grows with the speed of the platform: a connection on which more
+// lines wait than the platform itself would keep for a reader is given up.
+func TestPlatformThatSendsTooFast(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := newTestClient(listener.Addr().String())
+	conn, err := client.dial(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.close(metrics.ClosedByBadInput)
+	platform, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer platform.Close()
+	const line = "* news 2 0 canary 0.5 10\r\n"
+	fmt.Fprint(platform, line)
+	if _, err := conn.nextLine(testTimeout); err != nil {
+		t.Fatal("a line was not read:", err)
+	}
+	go fmt.Fprint(platform, strings.Repeat(line, 2*limits.MaxUnreadPlatformInput/len(line)))
+	for end := time.Now().Add(testTimeout); conn.connection.Reader().Len() <= limits.MaxUnreadPlatformInput; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the lines have not arrived")
+		}
+	}
+	if _, err := conn.nextLine(testTimeout); client.closeReason(err) != metrics.ClosedByBadInput {
+		t.Errorf("error %v, want one for which the connection is closed", err)
+	}
+}
+
 // newTestClient returns a client that has not been started, with a loop that is not run.
 func newTestClient(address string) *Client {
 	site := settings.Site{}
--- a/internal/readahead/readahead.go
+++ b/internal/readahead/readahead.go
@@ -3,22 +3,28 @@
 // netpoll's poller reads a socket whenever it has input, whether or not the connection's read callback has handled what
 // was read before. On a busy processor the callback of a fast peer starts milliseconds late, and megabytes have been read
 // by then. With Install the poller waits for each read callback that it starts. Further input stays in the socket's
-// receive buffer, which the kernel bounds (limits.SocketReceiveBuffer), and TCP slows the peer down.
+// receive buffer, which Listen and Dial bound, and TCP slows the peer down.
 //
 // A read callback must not wait for anything that needs the poller, such as a write. Each connection with a read callback
-// needs a close callback that calls Closing. The package's only state are the read callbacks in progress; its functions
-// are safe for concurrent use. It imports netpoll, with the goroutine pool on which netpoll runs callbacks by default, and
-// nothing from this module.
+// needs a close callback that calls Closing. Connections without a read callback, on which a goroutine waits for input, are
+// still read ahead. The package's only state are the read callbacks in progress; its functions are safe for concurrent use.
+// It imports netpoll, with the goroutine pool on which netpoll runs callbacks by default, internal/limits and
+// internal/sockets.
 package readahead
 
 import (
 	"context"
+	"net"
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/bytedance/gopkg/util/gopool"
 	"github.com/cloudwego/netpoll"
+
+	"lichenroad/internal/limits"
+	"lichenroad/internal/sockets"
 )
 
 // maxYields is how often a poller that Closing(nil) has released lets other goroutines run while its callback is still in
@@ -53,6 +59,24 @@
 // connection gets a read callback; further calls have no effect.
 func Install() { install() }
 
+// Dial opens a TCP connection whose receive buffer is bounded. The returned error is netpoll's.
+func Dial(address string, timeout time.Duration) (netpoll.Connection, error) {
+	connection, err := netpoll.DialConnection("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	if socket, ok := connection.(netpoll.Conn); ok {
+		_ = sockets.SetReceiveBuffer(socket.Fd(), limits.SocketReceiveBuffer) // never fails for an open socket
+	}
+	return connection, nil
+}
+
+// Listen listens on a TCP address. The receive buffers of its connections are bounded. The returned error is that of the
+// socket.
+func Listen(address string) (net.Listener, error) {
+	return sockets.Listen(address, limits.SocketReceiveBuffer)
+}
+
 // Context returns the context that netpoll's OnPrepare callback must return, or derive another one from, for a connection
 // that was accepted.
 func Context(connection netpoll.Connection) context.Context {
--- a/internal/readahead/readahead_test.go
+++ b/internal/readahead/readahead_test.go
@@ -133,7 +133,7 @@
 func TestUnreadInputOfAnAcceptedConnection(t *testing.T) {
 	Install()
 	reader := &floodReader{ended: make(chan struct{})}
-	listener, err := sockets.Listen("127.0.0.1:0", limits.SocketReceiveBuffer)
+	listener, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,13 +167,10 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	c, err := netpoll.DialConnection("tcp", listener.Addr().String(), testTimeout)
+	c, err := Dial(listener.Addr().String(), testTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := sockets.SetReceiveBuffer(c.(netpoll.Conn).Fd(), limits.SocketReceiveBuffer); err != nil {
-		t.Fatal(err)
-	}
 	c.AddCloseCallback(func(netpoll.Connection) error {
 		Closing(nil)
 		close(reader.ended)
--- a/internal/releasecontroller/relaylistener.go
+++ b/internal/releasecontroller/relaylistener.go
@@ -9,10 +9,8 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/readahead"
-	"lichenroad/internal/sockets"
 	"lichenroad/plan"
 )
 
@@ -33,7 +31,7 @@
 func (ctl *Controller) listen(service plan.ServiceIndex, relay, address string) (string, error) {
 	l := &relayListener{controller: ctl, service: service, relay: relay}
 	readahead.Install()
-	listener, err := sockets.Listen(address, limits.SocketReceiveBuffer)
+	listener, err := readahead.Listen(address)
 	if err != nil {
 		return "", fmt.Errorf("listen: %w", err)
 	}
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // testTimeout is how long a test waits for something that should happen immediately.
@@ -77,3 +79,32 @@
 		t.Error("the descriptor is closed")
 	}
 }
+
+// TestListenBoundsReceiveBuffers checks that connections inherit the receive buffer of their listener.
+func TestListenBoundsReceiveBuffers(t *testing.T) {
+	const receiveBuffer = 32 << 10
+	listener, err := Listen("127.0.0.1:0", receiveBuffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		if size, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); size != 2*receiveBuffer {
+			t.Errorf("the receive buffer has %d bytes, want %d; error %v", size, 2*receiveBuffer, err)
+		}
+	})
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -5,18 +5,16 @@
 
 	"github.com/cloudwego/netpoll"
 
-	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
 	"lichenroad/internal/readahead"
-	"lichenroad/internal/sockets"
 )
 
 // dial opens a connection and writes its startup message. It runs on a goroutine of its own.
 func dial(p *Pool, endpoint *endpointConns, address string) {
 	dialedAt := p.loop.Clock.Now()
-	connection, err := netpoll.DialConnection("tcp", address, toDuration(p.connectTimeout))
+	connection, err := readahead.Dial(address, toDuration(p.connectTimeout))
 	if err != nil {
 		p.loop.Post(pipeline.Func(func(l *pipeline.Loop) {
 			endpoint.pendingConns--
@@ -52,12 +50,8 @@
 	}))
 }
 
-// attachCallbacks bounds the input that is not read yet, and sets the write timeout and netpoll's callbacks. The setters
-// never fail.
+// attachCallbacks sets netpoll's callbacks and the write timeout. The setters never fail.
 func (c *conn) attachCallbacks() {
-	if socket, ok := c.net.(netpoll.Conn); ok {
-		_ = sockets.SetReceiveBuffer(socket.Fd(), limits.SocketReceiveBuffer) // never fails for an open socket
-	}
 	_ = c.net.SetWriteTimeout(toDuration(c.pool.connectTimeout))
 	_ = c.net.AddCloseCallback(func(netpoll.Connection) error {
 		readahead.Closing(nil)
