--- a/lab/fakes/client.go
+++ b/lab/fakes/client.go
@@ -82,6 +82,15 @@
 	return c.Query(statement, deadline)
 }
 
+// Receive waits for the response to a query that was written before. If the connection ends before the response is complete,
+// it returns the error and the part that was received.
+func (c *Client) Receive(within time.Duration) (Response, error) {
+	if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return Response{}, err
+	}
+	return c.readResponse()
+}
+
 // Query sends a statement and waits for its response, at most until responseMargin after the deadline.
 func (c *Client) Query(statement string, deadline time.Duration) (Response, error) {
 	if err := c.SetDeadline(time.Now().Add(deadline + responseMargin)); err != nil {
--- a/lab/fakes/process.go
+++ b/lab/fakes/process.go
@@ -68,6 +68,9 @@
 	_ = log.Close()      // nothing was written through this descriptor: the process has its own
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process, unless it has ended.
 func (p *Process) Signal(signal syscall.Signal) {
 	_ = p.command.Process.Signal(signal) // fails if the process has already ended, which Done reports
