pipeline: the id of an earlier request is not sent to an endpoint again

Callers saw a request with the id of another client's open request answered as served, and its effect came twice; the same when the first client had left and its attempt may have run.

Cause: the relay numbered requests by itself (Loop.nextRequestID) and knew nothing of the ids of the protocol, so it took each request with a known id for a new one.

Change: the loop owns an idRegistry. A request claims its id when it is read, also behind others on its connection; the later of two gets 23505, which promises nothing on effects. When a request is over its id is forgotten if every attempt provably never ran, and is otherwise known for two minutes and until the deadline that endpoints were told. Ended ids take an eighth of the buffers' memory; beyond that the oldest go first, those of which an endpoint may still begin an attempt last. Cancelled attempts tell whether their last byte was written.

Tests that sent several requests with one id now use new ones, as the protocol asks; the keyed ones carry a key.

--- a/cmd/lichenroad/fakes_test.go
+++ b/cmd/lichenroad/fakes_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -294,9 +295,17 @@
 	}
 }
 
-// selectStatement returns a read request of a class with a deadline in milliseconds.
+// lastRequestID is the last id that selectStatement has used.
+var lastRequestID atomic.Uint32
+
+// selectStatement returns a read request of a class with a deadline in milliseconds and an id of its own. In the keyed class it
+// has an idempotency key.
 func selectStatement(class string, ms int) string {
-	return fmt.Sprintf("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=%s,t=acme,d=%d */", class, ms)
+	key := ""
+	if class == "order" {
+		key = ",k=5c"
+	}
+	return fmt.Sprintf("SELECT body FROM objects WHERE oid = '7f3a' /* id=%08x,c=%s,t=acme,d=%d%s */", lastRequestID.Add(1), class, ms, key)
 }
 
 func (c *client) send(text string) { c.Write(pgwire.QueryMessage(text)) }
--- a/cmd/lichenroad/interleaving_test.go
+++ b/cmd/lichenroad/interleaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -229,7 +228,7 @@
 	x.f = newFakeDiscovery(t, &fakeEndpoint{ln: x.a.ln}, &fakeEndpoint{ln: x.b.ln})
 	x.next = newFakeDiscovery(t, &fakeEndpoint{ln: x.a.ln}, &fakeEndpoint{ln: x.b.ln})
 	x.p = startRelay(t, x.f, nil)
-	x.request = pgwire.QueryMessage(strings.Replace(selectStatement(class, int(interleavingDeadline.Milliseconds())), "t=acme", "t=acme,k=5c", 1))
+	x.request = pgwire.QueryMessage(selectStatement(class, int(interleavingDeadline.Milliseconds())))
 	x.c = dialClient(t, x.p)
 	x.c.readUntil('Z')
 	waitForCounter(t, x.p, metrics.DiscoveryCalls, 2) // the list is confirmed, and the watch is open
--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +21,8 @@
 func TestRequestSucceeds(t *testing.T) {
 	endpoint := newFakeEndpoint(t, always(succeed))
 	p := startRelay(t, newFakeDiscovery(t, endpoint), nil)
-	c := dialClient(t, p, pgwire.QueryMessage(selectStatement("look", 1500))...) // the request is in the same write as the startup
+	statement := selectStatement("look", 1500)
+	c := dialClient(t, p, pgwire.QueryMessage(statement)...) // the request is in the same write as the startup
 	c.readUntil('Z')
 	if v, code := c.readResponse(); v != "value of SELECT" || code != "" {
 		t.Errorf("response %q, code %q", v, code)
@@ -29,7 +31,7 @@
 	var d int
 	at := strings.Index(got, ",d=")
 	fmt.Sscanf(got[at:], ",d=%d */", &d)
-	if d <= 0 || d > 1500 || strings.Replace(got, fmt.Sprint("d=", d), "d=1500", 1) != selectStatement("look", 1500) {
+	if d <= 0 || d > 1500 || strings.Replace(got, fmt.Sprint("d=", d), "d=1500", 1) != statement {
 		t.Errorf("the endpoint got another statement: %s", got)
 	}
 	c.send(" ; ")
@@ -55,8 +57,11 @@
 // TestRequestInTwoWrites splits a startup and a request at many positions into two writes.
 func TestRequestInTwoWrites(t *testing.T) {
 	p := startRelay(t, newFakeDiscovery(t, newFakeEndpoint(t, always(succeed))), nil)
-	stream := append(pgwire.Startup("worker", "catalog"), pgwire.QueryMessage(selectStatement("look", 1500))...)
-	for split := 1; split < len(stream); split += 7 {
+	newStream := func() []byte {
+		return append(pgwire.Startup("worker", "catalog"), pgwire.QueryMessage(selectStatement("look", 1500))...)
+	}
+	for split := 1; split < len(newStream()); split += 7 {
+		stream := newStream()
 		n, err := net.Dial("tcp", p.clients.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -263,7 +268,7 @@
 		"another statement": {pgwire.QueryMessage("DROP TABLE objects"), pgwire.CodeSyntax},
 		"unknown class":     {pgwire.QueryMessage(selectStatement("none", 100)), pgwire.CodeSyntax},
 		"unknown tenant":    {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "acme", "x", 1)), pgwire.CodeSyntax},
-		"without an id":     {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "id=9b1f,", "", 1)), pgwire.CodeSyntax},
+		"without an id":     {pgwire.QueryMessage(regexp.MustCompile("id=[0-9a-f]*,").ReplaceAllString(selectStatement("look", 1), "")), pgwire.CodeSyntax},
 		"extended protocol": {[]byte{'P', 0, 0, 0, 4}, pgwire.CodeUnsupported},
 		"oversized":         {[]byte{'Q', 0x7f, 0, 0, 0}, pgwire.CodeTooLong},
 		"short length":      {[]byte{'Q', 0, 0, 0, 1}, pgwire.CodeSyntax},
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -26,6 +26,9 @@
 // the limit slightly.
 func (p *Pool) Full() bool { return p.inUse.Load() >= p.limit }
 
+// Limit returns the number of bytes in use at which the pool is full.
+func (p *Pool) Limit() int64 { return p.limit }
+
 // InUse returns the number of bytes in use, counted in whole buffers.
 func (p *Pool) InUse() int64 { return p.inUse.Load() }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -133,10 +134,18 @@
 	return len(b) == 0
 }
 
-var (
-	startupMessage = pgwire.Startup("worker", "catalog")
-	queryMessage   = pgwire.QueryMessage("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=look,d=900 */")
-)
+var startupMessage = pgwire.Startup("worker", "catalog")
+
+// lastID is the last id that newQuery has used.
+var lastID atomic.Uint32
+
+// newQuery returns the message of a request with an id of its own.
+func newQuery() []byte { return queryWithID(fmt.Sprintf("%08x", lastID.Add(1))) }
+
+// queryWithID returns the message of a request with the given id.
+func queryWithID(id string) []byte {
+	return pgwire.QueryMessage("SELECT body FROM objects WHERE oid = '7f3a' /* id=" + id + ",c=look,d=900 */")
+}
 
 // session opens a connection, waits until its startup has been answered, and returns both sides.
 func (h harness) session() (testClient, *conn) {
@@ -182,27 +191,29 @@
 	h := newHarness(t, 100, 10)
 	for _, reason := range []metrics.CloseReason{metrics.ClosedByIdleTimeout, metrics.ClosedByShutdown} {
 		client, c := h.session()
-		client.Write(queryMessage)
+		client.Write(newQuery())
 		h.waitWithoutLoop("the query to be read", func() bool { return c.unanswered.Load() == 1 })
 		if c.closeIfQuiescent(reason) {
 			t.Error("closed with a query on its way to the loop")
 		}
 		h.respond(client, c)
 
-		client.Write(queryMessage[:20])
+		query := newQuery()
+		client.Write(query[:20])
 		h.waitWithoutLoop("part of the query to be read", func() bool { return c.partialSince.Load() != 0 })
 		h.waitFor("the response to be written", func() bool { return c.current == nil })
 		if c.closeIfQuiescent(reason) {
 			t.Error("closed with part of a query read")
 		}
-		client.Write(queryMessage[20:])
+		client.Write(query[20:])
 		h.respond(client, c)
 
 		unblock := make(chan struct{})
 		hook := func(*conn) { <-unblock }
 		h.server.beforeRead.Store(&hook)
-		client.Write(queryMessage)
-		h.waitFor("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(queryMessage) && c.current == nil })
+		query = newQuery()
+		client.Write(query)
+		h.waitFor("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(query) && c.current == nil })
 		if c.closeIfQuiescent(reason) {
 			t.Error("closed with a query in netpoll's buffer")
 		}
@@ -231,7 +242,7 @@
 		c.net.Close()
 	}
 	client, c := h.session()
-	client.Write(append(queryMessage[:len(queryMessage):len(queryMessage)], queryMessage...))
+	client.Write(append(newQuery(), newQuery()...))
 	h.waitWithoutLoop("two queries to be read", func() bool { return c.unanswered.Load() == 2 })
 	closeAnyway(c)
 	for range 2 {
@@ -247,8 +258,9 @@
 	unblock := make(chan struct{})
 	hook := func(*conn) { <-unblock }
 	h.server.beforeRead.Store(&hook)
-	client.Write(queryMessage)
-	h.waitWithoutLoop("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(queryMessage) })
+	query := newQuery()
+	client.Write(query)
+	h.waitWithoutLoop("the query to be in netpoll's buffer", func() bool { return c.net.Reader().Len() == len(query) })
 	closeAnyway(c)
 	close(unblock)
 	if code := client.readUntil('Z'); code != pgwire.CodeShuttingDown || !client.atEnd() {
@@ -268,11 +280,11 @@
 		halfClose bool // close only the sending half, which also counts as a disconnect
 		open      int
 	}{
-		"query and end at once":     {[][]byte{queryMessage}, false, 1},
-		"half-close":                {[][]byte{queryMessage}, true, 1},
-		"a query behind another":    {[][]byte{queryMessage, queryMessage}, false, 1},
-		"half of a query behind it": {[][]byte{queryMessage, queryMessage[:20]}, false, 1},
-		"half of a query":           {[][]byte{queryMessage[:20]}, false, 0},
+		"query and end at once":     {[][]byte{newQuery()}, false, 1},
+		"half-close":                {[][]byte{newQuery()}, true, 1},
+		"a query behind another":    {[][]byte{newQuery(), newQuery()}, false, 1},
+		"half of a query behind it": {[][]byte{newQuery(), newQuery()[:20]}, false, 1},
+		"half of a query":           {[][]byte{newQuery()[:20]}, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 100, 10)
@@ -327,7 +339,7 @@
 		t.Error("error code", code)
 	}
 	third := h.dial()
-	third.Write(append(startupMessage[:len(startupMessage):len(startupMessage)], queryMessage...))
+	third.Write(append(startupMessage[:len(startupMessage):len(startupMessage)], newQuery()...))
 	kind, body, err := third.read()
 	if err != nil || kind != 'E' || !strings.Contains(string(body), "D750\x00") {
 		t.Fatalf("got message %c %q, error %v; want an ErrorResponse with a retry-after time", kind, body, err)
@@ -369,7 +381,7 @@
 	client := h.dial()
 	h.waitFor("the connection to be accepted", func() bool { return len(h.server.conns) == 1 })
 	client.Write(startupMessage)
-	if client.Write(queryMessage); len(h.server.conns) != 1 {
+	if client.Write(newQuery()); len(h.server.conns) != 1 {
 		t.Fatal("closed before its first query")
 	}
 	var c *conn
@@ -397,7 +409,7 @@
 	client, c := h.session()
 	h.server.Shutdown(func() {})
 	h.server.respondBy = h.Clock.Now() + 0.5
-	client.Write(queryMessage) // d=900
+	client.Write(newQuery()) // d=900
 	h.waitFor("the request to be processed", func() bool { return c.current != nil && c.current.request != nil })
 	if until := c.current.request.Deadline; until > h.server.respondBy+1e-9 || until < h.server.respondBy-0.4 {
 		t.Errorf("the deadline of the query is %v, want one in the 0.4 s before %v", until, h.server.respondBy)
--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -31,10 +31,10 @@
 	err     error             // for kindInvalid
 }
 
-// discard frees a message that will not be processed.
+// discard drops a message that will not be processed. Runs on the loop goroutine.
 func (m *inputMessage) discard() {
 	if m.request != nil {
-		m.request.Body.Free()
+		m.conn.server.loop.DiscardRequest(m.request)
 	}
 }
 
@@ -45,6 +45,9 @@
 		m.discard() // it was read while the connection was being closed
 		return
 	}
+	if m.request != nil {
+		c.server.loop.ReceiveRequest(m.request)
+	}
 	if c.current != nil {
 		c.queued = append(c.queued, m)
 		return
--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -95,7 +95,9 @@
 		c.requestCount.Add(1)
 	}
 	if c.unanswered.Add(1) > limits.MaxPipelinedQueries {
-		message.discard()
+		if request != nil {
+			request.Body.Free()
+		}
 		return errTooManyQueued
 	}
 	c.server.loop.Post(message)
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -69,6 +69,7 @@
 
 	// Bad input and the program's own limits.
 	BadInput
+	DuplicateIDs // requests with the id of an earlier request
 	ConnLimitReached
 	BufferLimitReached
 	QueueLimitReached
@@ -117,6 +118,7 @@
 	DiscoveryStalled:        "discovery_stalled",
 	EndpointsRemovedByPeers: "endpoints_removed_by_peers",
 	BadInput:                "bad_input",
+	DuplicateIDs:            "duplicate_ids",
 	ConnLimitReached:        "bound_conns",
 	BufferLimitReached:      "bound_buffers",
 	QueueLimitReached:       "bound_queue",
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -44,6 +44,7 @@
 	CodeSyntax             = "42601" // syntax_error
 	CodeTooLong            = "54000" // program_limit_exceeded
 	CodeUnsupported        = "0A000" // feature_not_supported
+	CodeDuplicateID        = "23505" // unique_violation: another request with the same id may have run
 )
 
 // Field types of an ErrorResponse.
--- a/internal/pipeline/account.go
+++ b/internal/pipeline/account.go
@@ -13,6 +13,7 @@
 	Duration   relay.Seconds
 	LoadReport []float32     // in the order of the fields in the settings; nil if there is none
 	Response   *buffer.Chain // forwarded to the client; set only if the attempt succeeded
+	Unsent     bool          // its last byte was never written; set for cancelled attempts, whose outcome doesn't tell
 }
 
 var outcomeCounters = [...]metrics.Counter{
@@ -50,6 +51,7 @@
 	l.Metrics.Add(outcomeCounters[result.Outcome], 1)
 	request := attempt.Request
 	request.openAttempts--
+	request.recordRun(attempt, result)
 	if result.Outcome == relay.Succeeded && request.Status == StatusOpen {
 		l.respond(request, result.Response)
 	} else {
@@ -67,6 +69,34 @@
 	l.markFinished(request)
 }
 
+// recordRun records whether an attempt that has ended has run or may still be run.
+func (r *Request) recordRun(attempt *Attempt, result AttemptResult) {
+	switch {
+	case result.Outcome.NeverRan() || result.Unsent:
+	case result.Outcome == relay.Succeeded || result.Outcome == relay.Errored:
+		r.ran = true
+	default:
+		r.startsBefore = max(r.startsBefore, attempt.Deadline)
+	}
+}
+
+// settleID records what becomes of the id of a request that is over: it is kept unless the request never ran.
+func (l *Loop) settleID(request *Request) {
+	if !request.holdsID {
+		return
+	}
+	request.holdsID = false
+	id, now := request.Query.ID, l.Clock.Now()
+	switch {
+	case request.startsBefore > 0:
+		l.ids.keepMayRun(id, request.startsBefore, l.Site.MaxDeadline(), now)
+	case request.ran:
+		l.ids.keepRan(id, now)
+	default:
+		l.ids.release(id)
+	}
+}
+
 func (l *Loop) endHealthCheck(attempt *Attempt, result AttemptResult) {
 	result.Response.Free()
 	l.AddEvent(relay.HealthCheckEnded{
@@ -92,6 +122,7 @@
 	if request.Status != StatusOpen && request.openAttempts == 0 && !request.finished {
 		request.finished = true
 		l.finished = append(l.finished, request)
+		l.settleID(request)
 	}
 }
 
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -15,6 +15,23 @@
 	microsPerSecond = 1e6
 )
 
+// ReceiveRequest registers the id of a request that was read. It must be called in the order in which requests were read,
+// and be followed by BeginRequest or DiscardRequest. Must run on the loop goroutine.
+func (l *Loop) ReceiveRequest(request *Request) {
+	if request.Query.ID == "" {
+		return // it was discarded without being parsed, and will be rejected
+	}
+	request.idState = l.ids.claim(request.Query.ID, l.Clock.Now())
+	request.holdsID = request.idState == idUnknown
+}
+
+// DiscardRequest drops a request that was received but not begun, because its client has disconnected. Must run on the loop
+// goroutine.
+func (l *Loop) DiscardRequest(request *Request) {
+	l.settleID(request)
+	request.Body.Free()
+}
+
 // BeginRequest starts a request when the earlier requests on its connection are done. Its deadline counts from the
 // given time. Must run on the loop goroutine.
 func (l *Loop) BeginRequest(request *Request, from relay.Seconds) {
@@ -25,8 +42,13 @@
 }
 
 // admit passes a request to the decision module, which rejects it or commands attempts. At the limit of open requests
-// it rejects the request without asking the module.
+// it rejects the request without asking the module. A request with the id of an earlier one fails, as that may have run.
 func (l *Loop) admit(request *Request) {
+	if request.idState != idUnknown {
+		l.Metrics.Add(metrics.DuplicateIDs, 1)
+		l.respondError(request, StatusFailed, pgwire.CodeDuplicateID, messageDuplicateID, "")
+		return
+	}
 	if request.RejectReason == "" && len(l.requests) >= l.maxOpenRequests() {
 		request.RejectReason = messageTooManyOpen
 	}
--- a/internal/pipeline/loop.go
+++ b/internal/pipeline/loop.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/policy"
 	"lichenroad/relay"
@@ -39,6 +40,7 @@
 
 	module        *policy.Policy
 	requests      map[relay.RequestID]*Request
+	ids           idRegistry
 	finished      []*Request // requests that have ended, to be removed by dropFinished
 	lastID        relay.RequestID
 	events        []relay.Event // for the module's next step
@@ -63,6 +65,7 @@
 		Log:      log,
 		module:   policy.New(site.Settings, seed),
 		requests: map[relay.RequestID]*Request{},
+		ids:      newIDRegistry(int64(limits.KnownIDMemoryFraction * float64(pool.Limit()))),
 		wakeup:   make(chan struct{}, 1),
 	}
 }
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -54,7 +54,16 @@
 
 func beginRequest(t *testing.T, l *Loop, env *fakeEnvironment) *Request {
 	t.Helper()
-	body := l.Pool.Filled([]byte("SELECT body FROM objects WHERE oid = '7f3a' /* id=9b1f,c=look,d=480 */\x00"))
+	request := acceptRequest(t, l, env, "9b1f")
+	l.ReceiveRequest(request)
+	l.BeginRequest(request, request.ReceivedAt)
+	return request
+}
+
+// acceptRequest returns the record of a request with an id that was read.
+func acceptRequest(t *testing.T, l *Loop, env *fakeEnvironment, id string) *Request {
+	t.Helper()
+	body := l.Pool.Filled([]byte("SELECT body FROM objects WHERE oid = '7f3a' /* id=" + id + ",c=look,d=480 */\x00"))
 	text, err := pgwire.Statement(body.Bytes())
 	if err != nil {
 		t.Fatal(err)
@@ -64,7 +73,6 @@
 		t.Fatal(err)
 	}
 	request.Client = env
-	l.BeginRequest(request, request.ReceivedAt)
 	return request
 }
 
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -37,6 +37,10 @@
 	Status       RequestStatus
 	RejectReason string // error text of a request that is rejected without asking the module; empty otherwise
 
+	idState      idState       // what was known of its id when it was read; idUnknown if the id is its own
+	holdsID      bool          // its id was claimed and neither released nor kept
+	ran          bool          // an endpoint has run one of its attempts
+	startsBefore relay.Seconds // when no endpoint may begin any more what it may still run; 0 if there is nothing
 	openAttempts int
 	finished     bool // whether it has been added to Loop.finished
 }
--- a/internal/pipeline/respond.go
+++ b/internal/pipeline/respond.go
@@ -13,6 +13,7 @@
 	messageTooManyOpen = "no room for another query"
 	messageRejected    = "turned away, nothing was done"
 	messageFailed      = "given up, with no word on what was done"
+	messageDuplicateID = "the id belongs to an earlier request"
 )
 
 // reject carries out a command to reject a request, which has had no effect.
--- a/internal/pipeline/route.go
+++ b/internal/pipeline/route.go
@@ -44,8 +44,8 @@
 // cancelAttempt cancels an attempt whether or not it has been sent.
 func (l *Loop) cancelAttempt(command relay.CancelAttempt) {
 	if attempt := l.openAttempt(command.Request, command.Attempt); attempt != nil {
-		l.Upstream.Cancel(attempt)
-		l.EndAttempt(attempt, AttemptResult{Outcome: relay.Cancelled, Duration: l.Clock.Now() - attempt.StartedAt})
+		sent := l.Upstream.Cancel(attempt)
+		l.EndAttempt(attempt, AttemptResult{Outcome: relay.Cancelled, Duration: l.Clock.Now() - attempt.StartedAt, Unsent: !sent})
 	}
 }
 
--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -110,7 +111,7 @@
 	}
 	ready := r.dial()
 	defer ready.Close()
-	if response := ready.query("", testTimeout); response.Code != "" {
+	if response := ready.query(""); response.Code != "" {
 		t.Fatal("the relay is not ready:", response.Code)
 	}
 	return r
@@ -178,7 +179,7 @@
 	r.t.Helper()
 	c := r.dial()
 	defer c.Close()
-	c.query("", testTimeout)
+	c.query("")
 }
 
 // peakMemoryMB returns the highest resident memory of the relay so far.
@@ -235,7 +236,7 @@
 	c.t.Helper()
 	response, err := c.Receive(within)
 	if err != nil && response.Code == "" {
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.t.Fatalf("no response within %v", within)
 		}
 		response.Code = "closed"
@@ -244,10 +245,10 @@
 }
 
 // query sends a query and waits for its response.
-func (c *client) query(statement string, within time.Duration) fakes.Response {
+func (c *client) query(statement string) fakes.Response {
 	c.t.Helper()
 	c.send(statement)
-	return c.receive(within)
+	return c.receive(testTimeout)
 }
 
 // endpoint is an emulated endpoint that records which ids it runs.
