pipeline: the log tells by its id why a request ended or is retried

Change: lines 'request ended' and 'request retried' with id, class, client, reason and the outcomes of the attempts. Each reason is limited to 10 lines a second after 50 at once, so that a flood takes no processor time from requests; the rest is counted (request_lines_suppressed).

--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -91,7 +91,7 @@
 	message := &inputMessage{conn: c, kind: kindEmptyQuery}
 	if request != nil {
 		message.kind, message.request = kindRequest, request
-		request.Client = message
+		request.Client, request.ClientAddress = message, c.net.RemoteAddr()
 		c.requestCount.Add(1)
 	}
 	if c.unanswered.Add(1) > limits.MaxPipelinedQueries {
--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -43,5 +43,10 @@
 	// MaxQueuedLogLines is the number of log lines that may wait to be written, about 600 KB. Further lines are dropped.
 	MaxQueuedLogLines = 1 << 12
 
+	// RequestLinesPerSecond and MaxRequestLineBurst limit the log lines of single requests, for each reason. A line costs about
+	// as much processor time as a request.
+	RequestLinesPerSecond = 10
+	MaxRequestLineBurst   = 50
+
 	LogFlushTimeout = time.Second // for writing the remaining log lines at the end of the program
 )
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -73,7 +73,8 @@
 	ConnLimitReached
 	BufferLimitReached
 	QueueLimitReached
-	LogDropped // log lines dropped because the reader of the log was too slow
+	RequestLinesSuppressed // log lines of requests that were not written because there were too many of their kind
+	LogDropped             // log lines dropped because the reader of the log was too slow
 	Reloads
 	ReloadsRefused
 	counterCount
@@ -122,6 +123,7 @@
 	ConnLimitReached:        "bound_conns",
 	BufferLimitReached:      "bound_buffers",
 	QueueLimitReached:       "bound_queue",
+	RequestLinesSuppressed:  "request_lines_suppressed",
 	LogDropped:              "log_dropped",
 	Reloads:                 "reloads",
 	ReloadsRefused:          "reloads_refused",
--- a/internal/pipeline/account.go
+++ b/internal/pipeline/account.go
@@ -52,6 +52,7 @@
 	request := attempt.Request
 	request.openAttempts--
 	request.recordRun(attempt, result)
+	attempt.outcome = result.Outcome
 	if result.Outcome == relay.Succeeded && request.Status == StatusOpen {
 		l.respond(request, result.Response)
 	} else {
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -46,13 +46,16 @@
 func (l *Loop) admit(request *Request) {
 	if request.idState != idUnknown {
 		l.Metrics.Add(metrics.DuplicateIDs, 1)
+		l.requestLog.ended(request, reasonDuplicateID, l.Clock.Now())
 		l.respondError(request, StatusFailed, pgwire.CodeDuplicateID, messageDuplicateID, "")
 		return
 	}
+	reason := reasonNoBuffers
 	if request.RejectReason == "" && len(l.requests) >= l.maxOpenRequests() {
-		request.RejectReason = messageTooManyOpen
+		request.RejectReason, reason = messageTooManyOpen, reasonTooManyOpen
 	}
 	if request.RejectReason != "" {
+		l.requestLog.ended(request, reason, l.Clock.Now())
 		l.respondError(request, StatusRejected, pgwire.CodeTooManyConnections, request.RejectReason, l.RetryAfterDetail())
 		return
 	}
@@ -103,6 +106,7 @@
 // ClientLeft ends an open request whose client has disconnected. Must run on the loop goroutine.
 func (l *Loop) ClientLeft(request *Request) {
 	if request.Status == StatusOpen {
+		l.requestLog.ended(request, reasonClientLeft, l.Clock.Now())
 		l.finish(request, StatusClientLeft)
 		l.AddEvent(relay.ClientDisconnected{Request: request.ID})
 	}
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -16,7 +16,8 @@
 	StartedAt relay.Seconds // when the module commanded it
 	Deadline  relay.Seconds // when it times out
 	Ended     bool
-	Conn      UpstreamConn // the connection that carries it; nil until it has one
+	outcome   relay.Outcome // set when it has ended
+	Conn      UpstreamConn  // the connection that carries it; nil until it has one
 
 	sendBy atomic.Uint64 // math.Float64bits of the send-by time; 0 if there is none
 }
--- a/internal/pipeline/ids.go
+++ b/internal/pipeline/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 
 	"lichenroad/internal/limits"
 	"lichenroad/relay"
@@ -129,15 +130,13 @@
 	return now >= oldest.until || q.len() > q.capacity && now >= oldest.owedUntil
 }
 
-func (q *idQueue) push(id endedID) {
-	if q.first > q.len() { // over half of the slice is unused
-		remaining := copy(q.ids, q.ids[q.first:])
-		q.ids, q.first = q.ids[:remaining], 0
-	}
-	q.ids = append(q.ids, id)
-}
+func (q *idQueue) push(id endedID) { q.ids = append(q.ids, id) }
 
 func (q *idQueue) pop() endedID {
+	oldest := q.ids[q.first]
 	q.first++
-	return q.ids[q.first-1]
+	if q.first > q.len() { // over half of the slice is unused
+		q.ids, q.first = slices.Clone(q.ids[q.first:]), 0
+	}
+	return oldest
 }
--- a/internal/pipeline/loop.go
+++ b/internal/pipeline/loop.go
@@ -41,6 +41,7 @@
 	module        *policy.Policy
 	requests      map[relay.RequestID]*Request
 	ids           idRegistry
+	requestLog    requestLog
 	finished      []*Request // requests that have ended, to be removed by dropFinished
 	lastID        relay.RequestID
 	events        []relay.Event // for the module's next step
@@ -58,15 +59,16 @@
 // NewLoop returns a loop with a new decision module.
 func NewLoop(site settings.Site, seed int64, pool *buffer.Pool, counters *metrics.Counters, log *logrus.Logger) *Loop {
 	return &Loop{
-		Clock:    NewClock(),
-		Site:     site,
-		Pool:     pool,
-		Metrics:  counters,
-		Log:      log,
-		module:   policy.New(site.Settings, seed),
-		requests: map[relay.RequestID]*Request{},
-		ids:      newIDRegistry(int64(limits.KnownIDMemoryFraction * float64(pool.Limit()))),
-		wakeup:   make(chan struct{}, 1),
+		Clock:      NewClock(),
+		Site:       site,
+		Pool:       pool,
+		Metrics:    counters,
+		Log:        log,
+		requestLog: newRequestLog(log, counters),
+		module:     policy.New(site.Settings, seed),
+		requests:   map[relay.RequestID]*Request{},
+		ids:        newIDRegistry(int64(limits.KnownIDMemoryFraction * float64(pool.Limit()))),
+		wakeup:     make(chan struct{}, 1),
 	}
 }
 
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"net"
+
 	"lichenroad/internal/buffer"
 	"lichenroad/internal/pgwire"
 	"lichenroad/relay"
@@ -26,16 +28,17 @@
 // the decision module has been notified of the end. From BeginRequest on, only the loop goroutine uses it.
 type Request struct {
 	pgwire.Query
-	ID           relay.RequestID
-	Client       Client
-	Body         *buffer.Chain // body of the Query message; freed when the request ends
-	ReceivedAt   relay.Seconds // when its last byte was read
-	Deadline     relay.Seconds // when the client stops waiting
-	Class        relay.RequestClass
-	Tenant       relay.Tenant
-	Attempts     []*Attempt
-	Status       RequestStatus
-	RejectReason string // error text of a request that is rejected without asking the module; empty otherwise
+	ID            relay.RequestID
+	Client        Client
+	ClientAddress net.Addr      // for the log; nil if it is not known
+	Body          *buffer.Chain // body of the Query message; freed when the request ends
+	ReceivedAt    relay.Seconds // when its last byte was read
+	Deadline      relay.Seconds // when the client stops waiting
+	Class         relay.RequestClass
+	Tenant        relay.Tenant
+	Attempts      []*Attempt
+	Status        RequestStatus
+	RejectReason  string // error text of a request that is rejected without asking the module; empty otherwise
 
 	idState      idState       // what was known of its id when it was read; idUnknown if the id is its own
 	holdsID      bool          // its id was claimed and neither released nor kept
--- a/internal/pipeline/respond.go
+++ b/internal/pipeline/respond.go
@@ -19,6 +19,7 @@
 // reject carries out a command to reject a request, which has had no effect.
 func (l *Loop) reject(command relay.Reject) {
 	if request := l.requests[command.Request]; request != nil && request.Status == StatusOpen {
+		l.requestLog.ended(request, reasonRejected, l.Clock.Now())
 		detail := retryAfterDetail(command.RetryAfter)
 		l.respondError(request, StatusRejected, pgwire.CodeTooManyConnections, messageRejected, detail)
 	}
@@ -27,6 +28,7 @@
 // fail carries out a command to fail a request, which may have had an effect.
 func (l *Loop) fail(command relay.Fail) {
 	if request := l.requests[command.Request]; request != nil && request.Status == StatusOpen {
+		l.requestLog.ended(request, reasonFailed, l.Clock.Now())
 		l.respondError(request, StatusFailed, pgwire.CodeSystemError, messageFailed, "")
 	}
 }
@@ -35,6 +37,7 @@
 // client had disconnected, so that it cancels the attempts. Must run on the loop goroutine.
 func (l *Loop) AbortRequest(request *Request) {
 	if request.Status == StatusOpen {
+		l.requestLog.ended(request, reasonShutdown, l.Clock.Now())
 		l.respondError(request, StatusFailed, pgwire.CodeSystemError, messageFailed, "")
 		l.AddEvent(relay.ClientDisconnected{Request: request.ID})
 	}
--- a/internal/pipeline/route.go
+++ b/internal/pipeline/route.go
@@ -30,6 +30,9 @@
 	}
 	request.Attempts = append(request.Attempts, attempt)
 	request.openAttempts++
+	if attempt.Number > 0 && request.Status == StatusOpen {
+		l.requestLog.retried(request, attempt)
+	}
 	l.send(attempt)
 }
 
--- a/relay/events.go
+++ b/relay/events.go
@@ -18,6 +18,26 @@
 	NotSent
 )
 
+// outcomeNames maps outcomes to their names in logs.
+var outcomeNames = [...]string{
+	Succeeded:          "succeeded",
+	Errored:            "errored",
+	RejectedByEndpoint: "rejected",
+	TimedOut:           "timed_out",
+	ConnectFailed:      "connect_failed",
+	ConnectionBroken:   "connection_broken",
+	Cancelled:          "cancelled",
+	NotSent:            "not_sent",
+}
+
+// String returns the name of the outcome in logs.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // NeverRan reports whether the outcome proves that the endpoint did not execute the attempt.
 func (o Outcome) NeverRan() bool {
 	return o == RejectedByEndpoint || o == ConnectFailed || o == NotSent
