pgwire: statements that say one thing twice and numbers with a sign are malformed

Callers saw requests served whose comment names an id, a class or a deadline twice, or whose deadline has a plus sign. The relay goes by the last of two values, and an endpoint need not: the retry, the deadline or the class could differ between the two.

Cause: parseParameters took the last of several values, parseNumber used ParseInt, which accepts a sign, and ParseStartup looked only at the last byte of the parameters.

Change: each name once, at most 16 names, digits only; a startup packet is names with values and one zero byte. A comma behind the last parameter stays accepted.

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -269,6 +269,8 @@
 		"unknown class":     {pgwire.QueryMessage(selectStatement("none", 100)), pgwire.CodeSyntax},
 		"unknown tenant":    {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "acme", "x", 1)), pgwire.CodeSyntax},
 		"without an id":     {pgwire.QueryMessage(regexp.MustCompile("id=[0-9a-f]*,").ReplaceAllString(selectStatement("look", 1), "")), pgwire.CodeSyntax},
+		"two ids":           {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "id=", "id=1,id=", 1)), pgwire.CodeSyntax},
+		"signed deadline":   {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "d=1 ", "d=+1 ", 1)), pgwire.CodeSyntax},
 		"extended protocol": {[]byte{'P', 0, 0, 0, 4}, pgwire.CodeUnsupported},
 		"oversized":         {[]byte{'Q', 0x7f, 0, 0, 0}, pgwire.CodeTooLong},
 		"short length":      {[]byte{'Q', 0, 0, 0, 1}, pgwire.CodeSyntax},
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -147,7 +147,10 @@
 	for _, change := range [][2]string{
 		{"SELECT", "select"}, {"'7f3a'", "''"}, {"7f3a", "7f'; DROP"}, {"t=acme", "t=a*/b"}, {"id=9b1f,", ""}, {"c=basket,", ""}, {"d=480", "d=x"},
 		{"d=480", "d=-1"}, {"d=480", "d="}, {",d=480", ""}, {" */", " */;"}, {" */", ""}, {"t=acme", "t"}, {"t=acme", "t=a b"},
-		{"d=480", "d=99999999999"},
+		{"d=480", "d=99999999999"}, {"d=480", "d=+480"}, {"d=480", "d=4_80"}, {"d=480", "d=0x1e0"}, {"d=480", "d=480,h=+5"},
+		{"id=9b1f", "id=9b1f,id=9b20"}, {"id=9b1f", "id=9b1f,id=9b1f"}, {"c=basket", "c=basket,c=order"}, {"t=acme", "t=acme,t=other"},
+		{"d=480", "d=480,d=4800"}, {"d=480", "d=480,k=1,k=2"}, {"d=480", "d=480,h=1,h=2"}, {"d=480", "d=480,r=1,r=0"}, {"d=480", "d=480,n=1,n=2"},
+		{"d=480", "d=480" + manyParameters(maxParameters-3)},
 	} {
 		if _, err := ParseQuery([]byte(strings.Replace(readText, change[0], change[1], 1))); !errors.Is(err, ErrMalformed) {
 			t.Errorf("with %q in place of %q: got error %v", change[1], change[0], err)
@@ -155,6 +158,22 @@
 	}
 }
 
+// manyParameters returns a number of parameters with unknown names, each behind a comma.
+func manyParameters(count int) string {
+	var b strings.Builder
+	for i := range count {
+		fmt.Fprintf(&b, ",n%d=1", i)
+	}
+	return b.String()
+}
+
+func TestParseQueryAcceptsUnknownParameters(t *testing.T) {
+	text := strings.Replace(readText, "d=480", "d=480"+manyParameters(maxParameters-4), 1)
+	if query, err := ParseQuery([]byte(text)); err != nil || query.ID != "9b1f" {
+		t.Errorf("got %+v, error %v", query, err)
+	}
+}
+
 func TestParseQueryChecksTheValue(t *testing.T) {
 	for _, c := range []struct {
 		name, value string
@@ -208,7 +227,9 @@
 			t.Errorf("%q: %v %v", body, got, err)
 		}
 	}
-	for _, bad := range []string{"", "\x00\x03", "\x00\x02\x00\x00\x00", "\x00\x04\x00\x00\x00", "\x00\x03\x00\x00user"} {
+	for _, bad := range []string{"", "\x00\x03", "\x00\x02\x00\x00\x00", "\x00\x04\x00\x00\x00", "\x00\x03\x00\x00user",
+		"\x00\x03\x00\x00", "\x00\x03\x00\x00user\x00", "\x00\x03\x00\x00user\x00a\x00", "\x00\x03\x00\x00user\x00a\x00\x00more\x00",
+	} {
 		if _, err := ParseStartup([]byte(bad)); err == nil {
 			t.Errorf("%q was accepted", bad)
 		}
--- a/internal/pgwire/query.go
+++ b/internal/pgwire/query.go
@@ -38,6 +38,7 @@
 const (
 	maxDeadlineMillis = 24 * 3600_000   // a day
 	maxWorkMicros     = 3600 * 1000_000 // an hour
+	maxParameters     = 16              // clients send at most seven
 )
 
 // IsEmpty reports whether a statement is an empty query.
@@ -111,14 +112,25 @@
 	return rest, nil
 }
 
-// parseParameters parses a comma-separated list of name=value pairs that begins at the given offset of the statement.
+// parseParameters parses a comma-separated list of name=value pairs that begins at the given offset of the statement. A name
+// may occur once: a relay and an endpoint could otherwise go by different values.
 func (q *Query) parseParameters(text []byte, offset int) error {
+	var names [][]byte
 	for len(text) > 0 {
 		pair, rest, _ := bytes.Cut(text, []byte(","))
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok || !isWord(name) || !isWord(value) {
 			return malformed("comment")
 		}
+		if len(names) == maxParameters {
+			return malformed("comment with too many parameters")
+		}
+		for _, earlier := range names {
+			if bytes.Equal(name, earlier) {
+				return malformed("comment with the same name twice")
+			}
+		}
+		names = append(names, name)
 		valueOffset := offset + len(name) + len("=")
 		if err := q.setParameter(string(name), string(value), valueOffset); err != nil {
 			return err
@@ -156,17 +168,17 @@
 	return nil
 }
 
-// parseNumber parses a decimal integer from 0 to maxNumber.
-func parseNumber(value string, maxNumber int64) (int64, error) {
+// parseNumber parses a decimal integer without a sign, of at most maxNumber.
+func parseNumber(value string, maxNumber uint64) (int64, error) {
 	const base, bits = 10, 64
-	number, err := strconv.ParseInt(value, base, bits)
+	number, err := strconv.ParseUint(value, base, bits)
 	if err != nil {
 		return 0, err
 	}
-	if number < 0 || number > maxNumber {
+	if number > maxNumber {
 		return 0, strconv.ErrRange
 	}
-	return number, nil
+	return int64(number), nil
 }
 
 // isWord reports whether b is valid as an object or as the name or value of a parameter: it contains nothing that could end
--- a/internal/pgwire/startup.go
+++ b/internal/pgwire/startup.go
@@ -43,12 +43,32 @@
 		major, minor := code>>16, code&0xffff
 		return 0, fmt.Errorf("%w: protocol version %d.%d", ErrMalformed, major, minor)
 	}
-	if body[len(body)-1] != 0 {
-		return 0, malformed("startup without its end")
+	if err := checkStartupParameters(body[lengthLength:]); err != nil {
+		return 0, err
 	}
 	return StartupSession, nil
 }
 
+// checkStartupParameters checks that the rest of a startup packet consists of names with values and a zero byte behind them.
+// Errors wrap ErrMalformed.
+func checkStartupParameters(parameters []byte) error {
+	for {
+		name, rest, ok := cutString(parameters)
+		if !ok {
+			return malformed("startup without its end")
+		}
+		if name == "" {
+			if len(rest) > 0 {
+				return malformed("startup with input behind its end")
+			}
+			return nil
+		}
+		if _, parameters, ok = cutString(rest); !ok {
+			return malformed("startup parameter without a value")
+		}
+	}
+}
+
 // Startup returns the startup packet that opens a session.
 func Startup(user, database string) []byte {
 	b := make([]byte, lengthLength)
