pipeline: a request of a keyed class without an idempotency key is malformed

Without a key no endpoint can tell the retry, and the effect could come twice.

Change: Accept rejects it like an unknown class.

--- a/cmd/lichenroad/serve_test.go
+++ b/cmd/lichenroad/serve_test.go
@@ -271,6 +271,7 @@
 		"without an id":     {pgwire.QueryMessage(regexp.MustCompile("id=[0-9a-f]*,").ReplaceAllString(selectStatement("look", 1), "")), pgwire.CodeSyntax},
 		"two ids":           {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "id=", "id=1,id=", 1)), pgwire.CodeSyntax},
 		"signed deadline":   {pgwire.QueryMessage(strings.Replace(selectStatement("look", 1), "d=1 ", "d=+1 ", 1)), pgwire.CodeSyntax},
+		"keyed, no key":     {pgwire.QueryMessage(strings.Replace(selectStatement("order", 1), ",k=5c", "", 1)), pgwire.CodeSyntax},
 		"extended protocol": {[]byte{'P', 0, 0, 0, 4}, pgwire.CodeUnsupported},
 		"oversized":         {[]byte{'Q', 0x7f, 0, 0, 0}, pgwire.CodeTooLong},
 		"short length":      {[]byte{'Q', 0, 0, 0, 1}, pgwire.CodeSyntax},
--- a/internal/pipeline/accept.go
+++ b/internal/pipeline/accept.go
@@ -22,6 +22,9 @@
 	if request.Class, known = site.ClassByName[query.Class]; !known {
 		return nil, fmt.Errorf("%w: category %q is not known", pgwire.ErrMalformed, query.Class)
 	}
+	if site.Classes[request.Class].Idempotency == relay.IdempotencyKeyed && query.IdempotencyKey == "" {
+		return nil, fmt.Errorf("%w: category %q needs a key", pgwire.ErrMalformed, query.Class) // a retry could have a second effect
+	}
 	request.Tenant, known = site.TenantByName[query.Tenant]
 	if !known && len(site.TenantByName) > 0 {
 		return nil, fmt.Errorf("%w: customer %q is not known", pgwire.ErrMalformed, query.Tenant)
