clients: nothing is sent for a client that closed behind input that was still unread

Cause: the relay learned of a close only from netpoll, which reports it behind all input. While sixty clients with 16 requests of 64 KiB each are read, the first requests of a connection began although its client had closed long before, and so did attempts that waited for a connection to an endpoint.

Change: a request begins when all input of its connection that has arrived is read and the socket does not say that the client has closed; before an attempt is sent the client's socket is looked at once more. A client that left has its unsent attempts released at once, also those half written, whatever the settings say about cancelling. Requests that were read behind an open one when their client left are counted and logged.

--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -44,6 +44,25 @@
 	l.RunAt(l.Clock.Now()+limits.ClientCloseTimeout.Seconds(), c.closeSocket)
 }
 
+// poll reports whether the socket has unread input, and whether the client has closed it or it has an error. Input may be
+// unread though the client has closed. Both are false once this side has closed.
+func (c *conn) poll() (readable, ended bool) {
+	c.mu.Lock() // keeps the descriptor from being closed and reused meanwhile
+	defer c.mu.Unlock()
+	if n, ok := c.net.(netpoll.Conn); ok && !c.closed {
+		return sockets.Poll(n.Fd())
+	}
+	return false, false
+}
+
+// left reports whether the connection has ended or the client has closed it.
+func (c *conn) left() bool {
+	_, ended := c.poll()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ended || c.closed
+}
+
 // shutdownWrite closes the sending half of the socket.
 func (c *conn) shutdownWrite() {
 	c.mu.Lock()
@@ -68,10 +87,8 @@
 			return false
 		}
 	}
-	c.mu.Lock() // keeps the descriptor from being closed and reused meanwhile
-	defer c.mu.Unlock()
-	n, ok := c.net.(netpoll.Conn)
-	return c.closed || !ok || !sockets.Readable(n.Fd())
+	readable, ended := c.poll()
+	return !readable && !ended
 }
 
 // closeIfQuiescent closes the connection if it is quiescent, and reports whether it did. Input that arrives after the
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -36,6 +36,7 @@
 	list        *list.List      // Server.awaitingStartup or Server.idle
 	overLimit   bool            // accepted beyond Server.maxConns
 	closing     bool
+	begun       bool // the request of current was passed to the pipeline
 
 	// Used by any goroutine.
 	startupReceived atomic.Bool
@@ -43,6 +44,7 @@
 	partialSince    atomic.Int64 // when a message was last seen incomplete, in ns of the loop's clock; 0 if none is
 	closedAsIdle    atomic.Bool
 	inputIgnored    atomic.Bool
+	awaitingInput   atomic.Bool  // the current request begins when the input that has arrived is read
 	unanswered      atomic.Int64 // requests that were read and have no response yet
 	requestCount    atomic.Int64
 
@@ -86,8 +88,12 @@
 func (s *Server) removeConn(c *conn) {
 	delete(s.conns, c)
 	c.setIdle(false)
-	if c.current != nil && c.current.request != nil {
+	switch {
+	case c.current == nil || c.current.request == nil:
+	case c.begun:
 		s.loop.ClientLeft(c.current.request)
+	default:
+		c.current.discard()
 	}
 	for _, message := range c.queued {
 		message.discard()
--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -5,9 +5,11 @@
 	"math"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/pipeline"
+	"lichenroad/relay"
 )
 
 const millisPerSecond = 1000
@@ -31,7 +33,7 @@
 	err     error             // for kindInvalid
 }
 
-// discard drops a message that will not be processed. Runs on the loop goroutine.
+// discard ends a message whose client has disconnected before it was processed. Runs on the loop goroutine.
 func (m *inputMessage) discard() {
 	if m.request != nil {
 		m.conn.server.loop.DiscardRequest(m.request)
@@ -41,8 +43,10 @@
 // Apply implements pipeline.Event: it processes the message, or queues it behind the one being processed.
 func (m *inputMessage) Apply(*pipeline.Loop) {
 	c := m.conn
-	if c.closing {
-		m.discard() // it was read while the connection was being closed
+	if c.closing { // it was read while the connection was being closed, and is answered by rejectUnanswered
+		if m.request != nil {
+			m.request.Body.Free()
+		}
 		return
 	}
 	if m.request != nil {
@@ -58,7 +62,7 @@
 // process makes a message the current one of its connection and starts to process it. Runs on the loop goroutine.
 func (c *conn) process(m *inputMessage) {
 	l := c.server.loop
-	c.current = m
+	c.current, c.begun = m, false
 	c.setIdle(false)
 	switch m.kind {
 	case kindStartup:
@@ -69,7 +73,7 @@
 		c.startupAnswered.Store(true)
 		m.Respond(l.Pool.Filled(pgwire.StartupResponse(c.server.lastSession.Add(1))))
 	case kindRequest:
-		c.beginRequest(m.request)
+		c.beginWhenRead()
 	case kindEmptyQuery:
 		l.OnServiceOpen(func() { m.Respond(l.Pool.Filled(pgwire.EmptyQueryResponse())) })
 	case kindInvalid:
@@ -77,6 +81,52 @@
 	}
 }
 
+// beginWhenRead starts the current request once all input that has arrived is read: the client may have closed the connection
+// behind it. If it has, nothing is started, and removeConn follows.
+func (c *conn) beginWhenRead() {
+	c.awaitingInput.Store(true) // before the checks, so that a read that ends after them resumes
+	if c.left() || c.inputUnread() {
+		return
+	}
+	if until := c.inputExpectedUntil(); until > c.server.loop.Clock.Now() {
+		c.server.loop.RunAt(until, c.resumeBegin)
+		return
+	}
+	c.begin()
+}
+
+// begin starts the current request.
+func (c *conn) begin() {
+	c.awaitingInput.Store(false)
+	c.begun = true
+	c.beginRequest(c.current.request)
+}
+
+// inputUnread reports whether input has arrived that was not read. Input behind an error does not count, as it is discarded.
+func (c *conn) inputUnread() bool {
+	if c.inputIgnored.Load() {
+		return false
+	}
+	readable, _ := c.poll()
+	return readable || c.net.Reader().Len() > 0
+}
+
+// inputExpectedUntil returns the time up to which the rest of a message counts as arriving; 0 if no message is incomplete.
+func (c *conn) inputExpectedUntil() relay.Seconds {
+	since := c.partialSince.Load()
+	if since == 0 || c.inputIgnored.Load() {
+		return 0
+	}
+	return float64(since)/nanosPerSecond + limits.InputGap.Seconds()
+}
+
+// resumeBegin begins the current request if it waits for input to be read. Runs on the loop goroutine.
+func (c *conn) resumeBegin() {
+	if c.current != nil && c.current.kind == kindRequest && !c.begun && c.awaitingInput.Load() {
+		c.beginWhenRead()
+	}
+}
+
 // beginRequest starts a request. Its deadline counts from its arrival or from the response before it, whichever is
 // later. After SIGTERM the deadline is shortened so that the client gets a response before the program may be killed.
 func (c *conn) beginRequest(request *pipeline.Request) {
@@ -89,6 +139,9 @@
 	s.loop.BeginRequest(request, from)
 }
 
+// Left implements pipeline.Client.
+func (m *inputMessage) Left() bool { return m.conn.left() }
+
 // Respond implements pipeline.Client. The next message of the connection is processed when the response has been
 // written. Runs on the loop goroutine.
 func (m *inputMessage) Respond(response *buffer.Chain) {
--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -52,6 +52,9 @@
 			c.partialSince.Store(max(1, int64(receivedAt*nanosPerSecond)))
 		}
 	}
+	if c.awaitingInput.Load() {
+		c.server.loop.Post(pipeline.Func(func(*pipeline.Loop) { c.resumeBegin() }))
+	}
 	return reader.Release()
 }
 
--- a/internal/clients/shutdown.go
+++ b/internal/clients/shutdown.go
@@ -49,9 +49,13 @@
 // abortRequests ends the open requests: their clients wait for longer than the program runs. Runs on the loop goroutine.
 func (s *Server) abortRequests() {
 	for c := range s.conns {
-		if c.current != nil && c.current.request != nil {
-			s.loop.AbortRequest(c.current.request)
+		if c.current == nil || c.current.request == nil {
+			continue
 		}
+		if !c.begun {
+			c.begin()
+		}
+		s.loop.AbortRequest(c.current.request)
 	}
 }
 
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -26,6 +26,9 @@
 	// exceed MinClientIdleTime.
 	PartialMessageTimeout = 2 * time.Second
 
+	// InputGap is how long a message may pause before its rest no longer counts as arriving: far more than a round trip.
+	InputGap = 20 * time.Millisecond
+
 	// StartupTimeout is how long a client may take to send its startup packet. A connection that sends nothing has to be
 	// closed within 3 s.
 	StartupTimeout = 2500 * time.Millisecond
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -25,9 +25,12 @@
 	request.holdsID = request.idState == idUnknown
 }
 
-// DiscardRequest drops a request that was received but not begun, because its client has disconnected. Must run on the loop
+// DiscardRequest ends a request that was received but not begun, because its client has disconnected. Must run on the loop
 // goroutine.
 func (l *Loop) DiscardRequest(request *Request) {
+	l.Metrics.Add(metrics.Accepted, 1)
+	l.Metrics.Add(metrics.ClientLeft, 1)
+	l.requestLog.ended(request, reasonClientLeft, l.Clock.Now())
 	l.settleID(request)
 	request.Body.Free()
 }
@@ -103,11 +106,19 @@
 	return relay.Key(hash.Sum64())
 }
 
-// ClientLeft ends an open request whose client has disconnected. Must run on the loop goroutine.
+// ClientLeft ends an open request whose client has disconnected. Its attempts whose last byte was not written are not sent
+// any more. Must run on the loop goroutine.
 func (l *Loop) ClientLeft(request *Request) {
-	if request.Status == StatusOpen {
-		l.requestLog.ended(request, reasonClientLeft, l.Clock.Now())
-		l.finish(request, StatusClientLeft)
-		l.AddEvent(relay.ClientDisconnected{Request: request.ID})
+	if request.Status != StatusOpen {
+		return
+	}
+	l.requestLog.ended(request, reasonClientLeft, l.Clock.Now())
+	l.finish(request, StatusClientLeft)
+	for _, attempt := range request.Attempts {
+		if !attempt.Ended {
+			attempt.SetSendBy(l.Clock.Now())
+			l.Upstream.CancelUnsent(attempt)
+		}
 	}
+	l.AddEvent(relay.ClientDisconnected{Request: request.ID})
 }
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -39,9 +39,3 @@
 	sendBy, ok := attempt.SendBy()
 	return ok && now >= sendBy
 }
-
-// RequestFinished reports whether the request of the attempt has ended, so that nothing of it should be sent any more.
-// Must run on the loop goroutine.
-func (attempt *Attempt) RequestFinished() bool {
-	return attempt.Request != nil && attempt.Request.Status != StatusOpen
-}
--- a/internal/pipeline/interfaces.go
+++ b/internal/pipeline/interfaces.go
@@ -10,6 +10,9 @@
 	// Respond sends the only and final response to the request and takes ownership of it. It is called on the loop
 	// goroutine and must not block.
 	Respond(response *buffer.Chain)
+	// Left reports whether the client has closed its connection, even if input from before that was not read yet. It is
+	// called on the loop goroutine and must not block.
+	Left() bool
 }
 
 // Upstream manages the connections to the endpoints. internal/upstream implements it. All methods are called on the
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -22,6 +22,7 @@
 	unsentCancelled []*Attempt
 	responses       []string
 	wasSent         bool // the result of Cancel
+	left            bool // the result of Left
 }
 
 func (env *fakeEnvironment) Send(attempt *Attempt) { env.sent = append(env.sent, attempt) }
@@ -32,6 +33,7 @@
 func (env *fakeEnvironment) CancelUnsent(attempt *Attempt) {
 	env.unsentCancelled = append(env.unsentCancelled, attempt)
 }
+func (env *fakeEnvironment) Left() bool                   { return env.left }
 func (env *fakeEnvironment) HealthCheck(relay.EndpointID) {}
 func (env *fakeEnvironment) CloseIdle(relay.EndpointID)   {}
 func (env *fakeEnvironment) Respond(response *buffer.Chain) {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -14,7 +14,7 @@
 func (l *Loop) send(attempt *Attempt) {
 	l.Metrics.Add(metrics.AttemptsSent, 1)
 	l.Metrics.Add(metrics.AttemptsOpen, 1)
-	if attempt.Request.Status != StatusOpen {
+	if l.RequestFinished(attempt) {
 		l.EndAttempt(attempt, AttemptResult{Outcome: relay.NotSent})
 		return
 	}
@@ -22,6 +22,19 @@
 	l.Upstream.Send(attempt)
 }
 
+// RequestFinished reports whether the request of an attempt has ended, so that nothing of it should be sent any more. It ends
+// the request if the client has left. Must run on the loop goroutine.
+func (l *Loop) RequestFinished(attempt *Attempt) bool {
+	request := attempt.Request
+	if request == nil {
+		return false // a health check
+	}
+	if request.Status == StatusOpen && request.Client.Left() {
+		l.ClientLeft(request)
+	}
+	return request.Status != StatusOpen
+}
+
 // timeOut ends an attempt at its deadline unless it has already ended.
 func (l *Loop) timeOut(attempt *Attempt) {
 	if attempt.Ended {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,8 +130,8 @@
 func (p *Pool) serveWaiting(endpoint *endpointConns) {
 	for len(endpoint.waiting) > 0 && len(endpoint.idle) > 0 {
 		attempt := endpoint.waiting[0]
-		if attempt.RequestFinished() || attempt.SendExpired(p.loop.Clock.Now()) {
-			endpoint.waiting = endpoint.waiting[1:]
+		if p.loop.RequestFinished(attempt) || attempt.SendExpired(p.loop.Clock.Now()) {
+			endpoint.removeWaiting(attempt) // unless CancelUnsent did, as its client has left
 			p.loop.EndAttempt(attempt, pipeline.AttemptResult{Outcome: relay.NotSent})
 			continue
 		}
