--- a/lab/fakes/client.go
+++ b/lab/fakes/client.go
@@ -20,6 +20,7 @@
 type Response struct {
 	Value string // value of the row that was returned last; a Server returns its name
 	Code  string // SQLSTATE code of the error; empty if there was none
+	Text  string // text of the error
 }
 
 // Client is a client's connection to a relay. It is not safe for concurrent use. The caller of Dial closes it.
@@ -67,7 +68,7 @@
 			}
 		case 'E':
 			// An error response that can't be parsed leaves Code empty; ReadyForQuery follows it all the same.
-			_, response.Code, _, _ = pgwire.ParseError(body)
+			_, response.Code, response.Text, _ = pgwire.ParseError(body)
 		case 'Z':
 			return response, nil
 		}
--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -254,7 +254,8 @@
 // endpoint is an emulated endpoint that records which ids it runs.
 type endpoint struct {
 	fakes.Server
-	address string
+	address       string
+	ServiceTimeOf func(statement string) time.Duration // nil: serviceTime of startEndpoint for each
 
 	mu   sync.Mutex
 	runs map[string][]time.Time   // when each request id was run
@@ -273,6 +274,9 @@
 	e := &endpoint{address: listener.Addr().String(), runs: map[string][]time.Time{}, hold: map[string]chan struct{}{}, ran: make(chan string, 1<<20)}
 	e.Server = fakes.Server{Name: "served", Workers: 1 << 12, Handle: func(statement string) (time.Duration, bool) {
 		e.run(parameter(statement, "id"))
+		if e.ServiceTimeOf != nil {
+			return e.ServiceTimeOf(statement), false
+		}
 		return serviceTime, false
 	}}
 	go e.Serve(listener)
