clients: a message must be complete 2.5 s after its first byte

Cause: only a startup packet had a time limit; a message could stay incomplete for good.

Change: the server looks ten times a second for connections whose message began over 2.5 s ago. They get 42601 behind their earlier responses, and the connection ends. Input that the relay itself has not read yet gets 0.25 s more.

--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// sweepMessages fails the connections on which a message has been incomplete for too long. Runs on the loop goroutine, again
+// and again.
+func (s *Server) sweepMessages() {
+	now := s.loop.Clock.Now()
+	for c := range s.conns {
+		began := float64(c.partialBegan.Load()) / nanosPerSecond
+		if began == 0 || c.inputIgnored.Load() || !c.startupReceived.Load() {
+			continue // enforceStartupTimeout is for startup packets
+		}
+		late := now - began - limits.MessageTimeout.Seconds()
+		if late >= limits.MessageTimeoutGrace.Seconds() || late >= 0 && !c.inputUnread() {
+			c.failInput(errMessageLate)
+		}
+	}
+	s.loop.RunAt(now+limits.MessageSweepInterval.Seconds(), s.sweepMessages)
+}
+
 // enforceStartupTimeout closes a connection whose client has not sent a startup in time. Runs on the loop goroutine.
 func (c *conn) enforceStartupTimeout() {
 	if c.startupReceived.Load() || c.closing || c.closeIfQuiescent(metrics.ClosedByConnectTimeout) {
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -42,6 +42,7 @@
 	startupReceived atomic.Bool
 	startupAnswered atomic.Bool
 	partialSince    atomic.Int64 // when a message was last seen incomplete, in ns of the loop's clock; 0 if none is
+	partialBegan    atomic.Int64 // when the first byte of that message was read, likewise
 	closedAsIdle    atomic.Bool
 	inputIgnored    atomic.Bool
 	awaitingInput   atomic.Bool  // the current request begins when the input that has arrived is read
--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -26,6 +26,7 @@
 	errUnsupported   = errors.New("only simple queries are offered")
 	errTooManyQueued = fmt.Errorf("more than %d queries ahead of their answers", limits.MaxPipelinedQueries)
 	errTooManyConns  = errors.New("too many connections")
+	errMessageLate   = fmt.Errorf("%w: incomplete after %v", pgwire.ErrMalformed, limits.MessageTimeout)
 )
 
 // read handles the input that has arrived. Runs on the reading goroutine.
@@ -43,14 +44,15 @@
 		if c.inputIgnored.Load() {
 			continue
 		}
-		err = c.splitter.Feed(input, func(m pgwire.Message) error { return c.handleMessage(m, receivedAt) })
+		messageRead := false
+		err = c.splitter.Feed(input, func(m pgwire.Message) error {
+			messageRead = true
+			return c.handleMessage(m, receivedAt)
+		})
 		if err != nil {
 			c.failInput(err)
 		}
-		c.partialSince.Store(0)
-		if c.splitter.Partial() && !c.inputIgnored.Load() {
-			c.partialSince.Store(max(1, int64(receivedAt*nanosPerSecond)))
-		}
+		c.recordPartial(messageRead, receivedAt)
 	}
 	if c.awaitingInput.Load() {
 		c.server.loop.Post(pipeline.Func(func(*pipeline.Loop) { c.resumeBegin() }))
@@ -58,6 +60,20 @@
 	return reader.Release()
 }
 
+// recordPartial records since when a message is incomplete. messageRead tells whether the last input completed another one.
+func (c *conn) recordPartial(messageRead bool, receivedAt relay.Seconds) {
+	if !c.splitter.Partial() || c.inputIgnored.Load() {
+		c.partialSince.Store(0)
+		c.partialBegan.Store(0)
+		return
+	}
+	now := max(1, int64(receivedAt*nanosPerSecond))
+	c.partialSince.Store(now)
+	if messageRead || c.partialBegan.Load() == 0 {
+		c.partialBegan.Store(now)
+	}
+}
+
 // failInput stops the handling of input. The error is posted like a message, so that earlier requests are answered
 // before it ends the connection.
 func (c *conn) failInput(err error) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -79,6 +79,7 @@
 		_ = listener.Close() // the error of the event loop is the one to report
 		return fmt.Errorf("create event loop: %w", err)
 	}
+	s.loop.Post(pipeline.Func(func(*pipeline.Loop) { s.sweepMessages() }))
 	go func() {
 		if err := events.Serve(listener); !s.listenerClosed.Load() {
 			onFailure(fmt.Errorf("accept client connections: %w", err))
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -26,6 +26,16 @@
 	// exceed MinClientIdleTime.
 	PartialMessageTimeout = 2 * time.Second
 
+	// MessageTimeout is how long a message may take from its first byte to its last. A client that stops in the middle of one
+	// has to get its error within 3 s.
+	MessageTimeout = 2500 * time.Millisecond
+
+	// MessageTimeoutGrace is how long the end of a message that timed out may be unread on the socket.
+	MessageTimeoutGrace = 250 * time.Millisecond
+
+	// MessageSweepInterval is the time between checks for messages that timed out.
+	MessageSweepInterval = 100 * time.Millisecond
+
 	// InputGap is how long a message may pause before its rest no longer counts as arriving: far more than a round trip.
 	InputGap = 20 * time.Millisecond
 
--- a/systemtest/incomplete_test.go
+++ b/systemtest/incomplete_test.go
@@ -32,6 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			session := relay.dial()
+			session.t = t
 			begin := time.Now()
 			if _, err := session.Write(c.before); err != nil {
 				t.Fatal(err)
@@ -75,9 +76,9 @@
 	}
 }
 
-// trickle writes a byte each 20 ms until a write fails.
+// trickle writes a byte each 50 ms until a write fails.
 func trickle(connection net.Conn, message []byte) {
-	const pause = 20 * time.Millisecond
+	const pause = 50 * time.Millisecond
 	for i := range message {
 		time.Sleep(pause)
 		if _, err := connection.Write(message[i : i+1]); err != nil {
