buffer: messages reserve their memory when they begin, and the largest senders leave room

Cause: a message was refused only if the pool was full at its first byte; 384 messages of 132 KB that begin together all passed, and the copies that are forwarded came on top. Once they filled the pool, and incomplete ones kept it full, every request was refused.

Change: the pool is the one owner of the sum. A message reserves its declared length and that of its copy. A quarter of the pool is for the single short messages of clients; larger ones, and those of a client with others in hand, have to leave room for four of their kind, so the largest senders are turned away first. A message that is incomplete for 0.1 s loses its memory to others that need it, and is refused when it is complete. Statements longer than a buffer are parsed in one place, not in a copy each.

--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -130,7 +130,13 @@
 		c.server.loop.Metrics.Add(metrics.BufferLimitReached, 1)
 		return pipeline.NewRejected(messageNoBuffers, receivedAt), nil
 	}
-	text, err := pgwire.Statement(m.Body.Bytes())
+	space := c.server.parseSpace.Get().(*[]byte)
+	defer c.server.parseSpace.Put(space)
+	body := m.Body.BytesIn((*space)[:0])
+	if cap(body) > cap(*space) && m.Body.Len() > buffer.Size {
+		*space = body // a new copy, whose memory serves the next message
+	}
+	text, err := pgwire.Statement(body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	listener     net.Listener
 
 	// Used by any goroutine.
+	parseSpace     sync.Pool // of *[]byte: where statements that are longer than a buffer are copied to be parsed
 	openConns      atomic.Int64
 	lastSession    atomic.Uint32
 	listenerClosed atomic.Bool
@@ -60,6 +62,7 @@
 		evictAbove:   int64(limits.ReclaimFraction * float64(maxConns)),
 		maxOverLimit: int64(maxOverLimit),
 		conns:        map[*conn]struct{}{},
+		parseSpace:   sync.Pool{New: func() any { return new([]byte) }},
 	}
 }
 
@@ -109,8 +112,9 @@
 		net:        n,
 		acceptedAt: now,
 		idleSince:  now,
-		splitter:   pgwire.Splitter{Pool: s.loop.Pool, Startup: true, Discard: true},
 	}
+	held := func() int { return int(c.unanswered.Load()) }
+	c.splitter = pgwire.Splitter{Pool: s.loop.Pool, Startup: true, Discard: true, Held: held}
 	openConns := s.openConns.Add(1)
 	s.loop.Metrics.Add(metrics.ClientConns, 1)
 	s.loop.Metrics.Add(metrics.ClientConnsOpen, 1)
--- a/internal/pgwire/splitter.go
+++ b/internal/pgwire/splitter.go
@@ -19,16 +19,18 @@
 // goroutine.
 type Splitter struct {
 	Pool      *buffer.Pool
-	Startup   bool   // the next message is a startup packet
-	Discard   bool   // discard the bodies of queries that begin while the pool is full
-	Types     string // accepted message types; empty: all
-	MaxLength int    // maximum length of a message in bytes; 0: MaxMessage
+	Startup   bool       // the next message is a startup packet
+	Discard   bool       // discard the bodies of queries for which the pool has no room
+	Held      func() int // number of earlier queries that are not answered, for the pool's shares; nil: none
+	Types     string     // accepted message types; empty: all
+	MaxLength int        // maximum length of a message in bytes; 0: MaxMessage
 
 	header        [headerLength]byte // in a startup packet the type byte is unused
 	headerRead    int                // bytes of the current message's header that were received
 	inBody        bool
 	bodyRemaining int // bytes of the body that were not received yet
 	message       Message
+	incoming      *buffer.Incoming // the body of the current query; nil if it is not limited or is discarded
 }
 
 // Feed processes the next bytes of the stream and calls emit for every message that they complete. It returns the first
@@ -101,20 +103,37 @@
 		s.message.Type = TypeStartup
 	}
 	s.bodyRemaining, s.inBody, s.headerRead = length, true, 0
-	s.message.Discarded = s.Discard && s.message.Type == TypeQuery && s.Pool.Full()
-	if !s.message.Discarded {
+	if !s.Discard || s.message.Type != TypeQuery {
 		s.message.Body = s.Pool.Chain()
+		return
 	}
+	held := 0
+	if s.Held != nil {
+		held = s.Held()
+	}
+	s.incoming = s.Pool.Receive(length, held)
+	s.message.Discarded = s.incoming == nil
 }
 
 // readBody reads what p holds of the message's body.
 func (s *Splitter) readBody(p []byte) (rest []byte, complete bool) {
 	size := min(s.bodyRemaining, len(p))
-	if !s.message.Discarded {
+	switch {
+	case s.incoming != nil:
+		s.incoming.Write(p[:size])
+	case !s.message.Discarded:
 		_, _ = s.message.Body.Write(p[:size]) // a chain's Write never fails
 	}
 	s.bodyRemaining -= size
-	return p[size:], s.bodyRemaining == 0
+	if s.bodyRemaining > 0 {
+		return p[size:], false
+	}
+	if s.incoming != nil {
+		s.message.Body = s.incoming.Complete()
+		s.message.Discarded = s.message.Body == nil
+		s.incoming = nil
+	}
+	return p[size:], true
 }
 
 // Partial reports whether a message has begun that is not complete yet.
@@ -123,5 +142,6 @@
 // Free discards an incomplete message and frees its body.
 func (s *Splitter) Free() {
 	s.message.Body.Free()
-	s.message = Message{}
+	s.incoming.Free()
+	s.message, s.incoming = Message{}, nil
 }
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -55,7 +55,7 @@
 	millis := max(1, int64((attempt.Deadline-now)*millisPerSecond))
 	deadline := strconv.FormatInt(millis, decimal)
 	size := request.Body.Len() - (request.DeadlineEnd - request.DeadlineStart) + len(deadline)
-	message := pool.Chain()
+	message := pool.CopyChain() // the request's body has paid for it
 	writeChain(message, pgwire.AppendHeader(nil, queryType, size))
 	message.Append(request.Body, 0, request.DeadlineStart)
 	writeChain(message, []byte(deadline))
