--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -10,6 +10,7 @@
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
 	"lichenroad/internal/sockets"
+	"lichenroad/relay"
 )
 
 const (
@@ -40,8 +41,7 @@
 	c.closing = true
 	c.setIdle(false)
 	c.shutdownWrite()
-	l := c.server.loop
-	l.RunAt(l.Clock.Now()+limits.ClientCloseTimeout.Seconds(), c.closeSocket)
+	c.closeBy = c.server.loop.Clock.Now() + limits.ClientCloseTimeout.Seconds()
 }
 
 // poll reports whether the socket has unread input, and whether the client has closed it or it has an error. Input may be
@@ -129,21 +129,43 @@
 	}
 }
 
-// sweepMessages fails the connections on which a message has been incomplete for too long. Runs on the loop goroutine, again
-// and again.
-func (s *Server) sweepMessages() {
+// sweep enforces the timeouts of all connections. There is no timer for each connection, as timers would keep those of clients
+// that come and go at full speed in memory. Runs on the loop goroutine, again and again.
+func (s *Server) sweep() {
 	now := s.loop.Clock.Now()
 	for c := range s.conns {
-		began := float64(c.partialBegan.Load()) / nanosPerSecond
-		if began == 0 || c.inputIgnored.Load() || !c.startupReceived.Load() {
-			continue // enforceStartupTimeout is for startup packets
+		c.enforceTimeouts(now)
+	}
+	s.loop.RunAt(now+limits.TimeoutSweepInterval.Seconds(), s.sweep)
+}
+
+// enforceTimeouts closes the socket if the client has not closed its half in time, ends a connection without a startup, and fails
+// one on which a message is incomplete for too long. Runs on the loop goroutine.
+func (c *conn) enforceTimeouts(now relay.Seconds) {
+	switch {
+	case c.closeBy > 0:
+		if now >= c.closeBy {
+			c.closeSocket()
 		}
-		late := now - began - limits.MessageTimeout.Seconds()
-		if late >= limits.MessageTimeoutGrace.Seconds() || late >= 0 && !c.inputUnread() {
-			c.failInput(errMessageLate)
+	case c.inputIgnored.Load():
+	case !c.startupReceived.Load():
+		if now-c.acceptedAt >= limits.StartupTimeout.Seconds() {
+			c.enforceStartupTimeout()
 		}
+	case c.messageLate(now):
+		c.failInput(errMessageLate)
+	}
+}
+
+// messageLate reports whether a message has been incomplete for too long. Input that was not read yet may complete it for a
+// little longer.
+func (c *conn) messageLate(now relay.Seconds) bool {
+	began := float64(c.partialBegan.Load()) / nanosPerSecond
+	late := now - began - limits.MessageTimeout.Seconds()
+	if began == 0 || late < 0 {
+		return false
 	}
-	s.loop.RunAt(now+limits.MessageSweepInterval.Seconds(), s.sweepMessages)
+	return late >= limits.MessageTimeoutGrace.Seconds() || !c.inputUnread()
 }
 
 // enforceStartupTimeout closes a connection whose client has not sent a startup in time. Runs on the loop goroutine.
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -36,7 +36,8 @@
 	list        *list.List      // Server.awaitingStartup or Server.idle
 	overLimit   bool            // accepted beyond Server.maxConns
 	closing     bool
-	begun       bool // the request of current was passed to the pipeline
+	closeBy     relay.Seconds // when the socket is closed after its sending half; 0 if that is open
+	begun       bool          // the request of current was passed to the pipeline
 
 	// Used by any goroutine.
 	startupReceived atomic.Bool
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -82,7 +82,7 @@
 		_ = listener.Close() // the error of the event loop is the one to report
 		return fmt.Errorf("create event loop: %w", err)
 	}
-	s.loop.Post(pipeline.Func(func(*pipeline.Loop) { s.sweepMessages() }))
+	s.loop.Post(pipeline.Func(func(*pipeline.Loop) { s.sweep() }))
 	go func() {
 		if err := events.Serve(listener); !s.listenerClosed.Load() {
 			onFailure(fmt.Errorf("accept client connections: %w", err))
@@ -149,7 +149,6 @@
 	if s.shuttingDown {
 		c.closeWhenQuiescent() // the connection was accepted just before the listener closed
 	}
-	s.loop.RunAt(c.acceptedAt+limits.StartupTimeout.Seconds(), c.enforceStartupTimeout)
 }
 
 // evictIdle closes the connection that has waited longest for its startup, or else the one that has been idle longest,
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -33,8 +33,8 @@
 	// MessageTimeoutGrace is how long the end of a message that timed out may be unread on the socket.
 	MessageTimeoutGrace = 250 * time.Millisecond
 
-	// MessageSweepInterval is the time between checks for messages that timed out.
-	MessageSweepInterval = 100 * time.Millisecond
+	// TimeoutSweepInterval is the time between checks for the timeouts of connections.
+	TimeoutSweepInterval = 100 * time.Millisecond
 
 	// InputGap is how long a message may pause before its rest no longer counts as arriving: far more than a round trip.
 	InputGap = 20 * time.Millisecond
--- a/internal/pipeline/account.go
+++ b/internal/pipeline/account.go
@@ -43,6 +43,7 @@
 		return
 	}
 	attempt.Ended = true
+	l.StopTimer(attempt.timeout)
 	if attempt.Request == nil {
 		l.endHealthCheck(attempt, result)
 		return
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -19,7 +19,8 @@
 	outcome   relay.Outcome // set when it has ended
 	Conn      UpstreamConn  // the connection that carries it; nil until it has one
 
-	sendBy atomic.Uint64 // math.Float64bits of the send-by time; 0 if there is none
+	timeout *Timer        // nil for a health check
+	sendBy  atomic.Uint64 // math.Float64bits of the send-by time; 0 if there is none
 }
 
 // SetSendBy sets the time by which the last byte of the attempt has to be written; after it, the attempt is not sent.
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -18,7 +18,7 @@
 		l.EndAttempt(attempt, AttemptResult{Outcome: relay.NotSent})
 		return
 	}
-	l.RunAt(attempt.Deadline, func() { l.timeOut(attempt) })
+	attempt.timeout = l.RunAt(attempt.Deadline, func() { l.timeOut(attempt) })
 	l.Upstream.Send(attempt)
 }
 
