clients: of too many commands at once, those that wait are rejected

A client that sent 300 commands at once waited 7.5 s for its error where each took 0.45 s; bad clients are owed theirs within 3 s.

Cause: the error for the 17th command came behind the responses to the sixteen before, which ran one after the other.

The reason of such rejections is a type (RejectReason) in place of a text.

--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -53,12 +53,25 @@
 		c.server.loop.ReceiveRequest(m.request)
 	}
 	if c.current != nil {
+		if errors.Is(m.err, errTooManyQueued) {
+			c.rejectQueued()
+		}
 		c.queued = append(c.queued, m)
 		return
 	}
 	c.process(m)
 }
 
+// rejectQueued has the queued requests rejected when their turn comes, so that a client with too many gets its error as soon as
+// the current one is answered. Runs on the loop goroutine.
+func (c *conn) rejectQueued() {
+	for _, message := range c.queued {
+		if message.request != nil {
+			message.request.RejectReason = pipeline.TooManyQueued
+		}
+	}
+}
+
 // process makes a message the current one of its connection and starts to process it. Runs on the loop goroutine.
 func (c *conn) process(m *inputMessage) {
 	l := c.server.loop
--- a/internal/clients/read.go
+++ b/internal/clients/read.go
@@ -12,14 +12,8 @@
 	"lichenroad/relay"
 )
 
-const (
-	// maxStartupPackets is the number of startup packets that a client may send: two requests for encryption and the
-	// startup.
-	maxStartupPackets = 3
-
-	// messageNoBuffers is the error text for a request that arrived while no buffers were free.
-	messageNoBuffers = "no room for the query"
-)
+// maxStartupPackets is the number of startup packets that a client may send: two requests for encryption and the startup.
+const maxStartupPackets = 3
 
 // Errors that end a connection. classify maps them to error codes.
 var (
@@ -128,7 +122,7 @@
 func (c *conn) parseRequest(m pgwire.Message, receivedAt relay.Seconds) (*pipeline.Request, error) {
 	if m.Discarded {
 		c.server.loop.Metrics.Add(metrics.BufferLimitReached, 1)
-		return pipeline.NewRejected(messageNoBuffers, receivedAt), nil
+		return pipeline.NewRejected(pipeline.NoBuffers, receivedAt), nil
 	}
 	space := c.server.parseSpace.Get().(*[]byte)
 	defer c.server.parseSpace.Put(space)
--- a/internal/pipeline/accept.go
+++ b/internal/pipeline/accept.go
@@ -33,7 +33,7 @@
 }
 
 // NewRejected creates the record of a request that is rejected without being parsed, because there is no capacity for
-// it. The client gets reason as the text of the error. The request is counted like any other.
-func NewRejected(reason string, receivedAt relay.Seconds) *Request {
+// it. The request is counted like any other.
+func NewRejected(reason RejectReason, receivedAt relay.Seconds) *Request {
 	return &Request{RejectReason: reason, ReceivedAt: receivedAt}
 }
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -53,13 +53,13 @@
 		l.respondError(request, StatusFailed, pgwire.CodeDuplicateID, messageDuplicateID, "")
 		return
 	}
-	reason := reasonNoBuffers
-	if request.RejectReason == "" && len(l.requests) >= l.maxOpenRequests() {
-		request.RejectReason, reason = messageTooManyOpen, reasonTooManyOpen
+	if request.RejectReason == NotRejected && len(l.requests) >= l.maxOpenRequests() {
+		request.RejectReason = TooManyOpen
 	}
-	if request.RejectReason != "" {
-		l.requestLog.ended(request, reason, l.Clock.Now())
-		l.respondError(request, StatusRejected, pgwire.CodeTooManyConnections, request.RejectReason, l.RetryAfterDetail())
+	if request.RejectReason != NotRejected {
+		rejection := rejections[request.RejectReason]
+		l.requestLog.ended(request, rejection.logged, l.Clock.Now())
+		l.respondError(request, StatusRejected, pgwire.CodeTooManyConnections, rejection.text, l.RetryAfterDetail())
 		return
 	}
 	request.ID = l.nextRequestID()
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -24,6 +24,30 @@
 	StatusClientLeft
 )
 
+// RejectReason tells why a request is rejected without asking the module.
+type RejectReason int
+
+const (
+	// NotRejected means that the module decides.
+	NotRejected RejectReason = iota
+	// NoBuffers means that there was no room for the request when it arrived.
+	NoBuffers
+	// TooManyOpen means that the limit of open requests was reached.
+	TooManyOpen
+	// TooManyQueued means that the client sent more requests ahead of their responses than it may.
+	TooManyQueued
+)
+
+// rejections holds the error text and the reason in the log for each RejectReason.
+var rejections = [...]struct {
+	text   string
+	logged endReason
+}{
+	NoBuffers:     {"no room for the query", reasonNoBuffers},
+	TooManyOpen:   {"no room for another query", reasonTooManyOpen},
+	TooManyQueued: {"too many queries ahead of their answers", reasonTooManyQueued},
+}
+
 // Request is the record of one client request. The goroutine that reads the request creates it, and it is kept until
 // the decision module has been notified of the end. From BeginRequest on, only the loop goroutine uses it.
 type Request struct {
@@ -38,7 +62,7 @@
 	Tenant        relay.Tenant
 	Attempts      []*Attempt
 	Status        RequestStatus
-	RejectReason  string // error text of a request that is rejected without asking the module; empty otherwise
+	RejectReason  RejectReason // why it is rejected without asking the module
 
 	idState      idState       // what was known of its id when it was read; idUnknown if the id is its own
 	holdsID      bool          // its id was claimed and neither released nor kept
--- a/internal/pipeline/requestlog.go
+++ b/internal/pipeline/requestlog.go
@@ -17,15 +17,16 @@
 
 // The reasons. Their values must not change, as scripts that read the log depend on them.
 const (
-	reasonDuplicateID   endReason = "duplicate_id"   // an earlier request has the same id
-	reasonNoBuffers     endReason = "no_buffers"     // no buffer memory was left when it arrived
-	reasonTooManyOpen   endReason = "too_many_open"  // the limit of open requests was reached
-	reasonRejected      endReason = "rejected"       // the decision module rejected it
-	reasonFailed        endReason = "failed"         // the decision module gave it up after it may have run
-	reasonClientLeft    endReason = "client_left"    // its client disconnected
-	reasonShutdown      endReason = "shutdown"       // the program ends before its deadline
-	reasonAttemptFailed endReason = "attempt_failed" // an earlier attempt ended without a response
-	reasonHedged        endReason = "hedged"         // an earlier attempt is still open
+	reasonDuplicateID   endReason = "duplicate_id"    // an earlier request has the same id
+	reasonNoBuffers     endReason = "no_buffers"      // no buffer memory was left when it arrived
+	reasonTooManyOpen   endReason = "too_many_open"   // the limit of open requests was reached
+	reasonTooManyQueued endReason = "too_many_queued" // its client sent too many requests ahead of their responses
+	reasonRejected      endReason = "rejected"        // the decision module rejected it
+	reasonFailed        endReason = "failed"          // the decision module gave it up after it may have run
+	reasonClientLeft    endReason = "client_left"     // its client disconnected
+	reasonShutdown      endReason = "shutdown"        // the program ends before its deadline
+	reasonAttemptFailed endReason = "attempt_failed"  // an earlier attempt ended without a response
+	reasonHedged        endReason = "hedged"          // an earlier attempt is still open
 )
 
 // requestLog writes the log lines of single requests. Each kind of line has a limiter of its own, so that a flood of one kind
--- a/internal/pipeline/respond.go
+++ b/internal/pipeline/respond.go
@@ -10,7 +10,6 @@
 
 // Texts of the ErrorResponses that the relay itself creates.
 const (
-	messageTooManyOpen = "no room for another query"
 	messageRejected    = "turned away, nothing was done"
 	messageFailed      = "given up, with no word on what was done"
 	messageDuplicateID = "the id belongs to an earlier request"
