--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -6,13 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -251,110 +249,6 @@
 	return c.receive(testTimeout)
 }
 
-// endpoint is an emulated endpoint that records which ids it runs.
-type endpoint struct {
-	fakes.Server
-	address       string
-	ServiceTimeOf func(statement string) time.Duration // nil: serviceTime of startEndpoint for each
-
-	mu   sync.Mutex
-	runs map[string][]time.Time   // when each request id was run
-	hold map[string]chan struct{} // by request id: the response is held until the channel is closed
-	ran  chan string              // the ids in the order in which they were run
-}
-
-// startEndpoint starts an endpoint that needs serviceTime for each query.
-func startEndpoint(t *testing.T, serviceTime time.Duration) *endpoint {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	e := &endpoint{address: listener.Addr().String(), runs: map[string][]time.Time{}, hold: map[string]chan struct{}{}, ran: make(chan string, 1<<20)}
-	e.Server = fakes.Server{Name: "served", Workers: 1 << 12, Handle: func(statement string) (time.Duration, bool) {
-		e.run(parameter(statement, "id"))
-		if e.ServiceTimeOf != nil {
-			return e.ServiceTimeOf(statement), false
-		}
-		return serviceTime, false
-	}}
-	go e.Serve(listener)
-	return e
-}
-
-// run records a run and waits while the id is held.
-func (e *endpoint) run(id string) {
-	e.mu.Lock()
-	e.runs[id] = append(e.runs[id], time.Now())
-	held := e.hold[id]
-	e.mu.Unlock()
-	e.ran <- id
-	if held != nil {
-		<-held
-	}
-}
-
-// holdID makes the endpoint hold the responses to an id until the returned function is called, at the end of the test at the
-// latest.
-func (e *endpoint) holdID(t *testing.T, id string) (release func()) {
-	held := make(chan struct{})
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.hold[id] = held
-	release = sync.OnceFunc(func() { close(held) })
-	t.Cleanup(release)
-	return release
-}
-
-// waitRun waits until an id is run.
-func (e *endpoint) waitRun(t *testing.T, id string) {
-	t.Helper()
-	timeout := time.After(testTimeout)
-	for {
-		select {
-		case ran := <-e.ran:
-			if ran == id {
-				return
-			}
-		case <-timeout:
-			t.Fatalf("the endpoint did not get id %s", id)
-		}
-	}
-}
-
-// runsOf returns how often an id was run.
-func (e *endpoint) runsOf(id string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.runs[id])
-}
-
-// startedAfter returns how much after a time limit, which may differ for each id, runs have begun that began after it.
-func (e *endpoint) startedAfter(limit func(id string) time.Time) (late []time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, runs := range e.runs {
-		for _, startedAt := range runs {
-			if after := startedAt.Sub(limit(id)); after > 0 {
-				late = append(late, after)
-			}
-		}
-	}
-	return late
-}
-
-// parameter returns a parameter of a statement's comment, or an empty string if there is none.
-func parameter(statement, name string) string {
-	_, comment, _ := strings.Cut(statement, "/* ")
-	for pair := range strings.SplitSeq(strings.TrimSuffix(comment, " */"), ",") {
-		if key, value, ok := strings.Cut(pair, "="); ok && key == name {
-			return value
-		}
-	}
-	return ""
-}
-
 // request returns the statement of a request with an id, as a usual client of the class sends it.
 func request(class, id string) string {
 	if class == classIdempotent {
