clients, buffer: clients that do not read their responses no longer keep others from being served

Cause: the response to such a client stayed in the pool for up to 5 s, as did its further requests, and both counted against everybody.

Change: the kernel's send buffer takes two of the largest responses, and the next request of a connection begins when it has room for one. Single short messages of clients count against other messages only, not against responses; further messages of a client may use half of the pool, long ones three quarters.

A client that reads after 3 s gets its answers whole.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -21,20 +21,19 @@
 type Pool struct {
 	free  sync.Pool    // of *[Size]byte
 	inUse atomic.Int64 // bytes in buffers that chains hold, or reserved for messages
-	limit int64
-	now   func() time.Time // monotonic
+	// received is the part of inUse that messages have reserved.
+	received atomic.Int64
+	limit    int64
+	now      func() time.Time // monotonic
 
 	mu       sync.Mutex // guards incoming and the chains of its elements
 	incoming list.List  // *Incoming: the incomplete messages that are not short, the longest incomplete first
 }
 
-// NewPool returns a pool that is full when limit bytes are in use.
+// NewPool returns a pool in which messages may reserve limit bytes.
 func NewPool(limit int64) *Pool { return &Pool{limit: limit, now: time.Now} }
 
-// Full reports whether the limit is reached, so that no message is received. Responses may still exceed the limit.
-func (p *Pool) Full() bool { return p.inUse.Load() >= p.limit }
-
-// Limit returns the number of bytes in use at which the pool is full.
+// Limit returns the number of bytes that messages may reserve. Responses may exceed it.
 func (p *Pool) Limit() int64 { return p.limit }
 
 // InUse returns the number of bytes in use or reserved, counted in whole buffers.
@@ -68,6 +67,7 @@
 	buffers  []*[Size]byte // all full but the last
 	length   int
 	reserved int64 // bytes of the pool that it uses
+	received int64 // the part of them that was reserved for a message
 	prepaid  int   // number of buffers that it may take without using more
 }
 
@@ -152,5 +152,6 @@
 		c.pool.put(buffer)
 	}
 	c.pool.inUse.Add(-c.reserved)
-	c.buffers, c.length, c.reserved, c.prepaid = nil, 0, 0, 0
+	c.pool.received.Add(-c.received)
+	c.buffers, c.length, c.reserved, c.received, c.prepaid = nil, 0, 0, 0, 0
 }
--- a/internal/buffer/intake.go
+++ b/internal/buffer/intake.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// The shares of a pool. A sender with one message that fits into one buffer may use the whole pool. Larger messages, and further
-// messages of the same sender, may use only a part of it, and must leave room for several of their kind, so that the largest
-// senders are turned away first.
+// The shares of a pool. A sender with one message that fits into one buffer may use the whole pool, whatever else than messages
+// that were received is in it. Longer messages may use only a part of the pool, and further messages of the same sender a smaller
+// one. Both must leave room for several of their kind, so that the largest senders are turned away first.
 const (
-	singleShare      = 0.25 // fraction of the pool that is for the single, short messages of senders
+	longShare        = 0.75 // fraction of the pool that a long message may use
+	furtherShare     = 0.5  // fraction of the pool that further messages of a sender may use
 	roomFactor       = 4    // number of messages of its size for which a message must leave room
 	stalledAfter     = 100 * time.Millisecond
 	copiesPerMessage = 2 // a message and the copy that is forwarded
@@ -34,7 +35,7 @@
 	if !p.reserve(cost, held, isShort) {
 		return nil
 	}
-	incoming := &Incoming{pool: p, chain: &Chain{pool: p, reserved: cost, prepaid: buffers}}
+	incoming := &Incoming{pool: p, chain: &Chain{pool: p, reserved: cost, received: cost, prepaid: buffers}}
 	if !isShort {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -47,13 +48,7 @@
 // reserve adds the cost of a message to the bytes in use if the share of its kind has room, if need be after taking the
 // memory of incomplete messages away.
 func (p *Pool) reserve(cost int64, held int, isShort bool) bool {
-	available, room := p.limit, cost
-	if !isShort || held > 0 {
-		available -= int64(singleShare * float64(p.limit))
-		room = cost * roomFactor * int64(1+held)
-	}
-	for p.inUse.Add(cost)+room-cost > available {
-		p.inUse.Add(-cost)
+	for !p.tryReserve(cost, held, isShort) {
 		if isShort || !p.takeStalled() {
 			return false
 		}
@@ -61,6 +56,26 @@
 	return true
 }
 
+// tryReserve adds the cost of a message to the bytes in use if the share of its kind has room.
+func (p *Pool) tryReserve(cost int64, held int, isShort bool) bool {
+	inUse, received := p.inUse.Add(cost), p.received.Add(cost)
+	room := cost * roomFactor * int64(1+held)
+	var fits bool
+	switch {
+	case held > 0:
+		fits = inUse-cost+room <= int64(furtherShare*float64(p.limit))
+	case !isShort:
+		fits = inUse-cost+room <= int64(longShare*float64(p.limit))
+	default:
+		fits = received <= p.limit
+	}
+	if !fits {
+		p.inUse.Add(-cost)
+		p.received.Add(-cost)
+	}
+	return fits
+}
+
 // takeStalled takes away the memory of the message that has been incomplete for longest, and reports whether there was one.
 func (p *Pool) takeStalled() bool {
 	p.mu.Lock()
--- a/internal/clients/outbox.go
+++ b/internal/clients/outbox.go
@@ -1,12 +1,21 @@
 package clients
 
 import (
+	"errors"
 	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
 
 	"lichenroad/internal/buffer"
+	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
+	"lichenroad/internal/sockets"
 )
 
+// errNotRead ends the connection of a client that does not read its responses.
+var errNotRead = errors.New("the client does not read its responses")
+
 // outbox is the queue of messages to send on a connection, so that callers of send never wait for the client. A
 // goroutine writes the messages in order and runs as long as there are any.
 type outbox struct {
@@ -41,7 +50,11 @@
 		if !ok {
 			return
 		}
-		if err := c.write(next.chain); err != nil {
+		err := c.write(next.chain)
+		if err == nil {
+			err = c.waitForRoom()
+		}
+		if err != nil {
 			c.closeNow(metrics.ClosedByWriteError)
 		}
 		if next.onWritten != nil {
@@ -60,6 +73,28 @@
 	})
 }
 
+// waitForRoom waits until the kernel's send buffer has room for the longest response, so that the response to the next request
+// does not stay in memory because the client does not read.
+func (c *conn) waitForRoom() error {
+	for until := time.Now().Add(limits.ClientWriteTimeout); c.unsent() > limits.ClientSendBuffer-limits.MaxResponseBytes; {
+		if time.Now().After(until) {
+			return errNotRead
+		}
+		time.Sleep(limits.RecheckDelay)
+	}
+	return nil
+}
+
+// unsent returns the number of bytes in the kernel's send buffer; 0 once this side has closed.
+func (c *conn) unsent() int {
+	c.mu.Lock() // keeps the descriptor from being closed and reused meanwhile
+	defer c.mu.Unlock()
+	if n, ok := c.net.(netpoll.Conn); ok && !c.closed {
+		return sockets.Unsent(n.Fd())
+	}
+	return 0
+}
+
 // take removes and returns the next message. If there is none, it marks the writing goroutine as ended: the caller must
 // return.
 func (o *outbox) take() (next outgoing, ok bool) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	sockets.SetSendBuffer(listener, limits.ClientSendBuffer)
 	s.listener = listener
 	events, err := netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error { return ctx.Value(connKey{}).(*conn).read() },
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -47,6 +47,13 @@
 	// connections in the backlog are still unread.
 	RecheckDelay = 10 * time.Millisecond
 
+	// ClientSendBuffer is the size in bytes of the kernel's send buffer for a client: it takes two of the largest responses. What a
+	// client does not read stays there, not in the memory of this process.
+	ClientSendBuffer = 2 * MaxResponseBytes
+
+	// MaxResponseBytes is the length of the longest response to a client, with the messages around the value.
+	MaxResponseBytes = 68 << 10
+
 	ClientWriteTimeout = 5 * time.Second // for a client to accept a response: longer than it waits for one
 	ClientCloseTimeout = 1 * time.Second // for a client to close its half of the connection after the relay closed its own
 )
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,6 +1,6 @@
 // Package sockets provides operations on descriptors that the network library lacks: checking whether a socket has unread
-// input or a listener has connections to accept, making a listener stop accepting without closing it, and bounding the
-// kernel's receive buffers. The functions have no state, are safe for concurrent use and never block. The package imports
+// input or unsent output or a listener has connections to accept, making a listener stop accepting without closing it, and
+// setting the sizes of the kernel's buffers. The functions have no state, are safe for concurrent use and never block. The package imports
 // golang.org/x/sys/unix and the standard library.
 package sockets
 
@@ -62,6 +62,24 @@
 	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 }
 
+// SetSendBuffer sets the size in bytes of the send buffer of a listener's connections. An empty one takes at least as much output
+// without waiting for the peer. It does nothing for a listener that is closed or not TCP.
+func SetSendBuffer(listener net.Listener, bytes int) {
+	withDescriptor(listener, func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes) // never fails for an open socket
+	})
+}
+
+// Unsent returns the number of bytes that were written to a socket and that the peer has not acknowledged; 0 if that can't be
+// told. The caller must make sure that the descriptor is not closed meanwhile.
+func Unsent(fd int) int {
+	unsent, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return unsent
+}
+
 // withDescriptor calls a function with the descriptor of a listener. It does nothing if the listener is closed or not TCP.
 func withDescriptor(listener net.Listener, call func(fd uintptr)) {
 	tcp, ok := listener.(*net.TCPListener)
--- a/systemtest/memory_test.go
+++ b/systemtest/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -151,3 +152,55 @@
 		}
 	}
 }
+
+// TestClientsThatReadNothingLeaveMemoryAndService guards against a relay that holds the large answers of hundreds of clients that do
+// not read them.
+func TestClientsThatReadNothingLeaveMemoryAndService(t *testing.T) {
+	const (
+		clients  = 384
+		queries  = 16 // of each client, in one write
+		duration = 3 * time.Second
+	)
+	value := strings.Repeat("x", pgwire.MaxValue)
+	for _, size := range []relayOptions{{memoryMB: 32, sockets: 1024}, {memoryMB: 64, sockets: 1024}} {
+		t.Run(fmt.Sprintf("%d MB", size.memoryMB), func(t *testing.T) {
+			var endpoints []*endpoint
+			for range 3 {
+				endpoints = append(endpoints, startScriptedEndpoint(t, func(id string) reply {
+					if !strings.HasPrefix(id, "large") {
+						return reply{delay: 20 * time.Millisecond}
+					}
+					return reply{delay: 20 * time.Millisecond, bytes: func([]byte) []byte { return pgwire.AppendReadyForQuery(fakes.Row(value)) }}
+				}))
+			}
+			relay := startRelay(t, size, endpoints...)
+			usual := startUsualClients(relay)
+			var first *client
+			for i := range clients {
+				c := relay.dial()
+				if first == nil {
+					first = c
+				} else {
+					_ = c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				}
+				var statements []string
+				for j := range queries {
+					statements = append(statements, request(classIdempotent, fmt.Sprintf("large-%d-%d", i, j)))
+				}
+				c.send(statements...)
+			}
+			time.Sleep(duration)
+			for range queries { // the one that reads at last
+				if response := first.receive(testTimeout); response.Value != value && !isRefusal(response.Code) {
+					t.Errorf("got a value of %d bytes, code %q", len(response.Value), response.Code)
+				}
+			}
+			result, peak := usual.stop(), relay.peakMemoryMB()
+			t.Logf("%.1f MB at most; usual clients: %v", peak, result)
+			if peak > float64(size.memoryMB) {
+				t.Errorf("the relay took %.1f MB, over its limit of %d MB", peak, size.memoryMB)
+			}
+			result.check(t)
+		})
+	}
+}
