--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -63,6 +63,7 @@
 	sockets  int     // 0: 384
 	limits   object  // entries of policy_limits that replace the defaults
 	cores    float64 // 0: 1
+	platform string  // address of the platform; empty: none
 }
 
 // relayProcess is a relay that runs as a process.
@@ -126,7 +127,7 @@
 		return object{"name": name, "repeat": repeat, "group": "all", "repeat_window": int64(2 * time.Second),
 			"target": int64(1500 * time.Millisecond), "deadline": int64(classDeadline), "worth": 1}
 	}
-	return object{
+	config := object{
 		"name": "n0", "listen": address, "discovery": discovery.Addr(), "seed": "8c1f30d27a5be964", "known": discovery.List(),
 		"limits": object{"cores": defaultTo(o.cores, 1), "memory_mb": defaultTo(o.memoryMB, 64), "sockets": defaultTo(o.sockets, 384)},
 		"settings": object{
@@ -135,8 +136,15 @@
 			"tenants":       []object{{"name": "acme", "share": 1, "quota_per_s": 100000}},
 			"policy_limits": limits,
 			"rules":         object{"answer_slack": int64(20 * time.Millisecond), "drain_grace": int64(250 * time.Millisecond), "ask_every": int64(10 * time.Second)},
+			"family_info": object{"call_timeout": int64(300 * time.Millisecond), "exposure_caps": []float64{1}, "waves": []float64{1},
+				"decided_by": "first_voice", "to_advance": 1, "to_abort": 1, "votes_per_s": 100},
 		},
 	}
+	if o.platform != "" {
+		config["platform"] = object{"address": o.platform,
+			"news": object{"image": 1, "ring": 0, "progress": "stable", "ceiling": 1, "lag_ms": 5000}}
+	}
+	return config
 }
 
 // defaultTo returns the value, or the default if the value is zero.
