--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -43,8 +43,8 @@
 	// MaxQueuedLogLines is the number of log lines that may wait to be written, about 600 KB. Further lines are dropped.
 	MaxQueuedLogLines = 1 << 12
 
-	// RequestLinesPerSecond and MaxRequestLineBurst limit the log lines of single requests, for each reason. A line costs about
-	// as much processor time as a request.
+	// RequestLinesPerSecond and MaxRequestLineBurst limit the log lines of single requests, for each reason, so that a flood of
+	// requests does not become a flood of lines.
 	RequestLinesPerSecond = 10
 	MaxRequestLineBurst   = 50
 
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -9,12 +9,11 @@
 	"lichenroad/relay"
 )
 
-// send passes an attempt to the upstream connections and sets a timer for its deadline. The attempt of a request that
-// has ended is not sent.
+// send passes an attempt to the upstream connections and sets a timer for its deadline, unless the attempt may not be sent.
 func (l *Loop) send(attempt *Attempt) {
 	l.Metrics.Add(metrics.AttemptsSent, 1)
 	l.Metrics.Add(metrics.AttemptsOpen, 1)
-	if l.RequestFinished(attempt) {
+	if !l.MaySend(attempt) {
 		l.EndAttempt(attempt, AttemptResult{Outcome: relay.NotSent})
 		return
 	}
@@ -22,17 +21,20 @@
 	l.Upstream.Send(attempt)
 }
 
-// RequestFinished reports whether the request of an attempt has ended, so that nothing of it should be sent any more. It ends
-// the request if the client has left. Must run on the loop goroutine.
-func (l *Loop) RequestFinished(attempt *Attempt) bool {
+// MaySend reports whether an attempt may be sent: its send-by time has not passed, its request is open, and the client has not
+// left. It ends a request whose client has left. Must run on the loop goroutine.
+func (l *Loop) MaySend(attempt *Attempt) bool {
+	if attempt.SendExpired(l.Clock.Now()) {
+		return false
+	}
 	request := attempt.Request
 	if request == nil {
-		return false // a health check
+		return true // a health check
 	}
 	if request.Status == StatusOpen && request.Client.Left() {
 		l.ClientLeft(request)
 	}
-	return request.Status != StatusOpen
+	return request.Status == StatusOpen
 }
 
 // timeOut ends an attempt at its deadline unless it has already ended.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,7 +130,7 @@
 func (p *Pool) serveWaiting(endpoint *endpointConns) {
 	for len(endpoint.waiting) > 0 && len(endpoint.idle) > 0 {
 		attempt := endpoint.waiting[0]
-		if p.loop.RequestFinished(attempt) || attempt.SendExpired(p.loop.Clock.Now()) {
+		if !p.loop.MaySend(attempt) {
 			endpoint.removeWaiting(attempt) // unless CancelUnsent did, as its client has left
 			p.loop.EndAttempt(attempt, pipeline.AttemptResult{Outcome: relay.NotSent})
 			continue
