--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -55,7 +55,7 @@
 	return false, false
 }
 
-// left reports whether the connection has ended or the client has closed it.
+// left reports whether the connection has ended or the client has closed it. Safe for concurrent use.
 func (c *conn) left() bool {
 	_, ended := c.poll()
 	return ended || c.isClosed()
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -36,8 +36,9 @@
 	// TimeoutSweepInterval is the time between checks for the timeouts of connections.
 	TimeoutSweepInterval = 100 * time.Millisecond
 
-	// InputGap is how long a message may pause before its rest no longer counts as arriving: far more than a round trip.
-	InputGap = 20 * time.Millisecond
+	// InputGap is how long a message may pause before its rest no longer counts as arriving. TCP waits for 200 ms before it asks
+	// again whether a receive buffer that was full has room.
+	InputGap = 250 * time.Millisecond
 
 	// StartupTimeout is how long a client may take to send its startup packet. A connection that sends nothing has to be
 	// closed within 3 s.
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -34,6 +34,11 @@
 	return at, at != 0
 }
 
+// ClientLeft reports whether the client of the attempt's request has closed its connection. Safe for concurrent use.
+func (attempt *Attempt) ClientLeft() bool {
+	return attempt.Request != nil && attempt.Request.Client.Left()
+}
+
 // SendExpired reports whether the send-by time has passed, so that the attempt must not be sent any more. Safe for
 // concurrent use.
 func (attempt *Attempt) SendExpired(now relay.Seconds) bool {
--- a/internal/pipeline/interfaces.go
+++ b/internal/pipeline/interfaces.go
@@ -10,8 +10,8 @@
 	// Respond sends the only and final response to the request and takes ownership of it. It is called on the loop
 	// goroutine and must not block.
 	Respond(response *buffer.Chain)
-	// Left reports whether the client has closed its connection, even if input from before that was not read yet. It is
-	// called on the loop goroutine and must not block.
+	// Left reports whether the client has closed its connection, even if input from before that was not read yet. It must
+	// not block, and be safe for concurrent use.
 	Left() bool
 }
 
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -15,8 +15,8 @@
 // empty send buffer, so the write does not block.
 const maxInlineSize = buffer.Size
 
-// errSendExpired ends the write of an attempt whose send-by time has passed.
-var errSendExpired = errors.New("the send-by time of the attempt has passed")
+// errSendExpired ends the write of an attempt whose send-by time has passed, or whose client has left.
+var errSendExpired = errors.New("the attempt is not to be sent any more")
 
 // start sends an attempt, or a health check, on an idle connection. Runs on the loop goroutine.
 func (c *conn) start(attempt *pipeline.Attempt) {
@@ -66,11 +66,12 @@
 }
 
 // writeMessage sends a message in two steps, all but the last byte and then the last byte: if the first step fails, the
-// endpoint cannot have started the request. It does not send the last byte of an attempt that has expired by then. It
-// uses the connection's Write method, which is safe when the connection is closed concurrently; netpoll's Writer is
-// not.
+// endpoint cannot have started the request. It does not send the last byte of an attempt that has expired by then, or whose
+// client has left. It uses the connection's Write method, which is safe when the connection is closed concurrently;
+// netpoll's Writer is not.
 func (c *conn) writeMessage(attempt *pipeline.Attempt, message *buffer.Chain) error {
 	remaining := message.Len()
+	isLong := remaining > maxInlineSize // so that its client may have left since the write began
 	return message.Each(func(part []byte) error {
 		remaining -= len(part)
 		if remaining > 0 {
@@ -83,6 +84,9 @@
 				return err
 			}
 		}
+		if isLong && attempt.ClientLeft() {
+			return errSendExpired
+		}
 		return c.writeLastByte(attempt, part[last:])
 	})
 }
