An attempt waits while input of its client is unread, and so does the last byte of a long one

Cause, by a trace of one attempt: it began 28 ms before the close, its 131 KB took 136 ms to write, and its last byte left 108 ms behind the close. The end of the connection was still behind unread input of the client, so its socket did not say so.

Change: a client is open, gone, or has input pending (ClientState). With input pending an attempt keeps waiting for its connection and holds up no other; before the last byte of a long request the writer waits for the input. One look at the socket serves each of them.

The tests of ids share holdRequest.

--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -55,12 +55,6 @@
 	return false, false
 }
 
-// left reports whether the connection has ended or the client has closed it. Safe for concurrent use.
-func (c *conn) left() bool {
-	_, ended := c.poll()
-	return ended || c.isClosed()
-}
-
 // isClosed reports whether this side has closed the connection. Safe for concurrent use.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -36,8 +36,9 @@
 	list        *list.List      // Server.awaitingStartup or Server.idle
 	overLimit   bool            // accepted beyond Server.maxConns
 	closing     bool
-	closeBy     relay.Seconds // when the socket is closed after its sending half; 0 if that is open
-	begun       bool          // the request of current was passed to the pipeline
+	closeBy     relay.Seconds   // when the socket is closed after its sending half; 0 if that is open
+	resumeTimer *pipeline.Timer // calls resumeBegin when the rest of a message no longer counts as arriving; nil: none
+	begun       bool            // the request of current was passed to the pipeline
 
 	// Used by any goroutine.
 	startupReceived atomic.Bool
--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -95,19 +95,17 @@
 }
 
 // beginWhenRead starts the current request once all input that has arrived is read: the client may have closed the connection
-// behind it. If it has, nothing is started, and removeConn follows. Input behind an error does not count, as it is discarded.
+// behind it. If it has, nothing is started, and removeConn follows.
 func (c *conn) beginWhenRead() {
-	c.awaitingInput.Store(true) // before the checks, so that a read that ends after them resumes
-	readable, ended := c.poll()
-	unread := !c.inputIgnored.Load() && (readable || c.net.Reader().Len() > 0)
-	if ended || unread || c.isClosed() {
-		return
-	}
-	if until := c.inputExpectedUntil(); until > c.server.loop.Clock.Now() {
-		c.server.loop.RunAt(until, c.resumeBegin)
-		return
+	l := c.server.loop
+	l.StopTimer(c.resumeTimer)
+	c.awaitingInput.Store(true) // before the check, so that a read that ends after it resumes
+	until := c.inputExpectedUntil()
+	if c.state() == pipeline.ClientOpen {
+		c.begin()
+	} else if until > 0 { // no read may follow
+		c.resumeTimer = l.RunAt(max(until, l.Clock.Now()+limits.RecheckDelay.Seconds()), c.resumeBegin)
 	}
-	c.begin()
 }
 
 // begin starts the current request.
@@ -117,6 +115,22 @@
 	c.beginRequest(c.current.request)
 }
 
+// state returns the state of the client. Input behind an error does not count as pending, as it is discarded. Safe for concurrent
+// use.
+func (c *conn) state() pipeline.ClientState {
+	readable, ended := c.poll()
+	switch {
+	case ended || c.isClosed():
+		return pipeline.ClientGone
+	case c.inputIgnored.Load():
+		return pipeline.ClientOpen
+	case readable || c.net.Reader().Len() > 0 || c.inputExpectedUntil() > c.server.loop.Clock.Now():
+		return pipeline.ClientInputPending
+	default:
+		return pipeline.ClientOpen
+	}
+}
+
 // inputExpectedUntil returns the time up to which the rest of a message counts as arriving; 0 if no message is incomplete.
 func (c *conn) inputExpectedUntil() relay.Seconds {
 	since := c.partialSince.Load()
@@ -145,8 +159,8 @@
 	s.loop.BeginRequest(request, from)
 }
 
-// Left implements pipeline.Client.
-func (m *inputMessage) Left() bool { return m.conn.left() }
+// State implements pipeline.Client.
+func (m *inputMessage) State() pipeline.ClientState { return m.conn.state() }
 
 // Respond implements pipeline.Client. The next message of the connection is processed when the response has been
 // written. Runs on the loop goroutine.
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -34,9 +34,17 @@
 	return at, at != 0
 }
 
-// ClientLeft reports whether the client of the attempt's request has closed its connection. Safe for concurrent use.
-func (attempt *Attempt) ClientLeft() bool {
-	return attempt.Request != nil && attempt.Request.Client.Left()
+// ClientState returns the state of the client of the attempt's request, ClientOpen for a health check. Safe for concurrent use.
+func (attempt *Attempt) ClientState() ClientState {
+	if attempt.Request == nil {
+		return ClientOpen
+	}
+	return attempt.Request.Client.State()
+}
+
+// requestEnded reports whether the attempt is for a request that has ended.
+func (attempt *Attempt) requestEnded() bool {
+	return attempt.Request != nil && attempt.Request.Status != StatusOpen
 }
 
 // SendExpired reports whether the send-by time has passed, so that the attempt must not be sent any more. Safe for
--- a/internal/pipeline/interfaces.go
+++ b/internal/pipeline/interfaces.go
@@ -10,11 +10,23 @@
 	// Respond sends the only and final response to the request and takes ownership of it. It is called on the loop
 	// goroutine and must not block.
 	Respond(response *buffer.Chain)
-	// Left reports whether the client has closed its connection, even if input from before that was not read yet. It must
-	// not block, and be safe for concurrent use.
-	Left() bool
+	// State tells whether the client is still there. It must not block, and be safe for concurrent use.
+	State() ClientState
 }
 
+// ClientState tells whether a client is still there.
+type ClientState int
+
+const (
+	// ClientOpen means that the client has not closed its connection.
+	ClientOpen ClientState = iota
+	// ClientInputPending means that input has arrived, or is arriving, that was not read: the client may have closed its
+	// connection behind it.
+	ClientInputPending
+	// ClientGone means that the client has closed its connection, even if input from before that was not read.
+	ClientGone
+)
+
 // Upstream manages the connections to the endpoints. internal/upstream implements it. All methods are called on the
 // loop goroutine and must not block. Each attempt and each health check ends with one call of Loop.EndAttempt.
 type Upstream interface {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -22,7 +22,6 @@
 	unsentCancelled []*Attempt
 	responses       []string
 	wasSent         bool // the result of Cancel
-	left            bool // the result of Left
 }
 
 func (env *fakeEnvironment) Send(attempt *Attempt) { env.sent = append(env.sent, attempt) }
@@ -33,7 +32,7 @@
 func (env *fakeEnvironment) CancelUnsent(attempt *Attempt) {
 	env.unsentCancelled = append(env.unsentCancelled, attempt)
 }
-func (env *fakeEnvironment) Left() bool                   { return env.left }
+func (env *fakeEnvironment) State() ClientState           { return ClientOpen }
 func (env *fakeEnvironment) HealthCheck(relay.EndpointID) {}
 func (env *fakeEnvironment) CloseIdle(relay.EndpointID)   {}
 func (env *fakeEnvironment) Respond(response *buffer.Chain) {
--- a/internal/pipeline/send.go
+++ b/internal/pipeline/send.go
@@ -9,11 +9,12 @@
 	"lichenroad/relay"
 )
 
-// send passes an attempt to the upstream connections and sets a timer for its deadline, unless the attempt may not be sent.
+// send passes an attempt to the upstream connections and sets a timer for its deadline. The attempt of a request that
+// has ended is not sent.
 func (l *Loop) send(attempt *Attempt) {
 	l.Metrics.Add(metrics.AttemptsSent, 1)
 	l.Metrics.Add(metrics.AttemptsOpen, 1)
-	if !l.MaySend(attempt) {
+	if attempt.requestEnded() {
 		l.EndAttempt(attempt, AttemptResult{Outcome: relay.NotSent})
 		return
 	}
@@ -21,20 +22,32 @@
 	l.Upstream.Send(attempt)
 }
 
-// MaySend reports whether an attempt may be sent: its send-by time has not passed, its request is open, and the client has not
-// left. It ends a request whose client has left. Must run on the loop goroutine.
-func (l *Loop) MaySend(attempt *Attempt) bool {
-	if attempt.SendExpired(l.Clock.Now()) {
-		return false
-	}
-	request := attempt.Request
-	if request == nil {
-		return true // a health check
+// SendDecision tells whether an attempt is to be sent.
+type SendDecision int
+
+const (
+	// SendNow means that the attempt may be sent.
+	SendNow SendDecision = iota
+	// SendLater means that the client may have left: input of it has to be read first.
+	SendLater
+	// SendNever means that the send-by time has passed, the request has ended, or the client has left.
+	SendNever
+)
+
+// DecideSend tells whether an attempt is to be sent. It ends a request whose client has left. Must run on the loop goroutine.
+func (l *Loop) DecideSend(attempt *Attempt) SendDecision {
+	if attempt.SendExpired(l.Clock.Now()) || attempt.requestEnded() {
+		return SendNever
 	}
-	if request.Status == StatusOpen && request.Client.Left() {
-		l.ClientLeft(request)
+	switch attempt.ClientState() {
+	case ClientGone:
+		l.ClientLeft(attempt.Request)
+		return SendNever
+	case ClientInputPending:
+		return SendLater
+	default:
+		return SendNow
 	}
-	return request.Status == StatusOpen
 }
 
 // timeOut ends an attempt at its deadline unless it has already ended.
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -239,7 +239,7 @@
 // discardingClient implements pipeline.Client and frees the responses.
 type discardingClient struct{}
 
-func (discardingClient) Left() bool                     { return false }
+func (discardingClient) State() pipeline.ClientState    { return pipeline.ClientOpen }
 func (discardingClient) Respond(response *buffer.Chain) { response.Free() }
 
 func TestAttemptWithoutAConnectionIsUnsent(t *testing.T) {
--- a/internal/upstream/endpoints.go
+++ b/internal/upstream/endpoints.go
@@ -18,6 +18,8 @@
 	idle         []*conn             // the most recently used last
 	pendingConns int                 // connections being opened, or about to become idle again
 	waiting      []*pipeline.Attempt // attempts without a connection, the oldest first
+
+	recheckPending bool // serveWaiting runs again soon, for attempts whose clients have unread input
 }
 
 // incarnation identifies one process of an endpoint. An endpoint keeps its ID, and may keep its address, when it
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"lichenroad/internal/limits"
@@ -128,23 +129,21 @@
 // serveWaiting assigns idle connections to waiting attempts and opens new connections for the rest. At the limit of
 // connections it ends the newest attempts as not sent.
 func (p *Pool) serveWaiting(endpoint *endpointConns) {
-	for len(endpoint.waiting) > 0 && len(endpoint.idle) > 0 {
-		attempt := endpoint.waiting[0]
-		if !p.loop.MaySend(attempt) {
-			endpoint.removeWaiting(attempt) // unless CancelUnsent did, as its client has left
-			p.loop.EndAttempt(attempt, pipeline.AttemptResult{Outcome: relay.NotSent})
-			continue
+	for len(endpoint.idle) > 0 {
+		attempt := p.nextSendable(endpoint)
+		if attempt == nil {
+			break
 		}
 		c := endpoint.idle[len(endpoint.idle)-1]
 		if reason := c.unusableReason(); reason != "" {
 			c.close(reason)
 			continue
 		}
-		endpoint.waiting = endpoint.waiting[1:]
+		endpoint.removeWaiting(attempt)
 		endpoint.idle = endpoint.idle[:len(endpoint.idle)-1]
 		c.start(attempt)
 	}
-	for endpoint.pendingConns < len(endpoint.waiting) {
+	for endpoint.pendingConns+len(endpoint.idle) < len(endpoint.waiting) {
 		if p.openConns < p.maxConns || p.closeLongestIdle() {
 			p.openConn(endpoint)
 			continue
@@ -157,6 +156,38 @@
 	}
 }
 
+// nextSendable returns the oldest waiting attempt that may be sent now; nil if there is none. It ends those that are never to be
+// sent.
+func (p *Pool) nextSendable(endpoint *endpointConns) *pipeline.Attempt {
+	for _, attempt := range slices.Clone(endpoint.waiting) {
+		if attempt.Ended {
+			continue
+		}
+		switch p.loop.DecideSend(attempt) {
+		case pipeline.SendNow:
+			return attempt
+		case pipeline.SendLater:
+			p.recheckWaiting(endpoint)
+		case pipeline.SendNever:
+			endpoint.removeWaiting(attempt) // unless CancelUnsent did, as its client has left
+			p.loop.EndAttempt(attempt, pipeline.AttemptResult{Outcome: relay.NotSent})
+		}
+	}
+	return nil
+}
+
+// recheckWaiting calls serveWaiting again soon.
+func (p *Pool) recheckWaiting(endpoint *endpointConns) {
+	if endpoint.recheckPending {
+		return
+	}
+	endpoint.recheckPending = true
+	p.loop.RunAt(p.loop.Clock.Now()+limits.RecheckDelay.Seconds(), func() {
+		endpoint.recheckPending = false
+		p.serveWaiting(endpoint)
+	})
+}
+
 // openConn counts a new connection and starts to dial it.
 func (p *Pool) openConn(endpoint *endpointConns) {
 	p.openConns++
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -84,13 +85,24 @@
 				return err
 			}
 		}
-		if isLong && attempt.ClientLeft() {
+		if isLong && !waitForClientInput(attempt) {
 			return errSendExpired
 		}
 		return c.writeLastByte(attempt, part[last:])
 	})
 }
 
+// waitForClientInput waits until the input of the attempt's client is read, and reports whether the client has not left. When the
+// attempt ends meanwhile its connection is closed, and the last byte can't be written.
+func waitForClientInput(attempt *pipeline.Attempt) (open bool) {
+	state := attempt.ClientState()
+	for state == pipeline.ClientInputPending {
+		time.Sleep(limits.RecheckDelay)
+		state = attempt.ClientState()
+	}
+	return state == pipeline.ClientOpen
+}
+
 // writeLastByte sends the byte that completes the request, and records the time. From then on the endpoint may run it.
 func (c *conn) writeLastByte(attempt *pipeline.Attempt, last []byte) error {
 	now := c.pool.loop.Clock.Now()
--- a/systemtest/bad_platform_test.go
+++ b/systemtest/bad_platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -42,11 +41,7 @@
 // startBadPlatform starts a platform that gives one answer to each WATCH. The channel gets a value for each of them.
 func startBadPlatform(t *testing.T, answer string) (address string, watches <-chan struct{}) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := listen(t)
 	watched := make(chan struct{}, 1000)
 	go func() {
 		for {
--- a/systemtest/duplicate_id_test.go
+++ b/systemtest/duplicate_id_test.go
@@ -20,28 +20,48 @@
 	}
 }
 
+// heldRequest is a request of the first of two clients that an endpoint has begun to run and holds.
+type heldRequest struct {
+	unit          *endpoint
+	relay         *relayProcess
+	first, second *client
+	release       func()
+}
+
+// holdRequest starts a relay and has the first client send a request that its endpoint holds.
+func holdRequest(t *testing.T, class, id string) heldRequest {
+	t.Helper()
+	unit := startEndpoint(t, 0)
+	relay := startRelay(t, relayOptions{}, unit)
+	h := heldRequest{unit, relay, relay.dial(), relay.dial(), unit.holdID(t, id)}
+	h.first.send(request(class, id))
+	unit.waitRun(t, id)
+	return h
+}
+
+// checkRunOnce checks that an id was run once.
+func (h heldRequest) checkRunOnce(t *testing.T, id string) {
+	t.Helper()
+	if runs := h.unit.runsOf(id); runs != 1 {
+		t.Errorf("id %s was run %d times, want once", id, runs)
+	}
+}
+
 // TestOpenIDOfAnotherClientIsNotServed guards against serving a request with the id of another client's open request.
 func TestOpenIDOfAnotherClientIsNotServed(t *testing.T) {
 	for _, class := range allClasses {
 		t.Run(class, func(t *testing.T) {
-			unit := startEndpoint(t, 0)
-			relay := startRelay(t, relayOptions{}, unit)
-			release := unit.holdID(t, "2aab")
-			first, second := relay.dial(), relay.dial()
-			first.send(request(class, "2aab"))
-			unit.waitRun(t, "2aab")
-			second.send(request(class, "2aab"))
-			relay.settle()
-			release()
-			response := second.receive(testTimeout)
+			h := holdRequest(t, class, "2aab")
+			h.second.send(request(class, "2aab"))
+			h.relay.settle()
+			h.release()
+			response := h.second.receive(testTimeout)
 			checkDuplicateError(t, response.Value, response.Code)
-			if response := first.receive(testTimeout); response.Value == "" {
+			if response := h.first.receive(testTimeout); response.Value == "" {
 				t.Error("the first request with the id lost its answer:", response.Code)
 			}
-			if runs := unit.runsOf("2aab"); runs != 1 {
-				t.Errorf("the id was run %d times, want once", runs)
-			}
-			if response := first.query(request(class, "2aac")); response.Value == "" {
+			h.checkRunOnce(t, "2aab")
+			if response := h.first.query(request(class, "2aac")); response.Value == "" {
 				t.Error("a request with an id of its own was not served:", response.Code)
 			}
 		})
@@ -52,23 +72,16 @@
 func TestIDOfALeftClientIsNotRunAgain(t *testing.T) {
 	for _, class := range allClasses {
 		t.Run(class, func(t *testing.T) {
-			unit := startEndpoint(t, 0)
-			relay := startRelay(t, relayOptions{}, unit)
-			release := unit.holdID(t, "3aab")
-			first, second := relay.dial(), relay.dial()
-			first.send(request(class, "3aab"))
-			unit.waitRun(t, "3aab")
-			if err := first.Close(); err != nil {
+			h := holdRequest(t, class, "3aab")
+			if err := h.first.Close(); err != nil {
 				t.Fatal(err)
 			}
-			relay.waitLog(`name="` + first.LocalAddr().String() + `" peer=client reason=peer_closed`)
-			second.send(request(class, "3aab"))
-			release()
-			response := second.receive(testTimeout)
+			h.relay.waitLog(`name="` + h.first.LocalAddr().String() + `" peer=client reason=peer_closed`)
+			h.second.send(request(class, "3aab"))
+			h.release()
+			response := h.second.receive(testTimeout)
 			checkDuplicateError(t, response.Value, response.Code)
-			if runs := unit.runsOf("3aab"); runs != 1 {
-				t.Errorf("the id was run %d times, want once", runs)
-			}
+			h.checkRunOnce(t, "3aab")
 		})
 	}
 }
@@ -93,23 +106,16 @@
 
 // TestIDOfAnOpenRequestDuringAShutdown guards against serving the id of an open request after SIGTERM.
 func TestIDOfAnOpenRequestDuringAShutdown(t *testing.T) {
-	unit := startEndpoint(t, 0)
-	relay := startRelay(t, relayOptions{}, unit)
-	release := unit.holdID(t, "5aab")
-	first, second := relay.dial(), relay.dial()
-	first.send(request(classAtMostOnce, "5aab"))
-	unit.waitRun(t, "5aab")
-	relay.process.Signal(syscall.SIGTERM)
-	relay.waitLog("shutting down")
-	response := second.query(request(classAtMostOnce, "5aab"))
+	h := holdRequest(t, classAtMostOnce, "5aab")
+	h.relay.process.Signal(syscall.SIGTERM)
+	h.relay.waitLog("shutting down")
+	response := h.second.query(request(classAtMostOnce, "5aab"))
 	checkDuplicateError(t, response.Value, response.Code)
-	release()
-	if response := first.receive(testTimeout); response.Value == "" {
+	h.release()
+	if response := h.first.receive(testTimeout); response.Value == "" {
 		t.Error("the first request with the id lost its answer:", response.Code)
 	}
-	if runs := unit.runsOf("5aab"); runs != 1 {
-		t.Errorf("the id was run %d times, want once", runs)
-	}
+	h.checkRunOnce(t, "5aab")
 }
 
 // TestIDThatNeverRanIsServed guards against turning away a request because its id was refused before without an effect.
--- a/systemtest/endpoint_test.go
+++ b/systemtest/endpoint_test.go
@@ -26,6 +26,17 @@
 	ran  chan string              // the ids in the order in which they were run
 }
 
+// listen listens on a free port of loopback until the end of the test.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
 func newEndpoint(listener net.Listener) *endpoint {
 	return &endpoint{address: listener.Addr().String(), runs: map[string][]time.Time{}, hold: map[string]chan struct{}{}, ran: make(chan string, 1<<20)}
 }
@@ -33,11 +44,7 @@
 // startEndpoint starts an endpoint that needs serviceTime for each query.
 func startEndpoint(t *testing.T, serviceTime time.Duration) *endpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := listen(t)
 	e := newEndpoint(listener)
 	e.Server = fakes.Server{Name: "served", Workers: 1 << 12, Handle: func(statement string) (time.Duration, bool) {
 		e.run(parameter(statement, "id"))
@@ -150,11 +157,7 @@
 // the id.
 func startScriptedEndpoint(t *testing.T, script func(id string) reply) *endpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := listen(t)
 	e := newEndpoint(listener)
 	go func() {
 		for {
