clients: a request waits at most 0.25 s for input behind it, and not for a message that trickles

A request in front of a message that its client sent byte by byte waited until that message timed out, and was refused after 2.6 s where its deadline was 2 s.

Change: the module gets a request after 0.25 s at the latest; an incomplete message counts as arriving for 0.5 s from its first byte. An attempt that waits for input of its client and gets no connection in time ends as not sent, which tells nothing about the endpoint.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -37,7 +37,7 @@
 	overLimit   bool            // accepted beyond Server.maxConns
 	closing     bool
 	closeBy     relay.Seconds   // when the socket is closed after its sending half; 0 if that is open
-	resumeTimer *pipeline.Timer // calls resumeBegin when the rest of a message no longer counts as arriving; nil: none
+	resumeTimer *pipeline.Timer // calls resumeBegin when the current request has waited for input for long; nil: none
 	begun       bool            // the request of current was passed to the pipeline
 
 	// Used by any goroutine.
@@ -91,6 +91,7 @@
 func (s *Server) removeConn(c *conn) {
 	delete(s.conns, c)
 	c.setIdle(false)
+	s.loop.StopTimer(c.resumeTimer)
 	switch {
 	case c.current == nil || c.current.request == nil:
 	case c.begun:
--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -94,22 +94,31 @@
 	}
 }
 
-// beginWhenRead starts the current request once all input that has arrived is read: the client may have closed the connection
-// behind it. If it has, nothing is started, and removeConn follows.
+// beginWhenRead starts the current request once all input that has arrived is read, or after limits.InputGap: the client may have
+// closed the connection behind it. If it has, nothing is started, and removeConn follows.
 func (c *conn) beginWhenRead() {
 	l := c.server.loop
-	l.StopTimer(c.resumeTimer)
 	c.awaitingInput.Store(true) // before the check, so that a read that ends after it resumes
-	until := c.inputExpectedUntil()
-	if c.state() == pipeline.ClientOpen {
+	state := c.state()
+	beginBy := c.startsCounting() + limits.InputGap.Seconds()
+	switch {
+	case state == pipeline.ClientOpen || state == pipeline.ClientInputPending && l.Clock.Now() >= beginBy:
 		c.begin()
-	} else if until > 0 { // no read may follow
-		c.resumeTimer = l.RunAt(max(until, l.Clock.Now()+limits.RecheckDelay.Seconds()), c.resumeBegin)
+	case c.resumeTimer == nil:
+		c.resumeTimer = l.RunAt(beginBy, c.resumeBegin)
 	}
 }
 
+// startsCounting returns the time from which the deadline of the current request counts: its arrival or the response before it,
+// whichever is later.
+func (c *conn) startsCounting() relay.Seconds {
+	return math.Max(c.current.request.ReceivedAt, c.idleSince)
+}
+
 // begin starts the current request.
 func (c *conn) begin() {
+	c.server.loop.StopTimer(c.resumeTimer)
+	c.resumeTimer = nil
 	c.awaitingInput.Store(false)
 	c.begun = true
 	c.beginRequest(c.current.request)
@@ -133,11 +142,11 @@
 
 // inputExpectedUntil returns the time up to which the rest of a message counts as arriving; 0 if no message is incomplete.
 func (c *conn) inputExpectedUntil() relay.Seconds {
-	since := c.partialSince.Load()
+	since, began := c.partialSince.Load(), c.partialBegan.Load()
 	if since == 0 || c.inputIgnored.Load() {
 		return 0
 	}
-	return float64(since)/nanosPerSecond + limits.InputGap.Seconds()
+	return min(float64(since)/nanosPerSecond+limits.InputGap.Seconds(), float64(began)/nanosPerSecond+limits.ArrivalTime.Seconds())
 }
 
 // resumeBegin begins the current request if it waits for input to be read. Runs on the loop goroutine.
@@ -147,11 +156,11 @@
 	}
 }
 
-// beginRequest starts a request. Its deadline counts from its arrival or from the response before it, whichever is
-// later. After SIGTERM the deadline is shortened so that the client gets a response before the program may be killed.
+// beginRequest starts a request. After SIGTERM its deadline is shortened so that the client gets a response before the program
+// may be killed.
 func (c *conn) beginRequest(request *pipeline.Request) {
 	s := c.server
-	from := math.Max(request.ReceivedAt, c.idleSince)
+	from := c.startsCounting()
 	if s.respondBy > 0 {
 		remaining := math.Max(s.respondBy-from, 0)
 		request.DeadlineMillis = min(request.DeadlineMillis, int64(remaining*millisPerSecond))
--- a/internal/limits/clients.go
+++ b/internal/limits/clients.go
@@ -40,6 +40,9 @@
 	// again whether a receive buffer that was full has room.
 	InputGap = 250 * time.Millisecond
 
+	// ArrivalTime is how long after its first byte an incomplete message counts as arriving, whether or not it pauses.
+	ArrivalTime = 2 * InputGap
+
 	// StartupTimeout is how long a client may take to send its startup packet. A connection that sends nothing has to be
 	// closed within 3 s.
 	StartupTimeout = 2500 * time.Millisecond
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,7 +78,12 @@
 		return
 	}
 	p.loop.RunAt(attempt.StartedAt+p.connectTimeout, func() {
-		if !attempt.Ended && endpoint.removeWaiting(attempt) {
+		if attempt.Ended || !endpoint.removeWaiting(attempt) {
+			return
+		}
+		if attempt.ClientState() == pipeline.ClientInputPending {
+			p.endReleased(attempt) // it is not the endpoint that it waited for
+		} else {
 			p.endUnconnected(attempt)
 		}
 	})
--- a/systemtest/incomplete_test.go
+++ b/systemtest/incomplete_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -86,3 +87,27 @@
 		}
 	}
 }
+
+// TestRequestBeforeTrickledInputIsServedInTime guards against a request that waits for the rest of another one behind it until
+// its own deadline is over.
+func TestRequestBeforeTrickledInputIsServedInTime(t *testing.T) {
+	unit := startEndpoint(t, 0)
+	relay := startRelay(t, relayOptions{}, unit)
+	usual := startUsualClients(relay)
+	for i := range 5 {
+		session := relay.dial()
+		begin := time.Now()
+		whole := pgwire.QueryMessage(request(classAtMostOnce, fmt.Sprint("whole-", i)))
+		trickled := pgwire.QueryMessage(request(classIdempotent, fmt.Sprint("trickled-", i)))
+		if _, err := session.Write(append(whole, trickled[:1]...)); err != nil {
+			t.Fatal(err)
+		}
+		go trickle(session.Conn, trickled[1:])
+		response := session.receive(testTimeout)
+		if took := time.Since(begin); response.Value == "" || took > classDeadline {
+			t.Errorf("got %+v after %v, want a value", response, took)
+		}
+		_ = session.Close()
+	}
+	usual.stop().check(t)
+}
