--- a/review/second/tools/rig/main.go
+++ b/review/second/tools/rig/main.go
@@ -17,6 +17,7 @@
 	"stale-vote-answer": caseStaleVoteAnswer,
 	"moved-discovery":   caseMovedDiscovery,
 	"sticky-key":        caseStickyKey,
+	"silent-controller": caseSilentController,
 	"plan-restart":      casePlanRestart,
 	"crowded-discovery": caseCrowdedDiscovery,
 }
