--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# The release controller stands still while a relay that follows its plan is restarted.
+# Connections to units come up late; a key that the new build has answered goes to the earlier build.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x bin/lichenroad ] || [ ! -x bin/review-rig ]; then
     echo "build by deploy/balancer.toml and review/build-2.sh first" >&2
     exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec bin/review-rig silent-controller review/10
+TROUBLE="${TROUBLE:-1}" exec bin/review-rig sticky-key review/10
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Connections to units come up late; a key that the new build has answered goes to the earlier build.
+# A new configuration moves discovery to an address that is crowded; a unit begins to drain.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x bin/lichenroad ] || [ ! -x bin/review-rig ]; then
     echo "build by deploy/balancer.toml and review/build-2.sh first" >&2
     exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec bin/review-rig sticky-key review/8
+TROUBLE="${TROUBLE:-1}" exec bin/review-rig moved-discovery review/8
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Discovery is crowded and refuses the calls of a relay that is alone; a unit begins to drain.
+# The relay is held up for under 0.15 s while the answer to its vote and news of a rollback arrive.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x bin/lichenroad ] || [ ! -x bin/review-rig ]; then
     echo "build by deploy/balancer.toml and review/build-2.sh first" >&2
     exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec bin/review-rig crowded-discovery review/9
+TROUBLE="${TROUBLE:-1}" exec bin/review-rig stale-vote-answer review/9
--- a/review/second/tools/rig/case_stale_vote.go
+++ b/review/second/tools/rig/case_stale_vote.go
@@ -109,24 +109,32 @@
 		if vote != fmt.Sprintf("VOTE %d 0 approve", newBuild) || p.current().stage != 0 {
 			return false
 		}
+		// The platform answers right after its next sign of life, if that is not too far for the relay's 0.8 s.
+		left := time.Until(p.nextSign())
+		if left > 600*time.Millisecond || left < 5*time.Millisecond {
+			write("ERR Throttling")
+			return true
+		}
+		time.Sleep(left - 3*time.Millisecond)
 		if r.trouble {
 			relay.signal(syscall.SIGSTOP)
 			r.log("relay is held up")
 		}
 		stopped := time.Now()
+		time.Sleep(6 * time.Millisecond)
 		// The vote counts and moves the build on; the answer tells the state then.
 		p.set(state{newBuild, 1, "canary", 0.4, time.Now()})
 		p.mu.Lock()
 		write("OK " + p.state.String())
 		p.told("OK "+p.state.String(), p.state)
 		p.mu.Unlock()
-		// Another relay's vote sends it back 10 ms later; both changes are told 0.12 s after they happened.
-		time.Sleep(10 * time.Millisecond)
+		// Another relay's vote sends it back 3 ms later; both changes are told 0.12 s after they happened.
+		time.Sleep(3 * time.Millisecond)
 		moved := p.current()
 		p.set(state{newBuild, 1, "reverting", 0, time.Now()})
-		time.Sleep(110 * time.Millisecond)
+		time.Sleep(117 * time.Millisecond)
 		p.tellState(moved)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(3 * time.Millisecond)
 		p.tell()
 		rolledBack.Store(time.Now().UnixNano())
 		if r.trouble {
--- a/review/second/tools/rig/main.go
+++ b/review/second/tools/rig/main.go
@@ -18,6 +18,7 @@
 	"moved-discovery":   caseMovedDiscovery,
 	"sticky-key":        caseStickyKey,
 	"silent-controller": caseSilentController,
+	"shutdown-held":     caseShutdownHeld,
 	"plan-restart":      casePlanRestart,
 	"crowded-discovery": caseCrowdedDiscovery,
 }
--- a/review/second/tools/rig/services.go
+++ b/review/second/tools/rig/services.go
@@ -229,6 +229,9 @@
 	return fmt.Sprintf("%d %d %s %g %d", s.build, s.stage, s.phase, s.cap, time.Since(s.since).Milliseconds())
 }
 
+// signInterval is the time between two signs of life.
+const signInterval = time.Second
+
 // platform is the release platform of one relay.
 type platform struct {
 	r        *rig
@@ -240,6 +243,7 @@
 	mu       sync.Mutex
 	state    state
 	watchers map[net.Conn]bool
+	signedAt time.Time  // when the last sign of life was written
 	news     []newsLine // what was written, in order
 }
 
@@ -266,17 +270,30 @@
 		}
 	}()
 	go func() {
-		for range time.Tick(time.Second) {
-			p.mu.Lock()
-			for conn := range p.watchers {
-				_, _ = conn.Write([]byte("*\r\n"))
-			}
-			p.mu.Unlock()
+		for range time.Tick(signInterval) {
+			p.signOfLife()
 		}
 	}()
 	return p, nil
 }
 
+// signOfLife writes the line that shows the watches that the platform is there.
+func (p *platform) signOfLife() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signedAt = time.Now()
+	for conn := range p.watchers {
+		_, _ = conn.Write([]byte("*\r\n"))
+	}
+}
+
+// nextSign returns when the next sign of life is due.
+func (p *platform) nextSign() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.signedAt.Add(signInterval)
+}
+
 func (p *platform) address() string { return p.listener.Addr().String() }
 
 func (p *platform) current() state {
