--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The release controller is killed and started again after a plan with fewer steps took effect with SIGHUP.
+# The release controller is killed and started again after a plan with one step more took effect with SIGHUP.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x bin/lichenroad ] || [ ! -x bin/review-rig ]; then
--- a/review/second/tools/rig/case_plan_restart.go
+++ b/review/second/tools/rig/case_plan_restart.go
@@ -37,7 +37,7 @@
 `
 }
 
-// casePlanRestart: a plan with one step fewer takes effect with SIGHUP between two builds. The next build is offered and
+// casePlanRestart: a plan with one step more takes effect with SIGHUP between two builds. The next build is offered and
 // accepted. Then the controller is killed and started again: it has to go on with what it accepted.
 func casePlanRestart(r *rig) (bool, error) {
 	plan, state := filepath.Join(r.dir, "plan.xml"), filepath.Join(r.dir, "state")
@@ -70,7 +70,7 @@
 			return true
 		})
 	}
-	if err := write("pilot", "half", "both"); err != nil {
+	if err := write("pilot", "both"); err != nil {
 		return false, err
 	}
 	controller, err := start()
@@ -86,7 +86,7 @@
 	if !answers(20*time.Second, "41", "released") {
 		return false, errors.New("build 41 was not released")
 	}
-	if err := write("pilot", "both"); err != nil {
+	if err := write("pilot", "half", "both"); err != nil {
 		return false, err
 	}
 	controller.signal(syscall.SIGHUP)
