--- a/review/second/tools/rig/main.go
+++ b/review/second/tools/rig/main.go
@@ -19,6 +19,7 @@
 	"sticky-key":        caseStickyKey,
 	"silent-controller": caseSilentController,
 	"shutdown-held":     caseShutdownHeld,
+	"second-answer":     caseSecondAnswer,
 	"plan-restart":      casePlanRestart,
 	"crowded-discovery": caseCrowdedDiscovery,
 }
