--- a/review/second/tools/rig/proc.go
+++ b/review/second/tools/rig/proc.go
@@ -203,3 +203,12 @@
 	}
 	return condition()
 }
+
+// longestHoldUp is how long the pages allow a relay to be held up.
+const longestHoldUp = 150 * time.Millisecond
+
+// spin waits without sleeping, for times that must be met to the millisecond.
+func spin(until time.Time) {
+	for time.Now().Before(until) {
+	}
+}
