clients: a relay ends after SIGTERM when its responses are written, not at a time

When all are due in one round of the loop, the responses are handed to the writers of the connections and the loop is stopped in the same round.

Change: connections are closed when their responses are written, and the end follows from that. Final responses come 0.2 s before the earliest SIGKILL (0.15 s of the hold-up and 0.05 s to write); requests that are read later are rejected. A second SIGTERM and a failed listener ended the loop with requests open; both take the same way out now.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -133,7 +133,7 @@
 	p.clients = clients.New(loop, sockets.clients, sockets.rejecting)
 	acceptFailed := func(err error) {
 		p.listenErr.Store(&err)
-		p.end()
+		p.shutdownGracefully() // the connections that are open get their responses
 	}
 	if err := p.clients.Listen(c.Listen, acceptFailed); err != nil {
 		return nil, err
@@ -176,6 +176,11 @@
 	p.loop.Post(pipeline.Func(func(*pipeline.Loop) { p.clients.Shutdown(p.end) }))
 }
 
+// finishShutdown ends a graceful shutdown as soon as every request that was taken has its final response.
+func (p *relayProcess) finishShutdown() {
+	p.loop.Post(pipeline.Func(func(*pipeline.Loop) { p.clients.FinishShutdown() }))
+}
+
 // reload applies the configuration that was read again: it switches to the new addresses of discovery and platform, and
 // reloads the plan. Other differences are logged, as they need a restart. If err is not nil, nothing changes.
 func (p *relayProcess) reload(next config.Config, err error) {
@@ -216,8 +221,8 @@
 	}))
 }
 
-// handleSignals starts a graceful shutdown at the first SIGTERM or interrupt, stops the loop at the second, and logs the
-// counters on SIGUSR1.
+// handleSignals starts a graceful shutdown at the first SIGTERM or interrupt, has it finish at once at the second, and logs
+// the counters on SIGUSR1.
 func (p *relayProcess) handleSignals(signals <-chan os.Signal) {
 	shuttingDown := false
 	for s := range signals {
@@ -225,7 +230,7 @@
 		case s == syscall.SIGUSR1:
 			p.loop.Log.WithFields(p.loop.Metrics.Fields()).Info("counters")
 		case shuttingDown:
-			p.end()
+			p.finishShutdown()
 		default:
 			shuttingDown = true
 			p.loop.Log.WithField("signal", s.String()).Info("shutting down")
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -510,3 +510,70 @@
 		}
 	}
 }
+
+// TestHoldUpFitsIntoTheEndOfAShutdown guards against final responses that a hold-up delays beyond the earliest SIGKILL.
+func TestHoldUpFitsIntoTheEndOfAShutdown(t *testing.T) {
+	const (
+		step        = 0.01
+		maxDeadline = 12.0
+		holdUp      = 0.15
+		writeTime   = 0.05
+	)
+	for longest := step; longest < maxDeadline; longest += step {
+		times := newShutdownTimes(0, longest)
+		if earliestKill := min(longest, 3) + 0.7; times.refuse+holdUp+writeTime > earliestKill+1e-9 {
+			t.Errorf("longest deadline %.2f s: final responses from %.2f s on, SIGKILL at %.2f s", longest, times.refuse, earliestKill)
+		}
+	}
+}
+
+// TestLateRequestBehindALongOneIsAnswered guards against a request that SIGKILL finds unanswered, as one from before SIGTERM whose
+// client waits for longer is open on its connection.
+func TestLateRequestBehindALongOneIsAnswered(t *testing.T) {
+	h := newHarness(t, 100, 10)
+	client, c := h.session()
+	client.Write(newQuery())
+	h.waitFor("the request to begin", func() bool { return c.begun })
+	c.current.request.Deadline = h.Clock.Now() + 60
+	ended := false
+	h.server.Shutdown(func() { ended = true })
+	h.server.refuseRequests()
+	if h.waitFor("the listener to close", h.server.listenerClosed.Load); c.current.request.Status != pipeline.StatusOpen {
+		t.Fatal("a request that may outlast SIGKILL was ended")
+	}
+	client.Write(newQuery())
+	h.waitFor("the connection to be closed", func() bool { return len(h.server.conns) == 0 })
+	if code := client.readUntil('Z'); code != pgwire.CodeSystemError {
+		t.Errorf("the first request got code %q", code)
+	}
+	if code := client.readUntil('Z'); code != pgwire.CodeShuttingDown || !client.atEnd() {
+		t.Errorf("the request behind it got code %q, or more came", code)
+	}
+	if !ended {
+		t.Error("the shutdown does not end")
+	}
+}
+
+// TestShutdownEndsWhenResponsesAreWritten guards against an end while responses have not reached their sockets, whichever steps
+// are due together.
+func TestShutdownEndsWhenResponsesAreWritten(t *testing.T) {
+	h := newHarness(t, 100, 10)
+	client, c := h.session()
+	client.Write(newQuery())
+	h.waitFor("the request to begin", func() bool { return c.begun })
+	ended := false
+	h.server.Shutdown(func() { ended = true })
+	c.outbox.writing = true // its writer gets no processor time
+	h.server.refuseRequests()
+	h.server.abortRequests()
+	h.server.closeAnswered()
+	h.applyPosted()
+	if ended || c.closing {
+		t.Error("ended or closed with a response that is not written")
+	}
+	go c.writeOutbox()
+	if code := client.readUntil('Z'); code != pgwire.CodeSystemError || !client.atEnd() {
+		t.Errorf("the request got code %q, or more came", code)
+	}
+	h.waitFor("the end of the shutdown", func() bool { return ended })
+}
--- a/internal/clients/close.go
+++ b/internal/clients/close.go
@@ -9,16 +9,12 @@
 	"lichenroad/internal/limits"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pgwire"
+	"lichenroad/internal/pipeline"
 	"lichenroad/internal/sockets"
 	"lichenroad/relay"
 )
 
-const (
-	nanosPerSecond = 1e9
-
-	// messageShuttingDown is the error text for a request that was read while its connection was being closed.
-	messageShuttingDown = "this relay is ending, nothing was done"
-)
+const nanosPerSecond = 1e9
 
 // closeNow closes the connection immediately. Safe for concurrent use.
 func (c *conn) closeNow(reason metrics.CloseReason) {
@@ -73,14 +69,14 @@
 
 // quiescent reports whether no input on the connection still needs a response: no open request, none on its way to the
 // loop, no partial message, and nothing in the buffers of the library and the socket. A partial message counts only
-// until limits.PartialMessageTimeout. Runs on the loop goroutine.
+// until limits.PartialMessageTimeout, and not when requests are rejected anyway. Runs on the loop goroutine.
 func (c *conn) quiescent() bool {
 	hasRequests := c.current != nil || len(c.queued) > 0 || c.unanswered.Load() > 0
 	startupOpen := c.startupReceived.Load() != c.startupAnswered.Load()
 	if hasRequests || startupOpen || c.net.Reader().Len() > 0 {
 		return false
 	}
-	if since := c.partialSince.Load(); since > 0 {
+	if since := c.partialSince.Load(); since > 0 && !c.server.refusing {
 		age := c.server.loop.Clock.Now() - float64(since)/nanosPerSecond
 		if age < limits.PartialMessageTimeout.Seconds() {
 			return false
@@ -97,12 +93,17 @@
 	if c.closing || !c.quiescent() {
 		return false
 	}
+	c.closeAsIdle(reason)
+	return true
+}
+
+// closeAsIdle closes the connection; rejectUnanswered answers what was read on it. Runs on the loop goroutine.
+func (c *conn) closeAsIdle(reason metrics.CloseReason) {
 	c.setCloseReason(reason)
 	c.closedAsIdle.Store(true)
 	c.closing = true
 	c.setIdle(false)
 	c.closeSocket()
-	return true
 }
 
 // rejectUnanswered rejects requests that were read while the connection was being closed as idle: every request that
@@ -122,7 +123,7 @@
 	}
 	l := c.server.loop
 	l.Metrics.Add(metrics.RejectedAfterClose, rejected)
-	response := pgwire.AppendReadyForQuery(pgwire.ErrorResponse(pgwire.Error, pgwire.CodeShuttingDown, messageShuttingDown, l.RetryAfterDetail()))
+	response := pgwire.AppendReadyForQuery(pgwire.ErrorResponse(pgwire.Error, pgwire.CodeShuttingDown, pipeline.MessageShuttingDown, l.RetryAfterDetail()))
 	for range rejected {
 		_, _ = unix.SendmsgN(n.Fd(), response, nil, nil, unix.MSG_NOSIGNAL) // the connection ends in any case
 	}
--- a/internal/clients/outbox.go
+++ b/internal/clients/outbox.go
@@ -101,6 +101,13 @@
 	return 0
 }
 
+// busy reports whether a message waits to be written or is being written.
+func (o *outbox) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing
+}
+
 // take removes and returns the next message. If there is none, it marks the writing goroutine as ended: the caller must
 // return.
 func (o *outbox) take() (next outgoing, ok bool) {
--- a/internal/clients/process.go
+++ b/internal/clients/process.go
@@ -57,6 +57,9 @@
 			c.rejectQueued()
 		}
 		c.queued = append(c.queued, m)
+		if c.server.refusing {
+			c.endCurrent() // so that the one behind it is answered in time
+		}
 		return
 	}
 	c.process(m)
@@ -86,6 +89,10 @@
 		c.startupAnswered.Store(true)
 		m.Respond(l.Pool.Filled(pgwire.StartupResponse(c.server.lastSession.Add(1))))
 	case kindRequest:
+		if c.server.refusing {
+			c.endCurrent()
+			return
+		}
 		c.beginWhenRead()
 	case kindEmptyQuery:
 		l.OnServiceOpen(func() { m.Respond(l.Pool.Filled(pgwire.EmptyQueryResponse())) })
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -48,8 +48,10 @@
 	conns           map[*conn]struct{}
 	awaitingStartup list.List     // *conn whose client has not sent a startup yet, the oldest first
 	idle            list.List     // *conn after startup without an open request, the longest idle first
+	shutdownAt      relay.Seconds // when Shutdown was called
 	respondBy       relay.Seconds // deadline after SIGTERM for the responses to all requests; 0 before SIGTERM
 	shuttingDown    bool
+	refusing        bool   // requests that have not begun are rejected, as the program ends
 	onShutdown      func() // called once at the end of a shutdown
 }
 
--- a/internal/limits/shutdown.go
+++ b/internal/limits/shutdown.go
@@ -9,18 +9,20 @@
 	PlatformMaxDeadline = 3.0
 
 	KillDelay           = 0.7 // seconds from the longest deadline to SIGKILL, at least
-	ForcedShutdownDelay = 0.5 // seconds from the longest deadline of the settings until the program may end
+	ForcedShutdownDelay = 0.5 // seconds from the longest deadline of the settings until requests that are still open are ended
 
-	// FinalAnswerMargin is the time before SIGKILL, in seconds, by which every request received after SIGTERM has its final
-	// answer. Requests end within 50 ms of their deadlines; the rest is for the way to the client.
-	FinalAnswerMargin = 0.15
+	// MaxHoldUp is the longest time, in seconds, for which the process may be held up at any moment.
+	MaxHoldUp = 0.15
 
-	// ExitMargin is the time before SIGKILL, in seconds, by which the program ends if no deadline lasts longer.
-	ExitMargin = 0.05
+	// FinalWriteTime is the time, in seconds, that final responses need to reach their sockets if nothing holds the process up.
+	FinalWriteTime = 0.05
 
-	// FinalFlushTime is the time, in seconds, before the end of the program at which requests that are still open get their
-	// final answers, so that these are written.
-	FinalFlushTime = 0.05
+	// MaxEndDelay is the time after its deadline, in seconds, by which a request has ended if nothing holds the process up.
+	MaxEndDelay = 0.05
+
+	// FinalWriteTimeout is how long the program waits at its end for clients that do not read their responses. It is longer than
+	// a hold-up and the writes together.
+	FinalWriteTimeout = time.Second
 
 	// ShutdownAcceptTime is how long new connections are accepted after SIGTERM. They arrive for 0.4 s; the rest is margin.
 	ShutdownAcceptTime = 500 * time.Millisecond
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -59,7 +59,7 @@
 	if request.RejectReason != NotRejected {
 		rejection := rejections[request.RejectReason]
 		l.requestLog.ended(request, rejection.logged, l.Clock.Now())
-		l.respondError(request, StatusRejected, pgwire.CodeTooManyConnections, rejection.text, l.RetryAfterDetail())
+		l.respondError(request, StatusRejected, rejection.code, rejection.text, l.RetryAfterDetail())
 		return
 	}
 	request.ID = l.nextRequestID()
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -36,16 +36,23 @@
 	TooManyOpen
 	// TooManyQueued means that the client sent more requests ahead of their responses than it may.
 	TooManyQueued
+	// ShuttingDown means that the program ends before the request could be answered.
+	ShuttingDown
 )
 
-// rejections holds the error text and the reason in the log for each RejectReason.
+// MessageShuttingDown is the error text for a request that is rejected because the program ends.
+const MessageShuttingDown = "this relay is ending, nothing was done"
+
+// rejections holds the error code, the error text and the reason in the log for each RejectReason.
 var rejections = [...]struct {
+	code   string
 	text   string
 	logged endReason
 }{
-	NoBuffers:     {"no room for the query", reasonNoBuffers},
-	TooManyOpen:   {"no room for another query", reasonTooManyOpen},
-	TooManyQueued: {"too many queries ahead of their answers", reasonTooManyQueued},
+	NoBuffers:     {pgwire.CodeTooManyConnections, "no room for the query", reasonNoBuffers},
+	TooManyOpen:   {pgwire.CodeTooManyConnections, "no room for another query", reasonTooManyOpen},
+	TooManyQueued: {pgwire.CodeTooManyConnections, "too many queries ahead of their answers", reasonTooManyQueued},
+	ShuttingDown:  {pgwire.CodeShuttingDown, MessageShuttingDown, reasonShutdown},
 }
 
 // Request is the record of one client request. The goroutine that reads the request creates it, and it is kept until
--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -59,11 +59,12 @@
 
 // relayOptions are the parts of a relay's configuration that tests vary.
 type relayOptions struct {
-	memoryMB int     // 0: 64
-	sockets  int     // 0: 384
-	limits   object  // entries of policy_limits that replace the defaults
-	cores    float64 // 0: 1
-	platform string  // address of the platform; empty: none
+	memoryMB int           // 0: 64
+	sockets  int           // 0: 384
+	limits   object        // entries of policy_limits that replace the defaults
+	cores    float64       // 0: 1
+	platform string        // address of the platform; empty: none
+	deadline time.Duration // of all classes; 0: classDeadline
 }
 
 // relayProcess is a relay that runs as a process.
@@ -123,9 +124,11 @@
 	for name, value := range o.limits {
 		limits[name] = value
 	}
+	deadline := defaultTo(o.deadline, classDeadline)
+	target := min(deadline, 1500*time.Millisecond)
 	class := func(name, repeat string) object {
 		return object{"name": name, "repeat": repeat, "group": "all", "repeat_window": int64(2 * time.Second),
-			"target": int64(1500 * time.Millisecond), "deadline": int64(classDeadline), "worth": 1}
+			"target": int64(target), "deadline": int64(deadline), "worth": 1}
 	}
 	config := object{
 		"name": "n0", "listen": address, "discovery": discovery.Addr(), "seed": "8c1f30d27a5be964", "known": discovery.List(),
