policy: attempts that wait for a connection are revoked when their permission ends

Cause: whether an attempt may be sent is asked when it is commanded, and it may be written up to the connect timeout later. Of the facts that can turn in between only a lower exposure limit cancelled what waits, besides drains and restarts in the pool.

A lease that is shortened sets a timer for its end.

--- a/cmd/lichenroad/fakes_test.go
+++ b/cmd/lichenroad/fakes_test.go
@@ -50,6 +50,8 @@
 	t           *testing.T
 	ln          net.Listener
 	behaviourOf func(statement string) behaviour
+	startups    <-chan struct{} // startups are answered when it is closed; nil: at once
+	lateConns   atomic.Int32    // connections that wait, or have waited, for that
 
 	mu         sync.Mutex
 	statements []string
@@ -69,8 +71,14 @@
 }
 
 func newFakeEndpoint(t *testing.T, behaviourOf func(string) behaviour) *fakeEndpoint {
+	return newLateEndpoint(t, nil, behaviourOf)
+}
+
+// newLateEndpoint returns an endpoint whose connections come up when startups is closed.
+func newLateEndpoint(t *testing.T, startups <-chan struct{}, behaviourOf func(string) behaviour) *fakeEndpoint {
 	ln := newListener(t)
-	endpoint := &fakeEndpoint{t: t, ln: ln, behaviourOf: behaviourOf, received: make(chan string, 1000), connEnded: make(chan struct{}, 1000)}
+	endpoint := &fakeEndpoint{t: t, ln: ln, behaviourOf: behaviourOf, startups: startups, received: make(chan string, 1000),
+		connEnded: make(chan struct{}, 1000)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -91,6 +99,10 @@
 	if _, _, err := fakes.ReadMessage(r, true); err != nil {
 		return
 	}
+	if e.startups != nil {
+		e.lateConns.Add(1)
+		<-e.startups
+	}
 	c.Write(pgwire.StartupResponse(1))
 	for first := true; ; first = false {
 		kind, body, err := fakes.ReadMessage(r, false)
--- a/policy/canary.go
+++ b/policy/canary.go
@@ -85,8 +85,6 @@
 	budget := c.budgetOf(status.Build)
 	if status.ExposureLimit < budget.limit {
 		budget.exhaust()
-		// a lower limit also applies to attempts that still wait for a connection
-		c.p.router.cancelUnsent(status.Build)
 	}
 	budget.limit = status.ExposureLimit
 }
@@ -149,6 +147,7 @@
 	unannounced := !c.hasStatus || build > c.status.Build
 	if unannounced || build == c.status.Build && c.canRollBack() {
 		c.stickyKeys[request.Key] = build
+		c.p.conditionsChanged = true
 	}
 }
 
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -59,6 +59,16 @@
 	l.p.emit(relay.Watch{On: true})
 }
 
+// leaseChanged sets the end of the lease. Attempts that wait for a connection under one that was to last
+// longer are revoked when it ends.
+func (l *endpointList) leaseChanged(expiresAt relay.Seconds) {
+	shortened := expiresAt < l.leaseExpiresAt
+	l.leaseExpiresAt = expiresAt
+	if shortened && !l.leaseExpired() {
+		l.p.emit(relay.SetTimer{ID: leaseTimer, At: expiresAt})
+	}
+}
+
 // leaseExpired reports whether the list has been unconfirmed for too long and must not be used any more.
 func (l *endpointList) leaseExpired() bool { return l.p.now >= l.leaseExpiresAt }
 
--- a/policy/exposure.go
+++ b/policy/exposure.go
@@ -105,8 +105,14 @@
 	}
 }
 
-// permits reports whether the exposure limit, the scope and sticky keys permit an attempt at a build.
+// permits reports whether an attempt at a build is allowed and within the exposure budget.
 func (c *canary) permits(request *trackedRequest, build relay.Build) bool {
+	return c.allows(request, build) && c.withinBudget(request, build)
+}
+
+// allows reports whether sticky keys, the exposure limit, the stage and the scope allow attempts of a request
+// at a build, whatever is left of the exposure budget.
+func (c *canary) allows(request *trackedRequest, build relay.Build) bool {
 	rollout := &c.p.settings.Rollout
 	if rollout.StickyKeys && request.Key != 0 && build < c.stickyKeys[request.Key] {
 		return false
@@ -115,26 +121,29 @@
 	if !exposure.onTrial {
 		return true
 	}
-	budget := c.budgetOf(build)
 	stage := exposure.stage
 	if c.hasScope {
-		if !c.scopePermits(request, budget) {
+		if _, open := c.groupOf(request.Tenant); !open || build > c.scope.Build {
 			return false
 		}
 		stage = min(stage, c.scope.Stage)
 	}
 	idempotentOnly := int(stage) < rollout.IdempotentOnlyStages
-	if exposure.limit <= 0 || idempotentOnly && request.class.idempotency != relay.Idempotent {
+	return exposure.limit > 0 && (!idempotentOnly || request.class.idempotency == relay.Idempotent)
+}
+
+// withinBudget reports whether the exposure budget has room for an attempt at a build.
+func (c *canary) withinBudget(request *trackedRequest, build relay.Build) bool {
+	if !c.exposureOf(build).onTrial {
+		return true
+	}
+	budget := c.budgetOf(build)
+	if group, _ := c.groupOf(request.Tenant); group != noGroup && budget.allowedByGroup[group] < oneAttempt {
 		return false
 	}
 	return budget.allowed[budget.index(request.Class)] >= oneAttempt
 }
 
-func (c *canary) scopePermits(request *trackedRequest, budget *exposureBudget) bool {
-	group, open := c.groupOf(request.Tenant)
-	return open && budget.build <= c.scope.Build && budget.allowedByGroup[group] >= oneAttempt
-}
-
 // withinTarget reports whether the routing target permits an attempt at a build, whether it is announced or
 // not.
 func (c *canary) withinTarget(request *trackedRequest, build relay.Build) bool {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,6 +14,7 @@
 	// latency objective
 	tickInterval = 0.05
 	tickTimer    = relay.TimerID(1)
+	leaseTimer   = relay.TimerID(2) // at the end of a lease on the endpoint list that was shortened
 )
 
 // never is a time later than any other.
@@ -28,13 +29,15 @@
 	mailbox  []envelope
 	commands []relay.Command // result of the current Step
 
-	started    bool
-	endpoints  endpointList
-	latency    latencyRatios
-	router     router
-	admission  admission
-	canary     canary
-	aggregator aggregator
+	started bool
+	// the conditions under which open attempts were sent may not hold any more
+	conditionsChanged bool
+	endpoints         endpointList
+	latency           latencyRatios
+	router            router
+	admission         admission
+	canary            canary
+	aggregator        aggregator
 }
 
 // classState holds the settings of a request class that the module uses.
@@ -105,8 +108,10 @@
 	}
 	ticked := false
 	for _, event := range events {
-		if _, fired := event.(relay.TimerFired); fired {
-			ticked = true
+		if timer, fired := event.(relay.TimerFired); fired {
+			leaseEnded := timer.ID == leaseTimer
+			p.conditionsChanged = p.conditionsChanged || leaseEnded
+			ticked = ticked || !leaseEnded
 			continue
 		}
 		p.handleTrafficEvent(event)
@@ -117,6 +122,10 @@
 		p.tick()
 		p.deliver()
 	}
+	if p.conditionsChanged {
+		p.conditionsChanged = false
+		p.router.revokeAttempts()
+	}
 	return p.commands
 }
 
@@ -126,15 +135,19 @@
 	case relay.ListUpdate:
 		p.endpoints.listUpdated(event)
 	case relay.ListLease:
-		p.endpoints.leaseExpiresAt = event.ExpiresAt
+		p.endpoints.leaseChanged(event.ExpiresAt)
 	case relay.DiscoveryRecovered:
 		p.endpoints.discoveryRecovered()
+		return
 	case relay.RolloutStatus:
 		p.canary.statusReceived(event)
 		p.aggregator.replyReceived(event.Reply)
 	case relay.CanaryScope:
 		p.canary.setScope(event)
+	default:
+		return
 	}
+	p.conditionsChanged = true
 }
 
 // handleTrafficEvent handles an event about requests or a message of another relay; it ignores all
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -31,8 +31,10 @@
 	sentAt        relay.Seconds
 	endpointAge   relay.Seconds
 	open          bool
-	mayHaveRun    bool // true while it is open, and afterwards unless its outcome proves that it never ran
-	queueDepth    int  // this relay's other open attempts at the endpoint when it was sent
+	mayHaveRun    bool    // while it is open, and then unless its outcome proves that it never ran
+	queueDepth    int     // this relay's other open attempts at the endpoint when it was sent
+	exposureLimit float64 // that of the build when it was sent
+	revoked       bool    // to be cancelled if its last byte was not written
 }
 
 // trackedRequest is a request that this relay has received.
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -230,20 +230,10 @@
 		open:          true,
 		mayHaveRun:    true,
 		queueDepth:    endpoint.openAttempts,
+		exposureLimit: p.canary.exposureOf(endpoint.Build).limit,
 	})
 	endpoint.chargeSlowStart()
 	p.canary.chargeAttempt(request, endpoint.Build)
 	p.send(endpoint, attemptSent{})
 	p.emit(relay.SendAttempt{Request: request.ID, Endpoint: endpoint.id, SendBy: sendBy})
 }
-
-// cancelUnsent cancels open attempts at a build that have not been written yet.
-func (r *router) cancelUnsent(build relay.Build) {
-	for _, request := range r.openRequests {
-		for number, attempt := range request.openAttempts() {
-			if attempt.build == build {
-				r.p.emit(relay.CancelUnsent{Request: request.ID, Attempt: number})
-			}
-		}
-	}
-}
--- a/policy/world_rules_test.go
+++ b/policy/world_rules_test.go
@@ -109,15 +109,28 @@
 	}
 }
 
-// checkStickyKey checks that a request with a key that the newest build has answered is not sent to an earlier build.
-func (w *world) checkStickyKey(request *worldRequest, endpoint relay.Endpoint) {
-	status := w.status
-	if status == nil || !w.settings.Rollout.StickyKeys || request.Key == 0 {
-		return
+// checkStickyRevoked checks that attempts which may not have been written yet are cancelled when the newest build has answered
+// their key and theirs is an earlier one.
+func (w *world) checkStickyRevoked() {
+	for _, request := range w.requests {
+		for _, attempt := range request.attempts {
+			if !attempt.done && !attempt.cancelled && !attempt.cancelledUnsent && w.isSticky(request.Key) && attempt.endpoint.Build < w.status.Build {
+				w.t.Fatalf("%v: attempt at build %d was not cancelled when the newest build had answered its key", w.now, attempt.endpoint.Build)
+			}
+		}
 	}
-	sticky := w.keyBuilds[request.Key] == status.Build &&
+}
+
+// isSticky reports whether the newest build has answered a request with the key, and can still be rolled back.
+func (w *world) isSticky(key relay.Key) bool {
+	status := w.status
+	return status != nil && w.settings.Rollout.StickyKeys && key != 0 && w.keyBuilds[key] == status.Build &&
 		(status.Phase == relay.PhaseCanary || status.Phase == relay.PhaseReleased)
-	if sticky && endpoint.Build < status.Build {
+}
+
+// checkStickyKey checks that a request with a key that the newest build has answered is not sent to an earlier build.
+func (w *world) checkStickyKey(request *worldRequest, endpoint relay.Endpoint) {
+	if w.isSticky(request.Key) && endpoint.Build < w.status.Build {
 		w.t.Fatalf("%v: key %d was sent to the earlier build %d", w.now, request.Key, endpoint.Build)
 	}
 }
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -111,6 +111,7 @@
 	for key, build := range batch.succeeded {
 		w.keyBuilds[key] = max(w.keyBuilds[key], build)
 	}
+	w.checkStickyRevoked()
 	w.checkAnswers()
 }
 
