upstream: a connection carries an empty query between two requests, to tell late answers apart

Cause: the endpoint's kernel holds the copy back until the first answer is acknowledged (Nagle), and the relay's kernel delays that by up to 40 ms or sends it with the next request.

Change: after the settling the connection carries an empty query, which the protocol answers at once and in order. What comes ahead of its answer is unsolicited and ends the connection. The emulated endpoints of the tests answer empty queries; the golden file of compat is unchanged, the empty query has a check of its own.

--- a/cmd/lichenroad/fakes_test.go
+++ b/cmd/lichenroad/fakes_test.go
@@ -104,16 +104,21 @@
 		<-e.startups
 	}
 	c.Write(pgwire.StartupResponse(1))
-	for first := true; ; first = false {
+	for first := true; ; {
 		kind, body, err := fakes.ReadMessage(r, false)
 		if err != nil || kind != 'Q' {
 			return
 		}
 		text := strings.TrimRight(string(body), "\x00")
+		if text == "" {
+			c.Write(pgwire.EmptyQueryResponse())
+			continue
+		}
 		e.mu.Lock()
 		e.statements = append(e.statements, text)
 		if first {
 			e.usedConns++
+			first = false
 		}
 		e.mu.Unlock()
 		e.received <- text
--- a/cmd/lichenroad/interleaving_test.go
+++ b/cmd/lichenroad/interleaving_test.go
@@ -58,9 +58,14 @@
 	<-e.mayAccept
 	c.Write(pgwire.StartupResponse(1))
 	for {
-		if kind, _, err := fakes.ReadMessage(r, false); err != nil || kind != 'Q' {
+		kind, body, err := fakes.ReadMessage(r, false)
+		if err != nil || kind != 'Q' {
 			return
 		}
+		if len(body) == 1 { // an empty query
+			c.Write(pgwire.EmptyQueryResponse())
+			continue
+		}
 		e.mu.Lock()
 		reject := e.rejections.Add(-1) >= 0
 		if !reject {
--- a/compat/fakes_test.go
+++ b/compat/fakes_test.go
@@ -96,10 +96,11 @@
 var deadlineField = regexp.MustCompile(`,d=[0-9]+`)
 
 // startEndpoint starts an emulated endpoint whose response depends on the requested object. The relay's remaining time in a
-// query (d=) differs between runs, so it is masked, and the length of the message is left out.
-func startEndpoint(t *testing.T) (address string, seen *observationLog) {
+// query (d=) differs between runs, so it is masked, and the length of the message is left out. Empty queries, which come some
+// time after a response, are recorded in a log of their own.
+func startEndpoint(t *testing.T) (address string, seen, empty *observationLog) {
 	t.Helper()
-	seen = &observationLog{}
+	seen, empty = &observationLog{}, &observationLog{}
 	return listenAndServe(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		startupPacket, err := readMessage(r, true)
@@ -113,6 +114,11 @@
 			if err != nil {
 				return
 			}
+			if raw == queryMessage("") {
+				empty.add("empty query")
+				io.WriteString(c, message('I', "")+readyForQuery)
+				continue
+			}
 			seen.add(fmt.Sprintf("%q %q", raw[0], deadlineField.ReplaceAllString(raw[5:], ",d=MS")))
 			switch {
 			case strings.Contains(raw, "'fails'"):
@@ -123,7 +129,7 @@
 				io.WriteString(c, rowResponse+readyForQuery)
 			}
 		}
-	}), seen
+	}), seen, empty
 }
 
 var (
--- a/compat/serve_test.go
+++ b/compat/serve_test.go
@@ -134,7 +134,7 @@
 // receives from it.
 func TestServe(t *testing.T) {
 	t.Parallel()
-	endpoint, endpointSeen := startEndpoint(t)
+	endpoint, endpointSeen, endpointEmpty := startEndpoint(t)
 	platform, platformSeen := startPlatform(t)
 	discovery := startDiscovery(t, listJSON(1, endpoint, "s-0", "s-1"))
 	peer := startPeer(t)
@@ -166,6 +166,7 @@
 	})
 	eventually(t, "the relay watches the platform", func() bool { return platformSeen.contains("WATCH") })
 	eventually(t, "the relay watches discovery for changes of the next list", func() bool { return discovery.seen.contains("after=2&") })
+	eventually(t, "the relay verifies a connection behind a response", func() bool { return endpointEmpty.contains("empty query") })
 	relay.stop()
 
 	lines = append(lines, "units saw:")
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -27,7 +27,7 @@
 )
 
 // BackendTypes lists the types of the messages that endpoints send.
-const BackendTypes = "RKNSTDCEZ"
+const BackendTypes = "RKNSTDCEIZ"
 
 // Severities of an ErrorResponse.
 const (
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,8 +20,9 @@
 const (
 	stateStarting connState = iota // until the endpoint is ready for the first request
 	stateIdle
-	stateBusy     // from the start of a request until ReadyForQuery after its response
-	stateSettling // after ReadyForQuery, while unexpected further input may still follow the response
+	stateBusy      // from the start of a request until ReadyForQuery after its response
+	stateSettling  // after ReadyForQuery, while unexpected further input may still follow the response
+	stateVerifying // from the start of an empty query until ReadyForQuery after its response
 	stateClosed
 )
 
@@ -37,15 +38,17 @@
 	dialedAt relay.Seconds
 
 	// Used by the loop goroutine only.
-	state          connState
-	attempt        *pipeline.Attempt // the attempt that waits for a response; nil if there is none
-	partialAttempt *pipeline.Attempt // the last attempt for which responseBegun started a timer
-	idleSince      relay.Seconds
-	lastResponseAt relay.Seconds // when the last response was read; 0 before the first
-	requestCount   int
-	connErr        error // what was wrong, for the log; nil if nothing was
-	writing        bool  // a write on another goroutine has not returned; until then netpoll refuses a second one
-	idleDeferred   bool  // the connection becomes idle when that write returns
+	state              connState
+	attempt            *pipeline.Attempt // the attempt that waits for a response; nil if there is none
+	partialAttempt     *pipeline.Attempt // the last attempt for which responseBegun started a timer
+	idleSince          relay.Seconds
+	lastResponseAt     relay.Seconds // when the last response was read; 0 before the first
+	requestCount       int
+	connErr            error           // what was wrong, for the log; nil if nothing was
+	writing            bool            // a write on another goroutine has not returned; until then netpoll refuses a second one
+	afterWrite         func()          // called when that write returns; may be nil
+	verifyTimer        *pipeline.Timer // ends a verification that takes too long; nil before the first
+	emptyQueryAnswered bool            // in stateVerifying
 
 	// Used by the reading goroutine only.
 	splitter     pgwire.Splitter
@@ -79,6 +82,7 @@
 		return
 	}
 	previous := c.state
+	c.pool.loop.StopTimer(c.verifyTimer)
 	c.state = stateClosed
 	now := c.pool.loop.Clock.Now()
 	_ = c.net.Close() // nothing can be done about an error
@@ -92,7 +96,7 @@
 	case stateStarting:
 		c.endpoint.pendingConns--
 		c.pool.connectFailed(c.endpoint)
-	case stateSettling:
+	case stateSettling, stateVerifying:
 		c.endpoint.pendingConns--
 		c.pool.serveWaiting(c.endpoint)
 	case stateIdle:
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -69,9 +69,9 @@
 // and the next request would end as if there were no connection. Runs on the loop goroutine.
 func (c *conn) writeReturned() {
 	c.writing = false
-	if c.idleDeferred && c.state != stateClosed {
-		c.idleDeferred = false
-		c.becomeIdle()
+	if deferred := c.afterWrite; deferred != nil && c.state != stateClosed {
+		c.afterWrite = nil
+		deferred()
 	}
 }
 
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -119,21 +119,18 @@
 // readyForQuery is posted when the endpoint reports that it is ready for a request.
 type readyForQuery struct{ conn *conn }
 
-// Apply makes the connection idle: immediately after a startup, but after a response only when
-// limits.ResponseSettleTime has passed, as unexpected further input may follow.
+// Apply makes the connection idle after a startup and after a verification. After a response the verification comes first, as
+// unexpected further input may follow.
 func (e readyForQuery) Apply(l *pipeline.Loop) {
 	c := e.conn
 	switch {
 	case c.state == stateStarting:
 		c.becomeIdle()
 	case c.state == stateBusy && c.attempt == nil:
-		c.state = stateSettling
-		c.endpoint.pendingConns++
-		l.RunAt(l.Clock.Now()+limits.ResponseSettleTime.Seconds(), func() {
-			if c.state == stateSettling {
-				c.becomeIdle()
-			}
-		})
+		c.settle()
+	case c.state == stateVerifying && c.emptyQueryAnswered:
+		l.StopTimer(c.verifyTimer)
+		c.becomeIdle()
 	case c.state != stateClosed:
 		protocolError{c, errUnsolicited}.Apply(l) // no request was sent, or its response has not come
 	}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -12,16 +12,14 @@
 // returned, it leaves that to writeReturned.
 func (c *conn) becomeIdle() {
 	if c.writing {
-		c.idleDeferred = true
+		c.afterWrite = c.becomeIdle
 		return
 	}
 	c.endpoint.pendingConns--
 	c.state, c.idleSince = stateIdle, c.pool.loop.Clock.Now()
 	c.endpoint.idle = append(c.endpoint.idle, c)
-	if c.address != c.endpoint.address {
-		c.close(metrics.ClosedByAddressChange)
-	} else if c.endpoint.unavailable {
-		c.close(metrics.ClosedByDrain) // the connection was dialled or busy when the drain began
+	if reason := c.outdatedReason(); reason != "" {
+		c.close(reason)
 	}
 	c.pool.serveWaiting(c.endpoint)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,10 +33,11 @@
 	endpoints          map[relay.EndpointID]*endpointConns
 	maxConns           int
 	openConns          int           // including those being opened
-	connectTimeout     relay.Seconds // for opening a connection, and for an attempt that waits for one
+	connectTimeout     relay.Seconds // for opening a connection, for verifying one, and for an attempt that waits for one
 	idleTimeout        relay.Seconds // 0 if idle connections do not expire
 	startupMessage     []byte
 	healthCheckMessage []byte
+	emptyQueryMessage  []byte
 }
 
 // New returns a pool that holds at most maxConns connections.
@@ -50,6 +51,7 @@
 		idleTimeout:        l.Site.EndpointIdleTimeout * limits.EndpointIdleFraction,
 		startupMessage:     pgwire.Startup(sessionUser, sessionDatabase),
 		healthCheckMessage: pgwire.QueryMessage(healthCheckQuery),
+		emptyQueryMessage:  pgwire.QueryMessage(""),
 	}
 	if len(l.Site.LoadReportFields) > 0 {
 		p.healthCheckMessage = pgwire.QueryMessage("SHOW " + loadReportParameter)
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -60,6 +60,12 @@
 		return c.handleCommandComplete(m, receivedAt)
 	case pgwire.TypeErrorResponse:
 		return c.handleErrorResponse(m, receivedAt)
+	case pgwire.TypeEmptyQueryResponse:
+		if m.Body.Len() > 0 {
+			return errUnexpectedMessage
+		}
+		c.pool.loop.Post(emptyQueryResponse{c})
+		return nil
 	case pgwire.TypeReadyForQuery:
 		c.pool.loop.Post(readyForQuery{c})
 		return nil
--- a/systemtest/endpoint_test.go
+++ b/systemtest/endpoint_test.go
@@ -144,13 +144,15 @@
 
 // reply is how a scripted endpoint answers a request. The zero value is a good answer at once.
 type reply struct {
-	rejected bool                     // turned away with 53300, so that it does not run
-	delay    time.Duration            // before the answer
-	bytes    func(good []byte) []byte // from the good answer; nil: the good answer
-	behind   []byte                   // sent some milliseconds later
-	endless  []byte                   // sent again and again behind that
-	hangs    bool                     // no answer comes
-	resets   bool                     // the connection is closed in place of an answer
+	rejected    bool                     // turned away with 53300, so that it does not run
+	delay       time.Duration            // before the answer
+	bytes       func(good []byte) []byte // from the good answer; nil: the good answer
+	behind      []byte                   // sent some milliseconds later
+	behindDelay time.Duration            // after which it is sent, however late this process is; 0: behindDelay, and only in time
+	holdsBack   bool                     // the kernel holds small segments back until what was sent before is acknowledged
+	endless     []byte                   // sent again and again behind that
+	hangs       bool                     // no answer comes
+	resets      bool                     // the connection is closed in place of an answer
 }
 
 // startScriptedEndpoint starts an endpoint that answers as a function says for the id of each request. The value of an answer is
@@ -183,13 +185,21 @@
 		if readErr != nil || kind != pgwire.TypeQuery {
 			return
 		}
-		id := parameter(strings.TrimRight(string(body), "\x00"), "id")
+		statement := strings.TrimRight(string(body), "\x00")
+		if statement == "" {
+			_, err = connection.Write(pgwire.EmptyQueryResponse())
+			continue
+		}
+		id := parameter(statement, "id")
 		reply := script(id)
 		if reply.rejected {
 			_, err = connection.Write(pgwire.AppendReadyForQuery(pgwire.ErrorResponse(pgwire.Error, pgwire.CodeTooManyConnections, "full", "")))
 			continue
 		}
 		e.runAt(id, lastDataAt(connection))
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetNoDelay(!reply.holdsBack) // fails only for a connection that has ended
+		}
 		time.Sleep(reply.delay)
 		switch {
 		case reply.resets:
@@ -210,7 +220,12 @@
 	}
 	begin := time.Now()
 	_, err := connection.Write(answer)
-	if r.behind != nil {
+	switch {
+	case r.behind == nil:
+	case r.behindDelay > 0:
+		time.Sleep(r.behindDelay)
+		_, err = connection.Write(r.behind)
+	default:
 		time.Sleep(behindDelay)
 		if time.Since(begin) < maxBehindDelay { // else this process was held up, and another request may wait
 			_, err = connection.Write(r.behind)
