membership: the lease ends 4 s after discovery has moved, unless its new address confirms the list

Cause: ChangeAddress told the owner of the lease nothing, and polls that failed in the queue of a busy discovery counted as an outage, which confirms the list.

Change: AddressChanged sets a deadline (relocation.go). An answer after it, or a watch that is held, confirms the list; a late failure, a stall or a spoilt answer does not. A connection that can't be made and a failure within 0.5 s still show that discovery is down, so that a relay does not stop then. A watch that is held at the change confirms the list once more. Answers of the old address no longer end the poll that is pending at the new one.

--- a/cmd/lichenroad/fakes_test.go
+++ b/cmd/lichenroad/fakes_test.go
@@ -166,6 +166,7 @@
 	entries []map[string]any
 	changed chan struct{}
 	down    bool
+	queued  time.Duration // how long calls wait before they fail; 0: they do not fail
 	srv     *httptest.Server
 }
 
@@ -205,10 +206,16 @@
 
 func (f *fakeDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	changed, down := f.changed, f.down
+	changed, down, queued := f.changed, f.down, f.queued
 	same := r.FormValue("after") == fmt.Sprint(f.version)
 	f.mu.Unlock()
-	if down {
+	if queued > 0 {
+		select {
+		case <-time.After(queued):
+		case <-r.Context().Done():
+		}
+	}
+	if down || queued > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/cmd/lichenroad/interleaving_test.go
+++ b/cmd/lichenroad/interleaving_test.go
@@ -179,7 +179,7 @@
 	{"reload", func(x *interleaving) {
 		next := x.p.config
 		next.Discovery = x.next.srv.Listener.Addr().String()
-		x.p.reload(next, nil)
+		x.p.reload(next, nil, x.p.loop.Clock.Now())
 		waitForCounter(x.T, x.p, metrics.Reloads, 1)
 	}},
 	{"list update", func(x *interleaving) {
--- a/cmd/lichenroad/reload_test.go
+++ b/cmd/lichenroad/reload_test.go
@@ -141,7 +141,7 @@
 	votes := <-oldPlatform.conns
 	next := p.config
 	next.Platform = newPlatform.ln.Addr().String()
-	p.reload(next, nil)
+	p.reload(next, nil, p.loop.Clock.Now())
 	newPlatform.nextLine(t, "WATCH")
 	waitForCounter(t, p, metrics.RolloutStatuses, 2)
 	vote()
--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -73,7 +73,9 @@
 	go p.handleSignals(signals)
 	go func() {
 		for range hangups {
-			p.reload(reload())
+			toldAt := p.loop.Clock.Now()
+			next, err := reload()
+			p.reload(next, err, toldAt)
 		}
 	}()
 	p.loop.Run(p.stop)
@@ -181,9 +183,10 @@
 	p.loop.Post(pipeline.Func(func(*pipeline.Loop) { p.clients.FinishShutdown() }))
 }
 
-// reload applies the configuration that was read again: it switches to the new addresses of discovery and platform, and
-// reloads the plan. Other differences are logged, as they need a restart. If err is not nil, nothing changes.
-func (p *relayProcess) reload(next config.Config, err error) {
+// reload applies the configuration that was read again, as the relay was told at a time: it switches to the new addresses of
+// discovery and platform, and reloads the plan. Other differences are logged, as they need a restart. If err is not nil,
+// nothing changes.
+func (p *relayProcess) reload(next config.Config, err error, toldAt relay.Seconds) {
 	if err != nil {
 		p.loop.Metrics.Add(metrics.ReloadsRefused, 1)
 		p.loop.Log.WithError(err).Error("configuration rejected, keeping the old one")
@@ -191,7 +194,7 @@
 	}
 	p.reloadPlan()
 	p.loop.Post(pipeline.Func(func(l *pipeline.Loop) {
-		p.discovery.ChangeAddress(next.Discovery)
+		p.discovery.ChangeAddress(next.Discovery, toldAt)
 		if next.Platform != "" {
 			p.platform.SetAddress(next.Platform)
 		}
--- a/internal/discovery/address.go
+++ b/internal/discovery/address.go
@@ -2,20 +2,23 @@
 
 import (
 	"lichenroad/internal/limits"
+	"lichenroad/membership"
 	"lichenroad/relay"
 )
 
-// ChangeAddress changes the address of the discovery service. It is called on the loop. The client polls the new address
-// for the full list, because its generations need not match those of the old address. Until the first list from the new
-// address arrives, the watch at the old address continues and its lists are used. The end of that watch does not count as a
-// failure.
-func (c *Client) ChangeAddress(address string) {
+// ChangeAddress changes the address of the discovery service, as the relay was told at the given time. It is called on the
+// loop. The client polls the new address for the full list, because its generations need not match those of the old address.
+// Until the first list from the new address arrives, the watch at the old address continues and its lists are used. The end of
+// that watch does not count as a failure. The lease on the list ends unless the new address confirms it in time. A call with
+// the present address changes nothing: the watch goes on, and so does the lease.
+func (c *Client) ChangeAddress(address string, toldAt relay.Seconds) {
 	if c.current.address == address {
 		return
 	}
 	c.closePrevious()
 	c.previous, c.previousClosing = c.current, false
 	c.current = c.newServer(address)
+	c.membership.step(membership.AddressChanged{At: toldAt})
 	c.current.start()
 	if c.watchWanted {
 		c.Watch(true, false)
--- a/internal/discovery/address_test.go
+++ b/internal/discovery/address_test.go
@@ -23,7 +23,7 @@
 			host.start()
 			watch := previous.nextPoll()
 			host.waitForUpdate(relay.ListCached)
-			host.client.ChangeAddress(current.address())
+			host.client.ChangeAddress(current.address(), host.loop.Clock.Now())
 			full := current.nextPoll()
 			if full.path != listPath {
 				t.Error("polled for something other than the full list:", full.path)
@@ -70,9 +70,9 @@
 			host.start()
 			first.nextPoll()
 			host.waitForUpdate(relay.ListCached)
-			host.client.ChangeAddress(second.address())
+			host.client.ChangeAddress(second.address(), host.loop.Clock.Now())
 			unanswered := second.nextPoll()
-			host.client.ChangeAddress(third.address())
+			host.client.ChangeAddress(third.address(), host.loop.Clock.Now())
 			full := third.nextPoll()
 			if full.path != listPath {
 				t.Error("polled for something other than the full list:", full.path)
@@ -81,7 +81,7 @@
 			full.answer(listBody(7, true, listEntry("SERVING")))
 			host.waitForUpdate(relay.ListFull)
 			third.nextPoll()
-			host.client.ChangeAddress(first.address())
+			host.client.ChangeAddress(first.address(), host.loop.Clock.Now())
 			back := first.nextPoll()
 			if back.path != listPath {
 				t.Error("after the change back, polled for something other than the full list:", back.path)
--- a/internal/discovery/conn.go
+++ b/internal/discovery/conn.go
@@ -41,6 +41,19 @@
 // stalled reports whether the service sent nothing in time, not even the end of the connection.
 func (e *pollError) stalled() bool { return e.reason == metrics.ClosedByResponseTimeout }
 
+// unreachable reports whether a poll that failed some time after its start shows that the service is down or cut off: there was
+// no connection, or its end came too soon for a poll that had waited in the queue of a busy service.
+func (e *pollError) unreachable(after time.Duration) bool {
+	switch e.reason {
+	case metrics.ClosedByConnectError:
+		return true
+	case metrics.ClosedByPeer, metrics.ClosedByStatusCode:
+		return after < limits.PromptFailureTime
+	default:
+		return false
+	}
+}
+
 // conn is a connection to the discovery service. It is dialed when needed and carries one request at a time. It is used by
 // one goroutine of the server only.
 type conn struct {
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -23,9 +23,10 @@
 	}
 	// pollFailureEvent reports that a poll ended without a list.
 	pollFailureEvent struct {
-		server     *server
-		stalled    bool // no answer was received in time
-		unreadable bool // an answer was received that could not be parsed as a list
+		server      *server
+		stalled     bool // no answer was received in time
+		unreadable  bool // an answer was received that could not be parsed as a list
+		unreachable bool // the poll did not reach the service, or ended too soon to have waited in its queue
 	}
 )
 
@@ -63,7 +64,7 @@
 	if update.notify {
 		c.publish(update)
 	}
-	c.membership.listReceived(update)
+	c.membership.listReceived(update, e.server == c.previous)
 }
 
 // Apply notifies the membership node and, if the decision module commands the polls, the decision module as well.
@@ -77,7 +78,7 @@
 	default:
 		return // from an address that is no longer in use
 	}
-	c.membership.step(membership.PollFailed{Stalled: e.stalled, Unreadable: e.unreadable})
+	c.membership.step(membership.PollFailed{Stalled: e.stalled, Unreadable: e.unreadable, Unreachable: e.unreachable})
 	if c.settings.pushed {
 		return // the client itself retries the watch
 	}
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -1,6 +1,10 @@
 package discovery
 
-import "lichenroad/internal/metrics"
+import (
+	"time"
+
+	"lichenroad/internal/metrics"
+)
 
 // commandFetch requests a fetch of the full list. It does nothing if an earlier request is still waiting.
 func (s *server) commandFetch() {
@@ -24,10 +28,11 @@
 
 func (s *server) fetch() {
 	c := &conn{server: s}
+	startedAt := time.Now()
 	list, failure := c.get(s.schedule.fullListPoll())
 	if failure != nil {
 		c.close(failure.reason)
-		s.reportFailure(failure)
+		s.reportFailure(failure, time.Since(startedAt))
 		return
 	}
 	s.acceptList(list, fetchCommanded)
--- a/internal/discovery/membership.go
+++ b/internal/discovery/membership.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pipeline"
 	"lichenroad/membership"
@@ -19,6 +21,8 @@
 	node    *membership.Node
 	timerAt relay.Seconds // time of the earliest timer that is set; membership.Never: none
 	lease   relay.Seconds // lease of which the decision module was last notified
+
+	unconfirmed bool // the list is still to be confirmed after a change of the address
 }
 
 func newMembershipHost(c *Client, seed int64) *membershipHost {
@@ -33,17 +37,20 @@
 	return &membershipHost{client: c, loop: c.loop, node: node, timerAt: membership.Never, lease: noLease}
 }
 
-// listReceived passes a list to the node, whether received or cached during an earlier run.
-func (m *membershipHost) listReceived(update listUpdate) {
+// listReceived passes a list to the node, whether received from one of the addresses or cached during an earlier run.
+func (m *membershipHost) listReceived(update listUpdate, fromPrevious bool) {
 	list := membership.List{Generation: update.list.Generation, Full: update.kind != relay.ListDelta}
 	for _, endpoint := range update.list.Endpoints {
 		list.Endpoints = append(list.Endpoints, endpoint.Endpoint)
 	}
-	if update.kind == relay.ListCached {
+	switch {
+	case update.kind == relay.ListCached:
 		m.step(membership.CachedList{List: list})
-		return
+	case fromPrevious:
+		m.step(membership.PreviousAddressAnswered{List: list})
+	default:
+		m.step(membership.PollAnswered{List: list})
 	}
-	m.step(membership.PollAnswered{List: list})
 }
 
 // step passes an event to the node and carries out the output.
@@ -59,6 +66,21 @@
 		m.loop.AddEvent(relay.DiscoveryRecovered{})
 	}
 	m.setTimer(output.TimerAt)
+	m.logConfirmation(now, output)
+}
+
+// logConfirmation logs when the list has to be confirmed after a change of the address, and when it has been.
+func (m *membershipHost) logConfirmation(now relay.Seconds, output membership.Output) {
+	if output.Unconfirmed == m.unconfirmed {
+		return
+	}
+	m.unconfirmed = output.Unconfirmed
+	entry := m.loop.Log.WithFields(logrus.Fields{"peer": string(metrics.PeerDiscovery), "lease": output.LeaseExpiresAt - now})
+	if m.unconfirmed {
+		entry.Info("address of discovery changed, the list has to be confirmed")
+	} else {
+		entry.Info("list confirmed after the change of the address")
+	}
 }
 
 // endpointsLeaving notifies the listener and the decision module of endpoints that peers have reported as leaving.
--- a/internal/discovery/server.go
+++ b/internal/discovery/server.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/sirupsen/logrus"
@@ -95,8 +96,9 @@
 	s.client.loop.Post(listEvent{s, s.schedule.accept(list, origin)})
 }
 
-// reportFailure counts, logs and posts a failed poll. A poll that ended because the address changed is not a failure.
-func (s *server) reportFailure(failure *pollError) {
+// reportFailure counts, logs and posts a poll that failed some time after its start. A poll that ended because the address
+// changed is not a failure.
+func (s *server) reportFailure(failure *pollError, after time.Duration) {
 	if s.isClosed() {
 		return
 	}
@@ -105,11 +107,12 @@
 	if failure.stalled() {
 		loop.Metrics.Add(metrics.DiscoveryStalled, 1)
 	}
-	fields := logrus.Fields{"peer": string(metrics.PeerDiscovery), "reason": string(failure.reason)}
+	fields := logrus.Fields{"peer": string(metrics.PeerDiscovery), "reason": string(failure.reason), "after": after.Seconds()}
 	loop.Log.WithFields(fields).WithError(failure.err).Warn("call failed")
 	loop.Post(pollFailureEvent{
-		server:     s,
-		stalled:    failure.stalled(),
-		unreadable: failure.reason == metrics.ClosedByBadInput,
+		server:      s,
+		stalled:     failure.stalled(),
+		unreadable:  failure.reason == metrics.ClosedByBadInput,
+		unreachable: failure.unreachable(after),
 	})
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -36,6 +36,7 @@
 	c := &conn{server: s, forWatch: true}
 	origin := watchCommanded
 	for on := true; on; origin = watchContinued {
+		startedAt := time.Now()
 		list, failure := c.get(s.startPoll())
 		restarted := s.endWatchPoll()
 		switch {
@@ -47,7 +48,7 @@
 			s.interruptWatch()
 		default:
 			c.close(failure.reason)
-			s.reportFailure(failure)
+			s.reportFailure(failure, time.Since(startedAt))
 			on = s.waitForRetry(failure)
 		}
 	}
--- a/internal/limits/discovery.go
+++ b/internal/limits/discovery.go
@@ -27,6 +27,10 @@
 	// DiscoveryDialTimeout is how long establishing a connection may take.
 	DiscoveryDialTimeout = 1 * time.Second
 
+	// PromptFailureTime is the time within which a call fails if discovery is down. A busy discovery keeps calls in its queue for
+	// a second or more before it fails them.
+	PromptFailureTime = 500 * time.Millisecond
+
 	// AddressChangeOverlap is how long the old address is read after discovery has moved and the new address has sent its
 	// first list, to receive drains that the old address had already sent.
 	AddressChangeOverlap = 500 * time.Millisecond
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -32,13 +32,18 @@
 	n.confirmedAt = later(n.confirmedAt, n.verifiedAt())
 	expiry := 0.0
 	if n.confirmedAt != Never {
-		expiry = n.confirmedAt + math.Min(maxNotifyDelay, failedPollFactor*n.settings.PollInterval) - leaseMargin
+		expiry = n.confirmationExpiry(n.confirmedAt)
 	}
-	if watchHeld := n.poll.pending && n.poll.continuesWatch; watchHeld {
+	if n.watchHeldSince(0) {
 		watchExpiry := n.poll.startedAt + math.Max(maxNotifyDelay, n.poll.wait+maxNotifyDelayAfterWait) - leaseMargin
 		expiry = math.Max(expiry, watchExpiry)
 	}
-	return math.Max(expiry, 0)
+	return math.Max(n.limitLease(expiry), 0)
+}
+
+// confirmationExpiry returns until when the list may be used if it is known to have been discovery's at a time.
+func (n *Node) confirmationExpiry(confirmedAt relay.Seconds) relay.Seconds {
+	return confirmedAt + math.Min(maxNotifyDelay, failedPollFactor*n.settings.PollInterval) - leaseMargin
 }
 
 // verifiedAt returns the latest time at which, by the current state alone, discovery is known either to have had this list
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,6 +35,7 @@
 	LeaseExpiresAt     relay.Seconds      // until when the list may be used; 0: the list is not confirmed yet
 	TimerAt            relay.Seconds      // when the host must send a TimerFired event; Never: no timer
 	DiscoveryRecovered bool               // discovery has answered a peer again after polls had failed
+	Unconfirmed        bool               // the list is still to be confirmed after a change of discovery's address
 }
 
 // Node implements the membership protocol for one relay. It is not safe for concurrent use.
@@ -56,6 +57,7 @@
 	newestGeneration int64         // highest generation that any relay is known to hold
 
 	poll       pollState
+	relocation relocation
 	gossip     gossip
 	assemblies map[relay.ID]*assembly
 	counters   Counters
@@ -87,6 +89,7 @@
 		newestGeneration: noGeneration,
 		gossip:           newGossip(),
 		assemblies:       map[relay.ID]*assembly{},
+		relocation:       newRelocation(),
 	}
 }
 
@@ -101,6 +104,7 @@
 	event.applyTo(n)
 	n.sendDue()
 	n.output.LeaseExpiresAt = n.leaseExpiry()
-	n.output.TimerAt = n.gossip.nextTimer()
+	n.output.TimerAt = math.Min(n.gossip.nextTimer(), n.relocationTimer())
+	n.output.Unconfirmed = n.relocation.pending()
 	return n.output
 }
