systemtest: the soak draws late second answers that TCP holds back, and a hold-up during the shutdown

Second answers now come up to 80 ms late, on half of the connections held back by TCP, and each run has one more hold-up after SIGTERM.

--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -28,6 +28,8 @@
 	killAfter      = classDeadline + 700*time.Millisecond          // from SIGTERM to the earliest SIGKILL
 	answerSlack    = 500 * time.Millisecond                        // after its deadline an answer only earns nothing
 	heldUp         = 150 * time.Millisecond                        // a relay may be held up for this long
+	soakMaxBehind  = 80 * time.Millisecond                         // after an answer something else may come behind it
+	soakLastHoldUp = killAfter - 3*heldUp                          // from SIGTERM to the start of the last hold-up, at most
 	soakMinServed  = 10                                            // requests of usual clients in a run
 	soakShutdownOK = killAfter - 10*time.Millisecond + time.Second // from SIGTERM to the end of the process, with the test's own delays
 )
@@ -137,7 +139,8 @@
 		case 4:
 			r.bytes = as("\xf7\x13\x00\x9a\xff\xfe\x00\x00\x01\x17")
 		default:
-			r.behind = pgwire.AppendReadyForQuery(fakes.Row("another"))
+			r.behind, r.behindDelay = pgwire.AppendReadyForQuery(fakes.Row("another")), 1+chance.duration(soakMaxBehind)
+			r.holdsBack = chance.intN(2) == 0
 		}
 		return r
 	}
@@ -164,6 +167,7 @@
 	s.relay.process.Signal(syscall.SIGHUP)
 	peak := s.relay.peakMemoryMB()
 	kill := time.AfterFunc(killAfter, func() { s.relay.process.Signal(syscall.SIGKILL) })
+	time.AfterFunc(s.newChance().duration(soakLastHoldUp), func() { s.holdUp(heldUp) })
 	<-s.relay.process.Done
 	if took := time.Since(sigterm); !kill.Stop() || took > soakShutdownOK {
 		s.t.Errorf("the relay ended %v after SIGTERM, or was killed", took)
@@ -185,15 +189,20 @@
 			s.relay.process.Signal(syscall.SIGHUP)
 			s.relay.process.Signal(syscall.SIGHUP)
 		case 1:
-			s.relay.process.Signal(syscall.SIGSTOP)
-			time.Sleep(chance.duration(heldUp))
-			s.relay.process.Signal(syscall.SIGCONT)
+			s.holdUp(chance.duration(heldUp))
 		default:
 			s.relay.process.Signal(syscall.SIGUSR1)
 		}
 	}
 }
 
+// holdUp stops the relay for a time.
+func (s *soak) holdUp(duration time.Duration) {
+	s.relay.process.Signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	s.relay.process.Signal(syscall.SIGCONT)
+}
+
 // startCrowd starts clients that use memory.
 func (s *soak) startCrowd() {
 	crowd := crowds[s.random.IntN(len(crowds))]
