releasecontroller: replies are written before the controller ends

Cause: the connections were closed right after the last round of the loop, whatever was queued to be written on them; and of a reply and the end of the loop, both there, the caller took either.

Change: the controller waits for what is queued to be written and for control connections to end, for 1 s at most; a reply comes before the end. TestRepliesAreWrittenBeforeTheEnd failed 2 of 2 and TestCommandOfTheLastRoundGetsItsReply 3 of 3 before; both pass.

--- a/internal/releasecontroller/control.go
+++ b/internal/releasecontroller/control.go
@@ -111,7 +111,7 @@
 		connSlots:  make(chan struct{}, maxControlConns),
 	}
 	if err := s.writeFile(); err != nil {
-		s.close()
+		s.close(time.Now())
 		return nil, err
 	}
 	go s.serve()
@@ -129,8 +129,17 @@
 	return os.Rename(temporary, name)
 }
 
-func (s *controlServer) close() {
+// close stops accepting connections and waits until the open ones have ended, at most until the deadline.
+func (s *controlServer) close(deadline time.Time) {
 	_ = s.listener.Close() // no data is pending on a listener, so the error does not matter
+	timeout := time.After(time.Until(deadline))
+	for range cap(s.connSlots) {
+		select {
+		case s.connSlots <- struct{}{}:
+		case <-timeout:
+			return
+		}
+	}
 }
 
 func (s *controlServer) serve() {
@@ -199,6 +208,11 @@
 	case reply := <-replies:
 		return reply
 	case <-ctl.done:
+	}
+	select {
+	case reply := <-replies: // it was carried out by the last round of the loop
+		return reply
+	default:
 		return Reply{Error: "the desk ends"} // "desk" is the former name of the release controller
 	}
 }
--- a/internal/releasecontroller/controller.go
+++ b/internal/releasecontroller/controller.go
@@ -27,6 +27,8 @@
 	maxQueuedCalls = 1 << 12                // functions waiting for the loop; each connection has a few
 	maxBatch       = 256                    // functions run before the journal is flushed once for all
 	maxSleep       = 250 * time.Millisecond // longest wait between calls of Advance: the wall clock may be set
+
+	finalWriteTimeout = 1 * time.Second // for replies to be written when the controller ends
 )
 
 // Controller is a running release controller. The goroutine that called Start runs the loop, which ends when the context
@@ -158,16 +160,19 @@
 	return addresses, nil
 }
 
-// shutdown stops the listeners, then closes the connections and the control socket. It runs after the loop has ended.
+// shutdown stops the listeners, then closes the connections and the control socket when the replies that were given to them
+// are written. It runs after the loop has ended.
 func (ctl *Controller) shutdown() {
+	deadline := time.Now().Add(finalWriteTimeout)
 	for _, l := range ctl.listeners {
 		sockets.StopAccepting(l.listener)
 	}
 	for c := range ctl.conns {
+		c.waitSent(deadline)
 		c.close(metrics.ClosedByShutdown, nil)
 	}
 	if ctl.control != nil {
-		ctl.control.close()
+		ctl.control.close(deadline)
 	}
 }
 
--- a/internal/releasecontroller/relayconn.go
+++ b/internal/releasecontroller/relayconn.go
@@ -22,7 +22,8 @@
 	resendInterval      = 5 * time.Second  // between repetitions of an unchanged status, in case a watcher lost a line
 	maxUnsentBytes      = 256 << 10        // protocol: queued bytes at which a connection is closed, as its peer reads too slowly
 	writeTimeout        = 2 * time.Second  // for one write; a peer that reads nothing for this long is disconnected
-	maxCallsInFlight    = 64               // calls of one connection that wait for the loop; a relay has only a few in flight
+	sentCheckInterval   = 2 * time.Millisecond
+	maxCallsInFlight    = 64 // calls of one connection that wait for the loop; a relay has only a few in flight
 )
 
 var errSendQueueFull = errors.New("send queue full: the peer reads too slowly")
@@ -195,6 +196,20 @@
 	}
 }
 
+// waitSent waits until the queued texts are written or the connection has stopped, at most until the deadline.
+func (c *relayConn) waitSent(deadline time.Time) {
+	for c.sending() && time.Now().Before(deadline) {
+		time.Sleep(sentCheckInterval)
+	}
+}
+
+// sending reports whether texts wait to be written or are being written.
+func (c *relayConn) sending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writerRunning && !c.stopped
+}
+
 // dequeue removes and returns the first text of the queue. If there is none, or the connection has stopped, writeQueue ends.
 func (c *relayConn) dequeue() (text string, ok bool) {
 	c.mu.Lock()
