fakes: no process starts while FreePorts tries a port

Cause: FreePorts opens and closes a listener on each port. A process that a parallel test starts meanwhile holds a copy of that socket until it executes its program: the port accepts connections for a moment, WaitListening takes it for the relay, and the next connection is reset. Not a fault of the relay, which had not bound its port yet. Change: FreePorts holds syscall.ForkLock, which starting a process takes too, from listening to closing.

--- a/lab/fakes/fakes_test.go
+++ b/lab/fakes/fakes_test.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -238,3 +241,38 @@
 		}
 	}
 }
+
+// TestFreePortsWhileProcessesStart guards against a port of FreePorts that accepts connections and resets them, because a process
+// that another goroutine is starting holds a copy of the listening socket: WaitListening takes it for the process under test.
+func TestFreePortsWhileProcessesStart(t *testing.T) {
+	const (
+		starters = 4
+		ports    = 2000
+	)
+	var done atomic.Bool
+	var group sync.WaitGroup
+	for range starters {
+		group.Go(func() {
+			for !done.Load() {
+				if err := exec.Command("true").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range ports {
+		addresses, err := FreePorts(1)
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		if conn, err := net.Dial("tcp", addresses[0]); err == nil {
+			t.Errorf("port %s accepts connections", addresses[0])
+			_ = conn.Close()
+			break
+		}
+	}
+	done.Store(true)
+	group.Wait()
+}
--- a/lab/fakes/process.go
+++ b/lab/fakes/process.go
@@ -102,18 +102,26 @@
 		}
 		port := minFreePort + lastFreePort.Add(1)%(maxFreePort-minFreePort)
 		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
+		if canListen(address) {
+			addresses = append(addresses, address)
 		}
-		if err := listener.Close(); err != nil {
-			return nil, err
-		}
-		addresses = append(addresses, address)
 	}
 	return nil, errNoFreePort
 }
 
+// canListen reports whether a listener can be opened at an address. It closes that listener again. No process is started
+// meanwhile: until it executes its program, a child would hold a copy of the listening socket, which would accept connections
+// for a moment after canListen has returned, and reset them.
+func canListen(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return listener.Close() == nil
+}
+
 // WaitListening waits until a process accepts connections on an address. It fails with ErrProcessEnded if the process ends
 // first, and with ErrNotListening after listenTimeout.
 func WaitListening(address string, p *Process) error {
