policy: attempts that wait are revoked when their endpoint restarts or moves

What callers could see: a keyed request runs a second time outside its group, or a cold endpoint gets attempts that were permitted when it was warm. Cause: stillAllowed compared the endpoint's build with that of the attempt, and neither its process nor its zone and failure domain, on which the slow start and the group of idempotency keys rest. For restarts the pool releases waiting attempts already, but not one whose write is under way. Change: an attempt keeps the incarnation of its endpoint; one whose endpoint has restarted or moved is cancelled if it is unsent, and its request routed anew. Test: three more cases of TestConditionsOfWaitingAttempts (a restart, another zone, another failure domain) failed before, pass now.

--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -42,6 +42,7 @@
 	relay.Endpoint
 	startTime    relay.Seconds
 	listed       bool
+	incarnation  int           // number of the process under the id, as far as the list shows
 	removedAt    relay.Seconds // when it was first listed as removed
 	openAttempts int           // attempts of this relay that have not ended
 
@@ -102,6 +103,7 @@
 
 func (e *trackedEndpoint) resetProcessState() {
 	e.listed = true
+	e.incarnation++
 	e.lastFailureEstimate, e.lastLatencyRatio, e.failedFraction, e.faultyAt = 0, 0, 0, 0
 	e.slowStartBudget = e.p.random.Float64()
 	e.slowStartBudgetAt = e.p.now
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -28,6 +28,7 @@
 	zone          relay.Zone
 	failureDomain relay.FailureDomain
 	build         relay.Build
+	incarnation   int // of the endpoint
 	sentAt        relay.Seconds
 	endpointAge   relay.Seconds
 	open          bool
--- a/policy/revocation.go
+++ b/policy/revocation.go
@@ -22,9 +22,18 @@
 // they have been charged.
 func (r *router) stillAllowed(request *trackedRequest, attempt *trackedAttempt) bool {
 	endpoint, canary := attempt.endpoint, &r.p.canary
-	if endpoint.State != relay.Ready || endpoint.Build != attempt.build || r.p.endpoints.leaseExpired() {
+	if endpoint.State != relay.Ready || attempt.endpointReplaced() || r.p.endpoints.leaseExpired() {
 		return false
 	}
 	limitLowered := canary.exposureOf(attempt.build).limit < attempt.exposureLimit
 	return !limitLowered && canary.allows(request, attempt.build)
 }
+
+// endpointReplaced reports whether the endpoint has restarted since the attempt was sent, so that it may be
+// warming, or has moved to where it may not share the record of idempotency keys with those of earlier
+// attempts.
+func (a *trackedAttempt) endpointReplaced() bool {
+	endpoint := a.endpoint
+	moved := endpoint.Zone != a.zone || endpoint.FailureDomain != a.failureDomain
+	return moved || endpoint.incarnation != a.incarnation
+}
--- a/policy/revocation_test.go
+++ b/policy/revocation_test.go
@@ -50,6 +50,9 @@
 		"a drain":                           {list(func(e *relay.Endpoint) { e.State = relay.Draining }), newest, true},
 		"a removal":                         {list(func(e *relay.Endpoint) { e.State = relay.Removed }), newest, true},
 		"another build":                     {list(func(e *relay.Endpoint) { e.Build = 3 }), newest, true},
+		"a restart":                         {list(func(e *relay.Endpoint) { e.StartKnown, e.StartedAt = true, 0.05 }), newest, true},
+		"another zone":                      {list(func(e *relay.Endpoint) { e.Zone = 1 }), newest, true},
+		"another failure domain":            {list(func(e *relay.Endpoint) { e.FailureDomain = 1 }), newest, true},
 		"the same entry":                    {list(func(*relay.Endpoint) {}), newest, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -225,6 +225,7 @@
 		zone:          endpoint.Zone,
 		failureDomain: endpoint.FailureDomain,
 		build:         endpoint.Build,
+		incarnation:   endpoint.incarnation,
 		sentAt:        p.now,
 		endpointAge:   p.now - endpoint.startTime,
 		open:          true,
