membership: after a move of discovery only answers confirm the list, not pending polls

Cause: a watch that was pending for 2 s passed for one that discovery holds. Change: nothing is concluded from how long a poll is pending. The host ends the wait of a watch at the new address 10 ms after the deadline, and the answer confirms the list. A watch that nothing shows to be queued is trusted until 0.5 s after its wait. Short waits get the time-out of other calls, as a queue may be longer than their wait. One more call for each relay and change of the address. The histories that took 2 s as proof and TestWatchIsProvedInTime held the assumption that is wrong; in their place stand the same histories with the waits that the host gives, TestHostLearnsWhenTheListHasToBeConfirmed and TestWatchEndsWhenTheListHasToBeConfirmed. The discovery of the tests in cmd/lichenroad now ends the wait of a watch, as the protocol says.

--- a/cmd/lichenroad/fakes_test.go
+++ b/cmd/lichenroad/fakes_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,10 +167,20 @@
 	entries []map[string]any
 	changed chan struct{}
 	down    bool
-	queued  time.Duration // how long calls wait before they fail; 0: they do not fail
+	queue   func(call int) queueing // how calls wait for their turn; nil: they do not wait
+	calls   int
 	srv     *httptest.Server
 }
 
+// queueing is how a call waits for its turn: for a time, after which it is processed or fails.
+type queueing struct {
+	wait  time.Duration
+	fails bool
+}
+
+// allCalls returns a queue that treats all calls alike.
+func allCalls(q queueing) func(int) queueing { return func(int) queueing { return q } }
+
 func newFakeDiscovery(t *testing.T, endpoints ...*fakeEndpoint) *fakeDiscovery {
 	f := &fakeDiscovery{version: 1, changed: make(chan struct{})}
 	for i, endpoint := range endpoints {
@@ -205,23 +216,18 @@
 }
 
 func (f *fakeDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.mu.Lock()
-	changed, down, queued := f.changed, f.down, f.queued
-	same := r.FormValue("after") == fmt.Sprint(f.version)
-	f.mu.Unlock()
-	if queued > 0 {
-		select {
-		case <-time.After(queued):
-		case <-r.Context().Done():
-		}
-	}
-	if down || queued > 0 {
+	if !f.awaitTurn(r) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if same && r.FormValue("wait_ms") != "0" {
+	f.mu.Lock()
+	changed := f.changed
+	same := r.FormValue("after") == fmt.Sprint(f.version)
+	f.mu.Unlock()
+	if wait, _ := strconv.Atoi(r.FormValue("wait_ms")); same && wait > 0 {
 		select {
 		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
 		case <-r.Context().Done():
 			return
 		}
@@ -229,6 +235,22 @@
 	io.WriteString(w, f.list())
 }
 
+// awaitTurn waits for the turn of a call, and reports whether it is processed.
+func (f *fakeDiscovery) awaitTurn(r *http.Request) bool {
+	f.mu.Lock()
+	down, turn := f.down, queueing{}
+	if f.queue != nil {
+		turn = f.queue(f.calls)
+	}
+	f.calls++
+	f.mu.Unlock()
+	select {
+	case <-time.After(turn.wait):
+	case <-r.Context().Done():
+	}
+	return !down && !turn.fails
+}
+
 const testSettings = `{"areas":["a"],"kinds":["m1"],"az":0,"my_number":0,"replicas_of_me":1,"discovery":"subscribe",
  "grades":[{"name":"look","repeat":"retryable","target":400000000,"deadline":2000000000,"worth":1},
   {"name":"order","repeat":"dedup","group":"all","repeat_window":2000000000,"target":400000000,"deadline":2000000000,"worth":1},
--- a/cmd/lichenroad/relocation_test.go
+++ b/cmd/lichenroad/relocation_test.go
@@ -20,7 +20,16 @@
 		served bool // at the end
 		drains bool // the relay must stop sending to the endpoint that drains
 	}{
-		"busy":  {func(next *fakeDiscovery) { next.queued = 2 * time.Second }, false, true},
+		"busy": {func(next *fakeDiscovery) { next.queue = allCalls(queueing{2 * time.Second, true}) }, false, true},
+		"slow": {func(next *fakeDiscovery) { next.queue = allCalls(queueing{wait: time.Second}) }, true, true},
+		"slow, then busy": {func(next *fakeDiscovery) {
+			next.queue = func(call int) queueing {
+				if call == 0 {
+					return queueing{wait: 1900 * time.Millisecond} // its list is of before the drain
+				}
+				return queueing{2050 * time.Millisecond, true}
+			}
+		}, false, true},
 		"down":  {func(next *fakeDiscovery) { next.srv.Listener.Close() }, true, false},
 		"fails": {func(next *fakeDiscovery) { next.down = true }, true, false},
 		"up":    {func(*fakeDiscovery) {}, true, true},
--- a/internal/discovery/address.go
+++ b/internal/discovery/address.go
@@ -19,6 +19,7 @@
 	c.previous, c.previousClosing = c.current, false
 	c.current = c.newServer(address)
 	c.membership.step(membership.AddressChanged{At: toldAt})
+	c.current.schedule.confirmAfter(c.membership.unconfirmedAfter)
 	c.current.start()
 	if c.watchWanted {
 		c.Watch(true, false)
--- a/internal/discovery/drain_simulation_test.go
+++ b/internal/discovery/drain_simulation_test.go
@@ -235,7 +235,7 @@
 
 func (d *drainSimulation) newPoll(schedule *pollSchedule) *simulatedPoll {
 	return &simulatedPoll{
-		poll:         schedule.nextPoll(),
+		poll:         schedule.nextPoll(d.now),
 		startedAt:    d.now,
 		afterVersion: int(schedule.generation),
 		answeredAt:   never(),
--- a/internal/discovery/fleet_relay_test.go
+++ b/internal/discovery/fleet_relay_test.go
@@ -128,7 +128,7 @@
 }
 
 func (r *fleetRelay) startPoll() {
-	next := r.schedule.nextPoll()
+	next := r.schedule.nextPoll(r.fleet.now)
 	poll := &fleetPoll{poll: next, from: r, startedAt: r.fleet.now, afterGeneration: r.schedule.generation}
 	r.poll = poll
 	r.stepMembership(membership.PollStarted{Wait: poll.wait.Seconds(), ContinuesWatch: poll.continues})
--- a/internal/discovery/membership.go
+++ b/internal/discovery/membership.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"lichenroad/internal/metrics"
@@ -22,7 +24,7 @@
 	timerAt relay.Seconds // time of the earliest timer that is set; membership.Never: none
 	lease   relay.Seconds // lease of which the decision module was last notified
 
-	unconfirmed bool // the list is still to be confirmed after a change of the address
+	unconfirmedAfter []relay.Seconds // times after which the list has to be confirmed, after a change of the address
 }
 
 func newMembershipHost(c *Client, seed int64) *membershipHost {
@@ -66,17 +68,20 @@
 		m.loop.AddEvent(relay.DiscoveryRecovered{})
 	}
 	m.setTimer(output.TimerAt)
-	m.logConfirmation(now, output)
+	m.setUnconfirmed(now, output)
 }
 
-// logConfirmation logs when the list has to be confirmed after a change of the address, and when it has been.
-func (m *membershipHost) logConfirmation(now relay.Seconds, output membership.Output) {
-	if output.Unconfirmed == m.unconfirmed {
+// setUnconfirmed keeps the times after which the list has to be confirmed after a change of the address. It logs when there are
+// any, and when there are none any more.
+func (m *membershipHost) setUnconfirmed(now relay.Seconds, output membership.Output) {
+	wasUnconfirmed := len(m.unconfirmedAfter) > 0
+	m.unconfirmedAfter = slices.Clone(output.UnconfirmedAfter)
+	unconfirmed := len(m.unconfirmedAfter) > 0
+	if unconfirmed == wasUnconfirmed {
 		return
 	}
-	m.unconfirmed = output.Unconfirmed
 	entry := m.loop.Log.WithFields(logrus.Fields{"peer": string(metrics.PeerDiscovery), "lease": output.LeaseExpiresAt - now})
-	if m.unconfirmed {
+	if unconfirmed {
 		entry.Info("address of discovery changed, the list has to be confirmed")
 	} else {
 		entry.Info("list confirmed after the change of the address")
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -69,32 +69,49 @@
 	generation  int64         // generation of the current list, or noGeneration
 	backoff     time.Duration // upper bound of the last random retry delay; 0: no failure since the last answer
 	established bool          // the last poll of the watch was answered, so the next one continues the watch
+
+	confirmTimes []relay.Seconds // ascending: times after which an answer is needed soon
 }
 
 func newPollSchedule(seed int64, settings pollSettings) *pollSchedule {
 	return &pollSchedule{settings: settings, random: rand.New(rand.NewSource(seed)), generation: noGeneration}
 }
 
+// confirmAfter ends the wait of polls at the given times, in ascending order, so that an answer comes soon after each.
+func (s *pollSchedule) confirmAfter(times []relay.Seconds) { s.confirmTimes = times }
+
 // nextPoll returns the next poll of the watch. The first poll does not wait: even an empty answer to it confirms the list
-// for this relay and its peers. The wait of later polls is random, so that relays whose watches stall at the same time do
-// not all detect the stall and poll again at the same time.
-func (s *pollSchedule) nextPoll() poll {
+// for this relay and its peers.
+func (s *pollSchedule) nextPoll(now relay.Seconds) poll {
 	if s.generation < 0 {
 		return s.fullListPoll()
 	}
 	if !s.established {
 		return poll{path: changesPath(s.generation, 0), timeout: s.settings.immediateAnswerTimeout}
 	}
-	part := limits.MinWatchFraction + (1-limits.MinWatchFraction)*s.random.Float64()
-	wait := time.Duration(part * float64(s.settings.maxWatchWait))
+	wait := s.watchWait(now)
 	return poll{
 		path:      changesPath(s.generation, wait),
 		wait:      wait,
-		timeout:   wait + s.settings.answerGrace,
+		timeout:   max(wait+s.settings.answerGrace, s.settings.immediateAnswerTimeout),
 		continues: true,
 	}
 }
 
+// watchWait returns the wait of a poll that continues the watch. It is random, so that relays whose watches stall at the same
+// time do not all detect the stall and poll again at the same time, and ends at the next of confirmTimes.
+func (s *pollSchedule) watchWait(now relay.Seconds) time.Duration {
+	part := limits.MinWatchFraction + (1-limits.MinWatchFraction)*s.random.Float64()
+	wait := time.Duration(part * float64(s.settings.maxWatchWait))
+	for _, at := range s.confirmTimes {
+		if at > now {
+			untilConfirmed := time.Duration((at-now)*float64(time.Second)) + limits.WatchEndMargin
+			return min(wait, untilConfirmed)
+		}
+	}
+	return wait
+}
+
 // fullListPoll returns a poll for the full list. It does not wait.
 func (s *pollSchedule) fullListPoll() poll {
 	return poll{path: listPath, timeout: s.settings.immediateAnswerTimeout}
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lichenroad/internal/limits"
+	"lichenroad/membership"
 	"lichenroad/relay"
 )
 
@@ -21,11 +22,11 @@
 	const timeToRetry = 1500 * time.Millisecond // 1 s for a retry that fails, and 0.5 s for the next one
 	for seed := range int64(1000) {
 		schedule := newPollSchedule(seed, newPollSettings(false, 0.25))
-		if first := schedule.nextPoll(); first.path != listPath || first.wait != 0 || notifiedBy(first)-first.timeout < timeToRetry {
+		if first := schedule.nextPoll(0); first.path != listPath || first.wait != 0 || notifiedBy(first)-first.timeout < timeToRetry {
 			t.Fatalf("the first poll should fetch the full list without a wait and time out early enough: %+v", first)
 		}
 		schedule.accept(List{Generation: 7, Full: true}, watchCommanded)
-		next := schedule.nextPoll()
+		next := schedule.nextPoll(0)
 		if next.path != fmt.Sprintf("%s?after=7&wait_ms=%d", listPath, next.wait.Milliseconds()) {
 			t.Fatalf("the second poll should fetch the changes after generation 7: %+v", next)
 		}
@@ -39,6 +40,33 @@
 	}
 }
 
+// TestWatchEndsWhenTheListHasToBeConfirmed guards against a relay that rejects requests until the end of a long watch, although
+// discovery would confirm its list at once: after a change of the address only an answer after a given time counts.
+func TestWatchEndsWhenTheListHasToBeConfirmed(t *testing.T) {
+	const first, second = relay.Seconds(23.75), relay.Seconds(25.75)
+	for _, c := range []struct{ now, want relay.Seconds }{
+		{20, first}, {23.5, first}, {23.7499, first}, {23.75, second}, {24, second}, {25.749, second}, {25.75, membership.Never}, {30, membership.Never},
+	} {
+		schedule := newPollSchedule(1, newPollSettings(false, 0.25))
+		schedule.confirmAfter([]relay.Seconds{first, second})
+		schedule.accept(List{Generation: 7, Full: true}, watchCommanded)
+		next := schedule.nextPoll(c.now)
+		ends := c.now + next.wait.Seconds()
+		if c.want == membership.Never {
+			if next.wait < limits.MaxWatchTime/2 {
+				t.Errorf("at %v: the poll waits %v, though nothing has to be confirmed", c.now, next.wait)
+			}
+			continue
+		}
+		if ends <= c.want || ends > c.want+0.02 {
+			t.Errorf("at %v: the wait ends at %v, want soon after %v", c.now, ends, c.want)
+		}
+		if next.timeout < limits.PollResponseTimeout || notifiedBy(next)-next.timeout < 1500*time.Millisecond {
+			t.Errorf("at %v: a poll with wait %v times out after %v", c.now, next.wait, next.timeout)
+		}
+	}
+}
+
 // TestFleetSpreadsItsPollsAfterAStall lets the watches of 350 relays, which started at the same time, stall together. The
 // relays must not all poll again at the same time.
 func TestFleetSpreadsItsPollsAfterAStall(t *testing.T) {
@@ -47,7 +75,7 @@
 	for seed := range int64(350) {
 		schedule := newPollSchedule(seed, newPollSettings(false, 0.25))
 		schedule.generation, schedule.established = 1, true
-		detectedAt = append(detectedAt, schedule.nextPoll().timeout)
+		detectedAt = append(detectedAt, schedule.nextPoll(0).timeout)
 	}
 	sort.Slice(detectedAt, func(i, j int) bool { return detectedAt[i] < detectedAt[j] })
 	mostPerSecond := 0
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -69,7 +69,7 @@
 func (s *server) startPoll() poll {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := s.schedule.nextPoll()
+	next := s.schedule.nextPoll(s.client.loop.Clock.Now())
 	s.client.loop.Post(pollStartEvent{s, next})
 	return next
 }
--- a/internal/limits/discovery.go
+++ b/internal/limits/discovery.go
@@ -18,6 +18,10 @@
 	// WatchResponseTimeout is how long a response may take beyond the watch's wait. Three quarters of the 2 s remain.
 	WatchResponseTimeout = 500 * time.Millisecond
 
+	// WatchEndMargin is how long after the time for which an answer is needed the wait of a watch ends: answers that come before
+	// that time do not count.
+	WatchEndMargin = 10 * time.Millisecond
+
 	// PollResponseTimeout is how long the response to a call that does not wait may take. A third of the 6 s remains.
 	PollResponseTimeout = 4 * time.Second
 
--- a/membership/event.go
+++ b/membership/event.go
@@ -87,7 +87,7 @@
 
 // applyTo makes the list unconfirmed. A watch that was held so far confirms it once more.
 func (e AddressChanged) applyTo(n *Node) {
-	if n.watchHeldSince(0) && !n.relocation.busy {
+	if n.watchPending() && !n.relocation.busy {
 		n.confirmedAt = later(n.confirmedAt, math.Min(e.At, n.now))
 	}
 	n.poll = pollState{}
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -34,7 +34,7 @@
 	if n.confirmedAt != Never {
 		expiry = n.confirmationExpiry(n.confirmedAt)
 	}
-	if n.watchHeldSince(0) {
+	if n.watchPending() {
 		watchExpiry := n.poll.startedAt + math.Max(maxNotifyDelay, n.poll.wait+maxNotifyDelayAfterWait) - leaseMargin
 		expiry = math.Max(expiry, watchExpiry)
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,7 +35,7 @@
 	LeaseExpiresAt     relay.Seconds      // until when the list may be used; 0: the list is not confirmed yet
 	TimerAt            relay.Seconds      // when the host must send a TimerFired event; Never: no timer
 	DiscoveryRecovered bool               // discovery has answered a peer again after polls had failed
-	Unconfirmed        bool               // the list is still to be confirmed after a change of discovery's address
+	UnconfirmedAfter   []relay.Seconds    // after a change of discovery's address: times after which it has to confirm the list
 }
 
 // Node implements the membership protocol for one relay. It is not safe for concurrent use.
@@ -104,7 +104,7 @@
 	event.applyTo(n)
 	n.sendDue()
 	n.output.LeaseExpiresAt = n.leaseExpiry()
-	n.output.TimerAt = math.Min(n.gossip.nextTimer(), n.relocationTimer())
-	n.output.Unconfirmed = n.relocation.pending()
+	n.output.TimerAt = n.gossip.nextTimer()
+	n.output.UnconfirmedAfter = n.relocation.deadlines
 	return n.output
 }
--- a/membership/relocation.go
+++ b/membership/relocation.go
@@ -12,16 +12,14 @@
 	// relocationNotifyDelay is the time from a change of discovery's address until the relay counts as notified of all that
 	// discovery has, whether or not it has received it.
 	relocationNotifyDelay = 4.0
-	// maxQueueTime is how long a busy discovery keeps a poll in its queue before it fails it. A poll that has been pending for
-	// longer is held: discovery had nothing newer when it processed it, and answers it at the next change.
-	maxQueueTime = 2.0
-	// promptAnswerTime is the longest time that discovery needs for a poll that does not wait while it is not busy.
+	// promptAnswerTime is the longest time that discovery needs for a poll, beyond the poll's wait, while it is not busy.
 	promptAnswerTime = 0.5
 )
 
 // relocation is what a node knows about discovery since its address changed. Discovery may be busy at the new address, as all
-// relays poll it at the same time, and a poll that fails after a wait does not tell whether it is busy or down. Until discovery
-// confirms the list after a deadline, only an outage that is certain lets the list be used beyond it.
+// relays poll it at the same time: a poll that is pending may wait in a queue of unknown length, and one that fails after a wait
+// does not tell whether discovery is busy or down. So a list is confirmed by an answer after the deadline, for which the host ends
+// the wait of its poll there. Otherwise only an outage that is certain lets the list be used for longer.
 type relocation struct {
 	deadlines     []relay.Seconds // ascending: ends of the lease until discovery confirms the list after them
 	busy          bool            // a poll at the present address was slow, or has failed after a wait
@@ -45,10 +43,17 @@
 	r.deadlines = slices.DeleteFunc(r.deadlines, func(deadline relay.Seconds) bool { return at != Never && deadline <= at })
 }
 
-// pollAnswered records how long discovery took for a poll.
+// pollAnswered records whether discovery is busy, as far as the time of an answer tells: one that comes early in the poll's wait
+// may be due to a change.
 func (r *relocation) pollAnswered(poll pollState, now relay.Seconds) {
-	if poll.pending && poll.wait == 0 {
-		r.busy = now-poll.startedAt > promptAnswerTime
+	if !poll.pending {
+		return
+	}
+	switch elapsed := now - poll.startedAt; {
+	case elapsed <= promptAnswerTime:
+		r.busy = false
+	case elapsed > poll.wait+promptAnswerTime:
+		r.busy = true
 	}
 }
 
@@ -65,20 +70,18 @@
 func (n *Node) limitLease(expiry relay.Seconds) relay.Seconds {
 	r := &n.relocation
 	r.confirmed(n.answeredAt)
-	if n.watchHeldSince(maxQueueTime) {
-		r.confirmed(n.now)
-	}
-	watchTrusted := n.watchHeldSince(0) && (!r.busy || n.watchHeldSince(maxQueueTime))
-	if !r.pending() || watchTrusted {
+	if !r.pending() {
 		return expiry
 	}
-	return math.Min(expiry, math.Max(r.deadlines[0], n.outageExpiry()))
+	limit := math.Max(r.deadlines[0], n.outageExpiry())
+	if n.watchPending() && !r.busy {
+		limit = math.Max(limit, n.poll.startedAt+n.poll.wait+promptAnswerTime)
+	}
+	return math.Min(expiry, limit)
 }
 
-// watchHeldSince reports whether a poll that continues the watch has been pending for a time.
-func (n *Node) watchHeldSince(duration relay.Seconds) bool {
-	return n.poll.pending && n.poll.continuesWatch && n.now-n.poll.startedAt >= duration
-}
+// watchPending reports whether a poll that continues the watch is pending.
+func (n *Node) watchPending() bool { return n.poll.pending && n.poll.continuesWatch }
 
 // outageExpiry returns until when the list may be used because discovery could not be reached at its present address, or 0. A
 // change counts as notified only so long after discovery had it and could be reached.
@@ -92,12 +95,3 @@
 	}
 	return n.confirmationExpiry(r.outageAt)
 }
-
-// relocationTimer returns when a pending poll shows that it is held, if the end of the lease may depend on that, or Never.
-func (n *Node) relocationTimer() relay.Seconds {
-	heldAt := n.poll.startedAt + maxQueueTime
-	if !n.relocation.pending() || !n.watchHeldSince(0) || heldAt <= n.now {
-		return Never
-	}
-	return heldAt
-}
--- a/membership/relocation_test.go
+++ b/membership/relocation_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 
 	"lichenroad/relay"
@@ -12,6 +13,7 @@
 	changedAt      = relay.Seconds(20)
 	changeDeadline = changedAt + relocationNotifyDelay - leaseMargin
 	heldWatchWait  = 25.0
+	margin         = 0.01 // from the deadline to the end of the wait that the host gives a watch before it
 )
 
 // timedEvent is an event with its time.
@@ -34,6 +36,10 @@
 	const held = heldWatchWait + maxNotifyDelayAfterWait - leaseMargin // lease from the start of a watch that is trusted
 	same := fullList(5, 1, 2)
 	first, watch := PollStarted{}, PollStarted{Wait: heldWatchWait, ContinuesWatch: true}
+	until := func(deadline, now relay.Seconds) Event { // a watch that the host starts before a deadline
+		return PollStarted{Wait: deadline + margin - now, ContinuesWatch: true}
+	}
+	const trusted = changeDeadline + margin + promptAnswerTime // end of the lease while such a watch is pending
 	busy, stalled, refused := PollFailed{}, PollFailed{Stalled: true}, PollFailed{Unreachable: true}
 	peer := func(answeredAt relay.Seconds) Event {
 		return MessageReceived{1, heartbeat(versionOf(same), answeredAt, Never)}
@@ -48,13 +54,21 @@
 		"busy, again":                      {1, []timedEvent{{20, first}, {22, busy}, {23, first}, {25, busy}}, changeDeadline},
 		"stalled":                          {1, []timedEvent{{20, first}, {24, stalled}}, changeDeadline},
 		"spoilt answer":                    {1, []timedEvent{{20, first}, {20.01, PollFailed{Unreadable: true}}}, changeDeadline},
-		"answered, watch held":             {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, watch}}, 20.01 + held},
-		"the same, past the deadline":      {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, watch}, {26, TimerFired{}}}, 20.01 + held},
-		"the same, with a change":          {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, watch}, {23, PollAnswered{same}}, {23, watch}, {23.8, TimerFired{}}}, 23 + held},
-		"answered, watch fails in a queue": {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, watch}, {21.5, busy}}, changeDeadline},
-		"the same, past the deadline 2":    {1, []timedEvent{{20, first}, {22, PollAnswered{same}}, {22, watch}, {24, busy}}, changeDeadline},
-		"slow answer":                      {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, watch}}, changeDeadline},
-		"slow answer, watch proved":        {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, watch}, {23.9, TimerFired{}}}, 21.9 + held},
+		"answered, watch pending":          {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}}, trusted},
+		"the same, answer overdue":         {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}, {25, TimerFired{}}}, trusted},
+		"the same, confirmed":              {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}, {23.76, PollAnswered{same}}}, 23.76 + leaseTime},
+		"the same, watch goes on":          {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}, {23.76, PollAnswered{same}}, {23.76, watch}, {26, TimerFired{}}}, 23.76 + held},
+		"the same, with a change":          {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}, {23, PollAnswered{same}}, {23, until(changeDeadline, 23)}, {23.7, TimerFired{}}}, trusted},
+		"answered, watch fails in a queue": {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}, {20.01, until(changeDeadline, 20.01)}, {21.5, busy}}, changeDeadline},
+		"the same, past the deadline":      {1, []timedEvent{{20, first}, {22, PollAnswered{same}}, {22, until(changeDeadline, 22)}, {24, busy}}, changeDeadline},
+		"slow answer":                      {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}}, changeDeadline},
+		"slow answer, queue of 2 s":        {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}, {23.9, TimerFired{}}, {23.93, busy}}, changeDeadline},
+		"slower answer, queue of 3 s":      {1, []timedEvent{{20, first}, {22.5, PollAnswered{same}}, {22.5, until(changeDeadline, 22.5)}, {25.4, TimerFired{}}, {25.53, busy}}, changeDeadline},
+		"busy, queue of 3 s":               {1, []timedEvent{{20, first}, {23, busy}, {23, first}, {23.7, PollAnswered{same}}, {23.7, until(changeDeadline, 23.7)}, {26.6, TimerFired{}}, {26.73, busy}}, changeDeadline},
+		"slow answer, watch confirms":      {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}, {23.76, PollAnswered{same}}}, 23.76 + leaseTime},
+		"slow answer, watch answered late": {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}, {25.5, PollAnswered{same}}, {25.5, watch}}, 25.5 + held},
+		"slow answer, early change":        {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}, {23, PollAnswered{same}}, {23, until(changeDeadline, 23)}}, changeDeadline},
+		"slow answer, then a prompt one":   {1, []timedEvent{{20, first}, {21.9, PollAnswered{same}}, {21.9, until(changeDeadline, 21.9)}, {22, PollAnswered{same}}, {22, until(changeDeadline, 22)}}, trusted},
 		"answered after the deadline":      {1, []timedEvent{{20, first}, {22, busy}, {24, first}, {24.5, PollAnswered{same}}}, 24.5 + leaseTime},
 		"answered before it, no watch":     {1, []timedEvent{{20, first}, {20.01, PollAnswered{same}}}, changeDeadline},
 		"old address answers":              {1, []timedEvent{{20, first}, {21, PreviousAddressAnswered{same}}}, changeDeadline},
@@ -90,8 +104,8 @@
 func TestChangeOfTheAddressGrantsNoLease(t *testing.T) {
 	n := New(testSettings(0, 1), 1)
 	n.Step(15, PollAnswered{fullList(5, 1, 2)})
-	if out := n.Step(changedAt, AddressChanged{changedAt}); out.LeaseExpiresAt != 15+leaseTime || !out.Unconfirmed {
-		t.Errorf("lease until %v, unconfirmed %v", out.LeaseExpiresAt, out.Unconfirmed)
+	if out := n.Step(changedAt, AddressChanged{changedAt}); out.LeaseExpiresAt != 15+leaseTime || len(out.UnconfirmedAfter) != 1 {
+		t.Errorf("lease until %v, unconfirmed after %v", out.LeaseExpiresAt, out.UnconfirmedAfter)
 	}
 	n = New(testSettings(0, 1), 1)
 	if out := n.Step(changedAt, AddressChanged{changedAt}); out.LeaseExpiresAt != 0 {
@@ -99,19 +113,27 @@
 	}
 }
 
-// TestWatchIsProvedInTime guards against a lease that stays ended although the watch has been held for longer than a busy discovery
-// queues polls: the host must be asked to step the node then.
-func TestWatchIsProvedInTime(t *testing.T) {
+// TestHostLearnsWhenTheListHasToBeConfirmed guards against a host that does not end the wait of its polls at the deadlines, or
+// that goes on with that when the list is confirmed.
+func TestHostLearnsWhenTheListHasToBeConfirmed(t *testing.T) {
 	n := nodeWithWatch(1)
-	n.Step(changedAt, AddressChanged{changedAt})
-	n.Step(20, PollStarted{})
-	n.Step(23, PollAnswered{fullList(5, 1, 2)})
-	out := n.Step(23, PollStarted{Wait: heldWatchWait, ContinuesWatch: true})
-	if out.TimerAt != 23+maxQueueTime || out.LeaseExpiresAt != changeDeadline {
-		t.Errorf("timer at %v, lease until %v", out.TimerAt, out.LeaseExpiresAt)
-	}
-	if out = n.Step(23+maxQueueTime, TimerFired{}); out.Unconfirmed || out.LeaseExpiresAt < 40 {
-		t.Errorf("unconfirmed %v, lease until %v", out.Unconfirmed, out.LeaseExpiresAt)
+	for _, step := range []struct {
+		at    relay.Seconds
+		event Event
+		want  []relay.Seconds
+	}{
+		{15, TimerFired{}, nil},
+		{changedAt, AddressChanged{changedAt}, []relay.Seconds{changeDeadline}},
+		{22, AddressChanged{22}, []relay.Seconds{changeDeadline, changeDeadline + 2}},
+		{22, PollStarted{}, []relay.Seconds{changeDeadline, changeDeadline + 2}},
+		{23, PollAnswered{fullList(5, 1, 2)}, []relay.Seconds{changeDeadline, changeDeadline + 2}},
+		{23, PollStarted{Wait: 0.76, ContinuesWatch: true}, []relay.Seconds{changeDeadline, changeDeadline + 2}},
+		{23.76, PollAnswered{fullList(5, 1, 2)}, []relay.Seconds{changeDeadline + 2}},
+		{25.76, PollAnswered{fullList(5, 1, 2)}, nil},
+	} {
+		if out := n.Step(step.at, step.event); !slices.Equal(out.UnconfirmedAfter, step.want) {
+			t.Errorf("at %v: to be confirmed after %v, want %v", step.at, out.UnconfirmedAfter, step.want)
+		}
 	}
 }
 
