membership: times of a peer whose clock is ahead confirm no list

What callers could see: requests sent by a list that nobody had confirmed for long, to endpoints that drain. Relays tell one another the Unix time of discovery's last answer. After the wall clock was stepped, a relay that starts has a clock ahead of the others', and its times, limited to the present, confirmed the list with each heartbeat. Change: while a peer's times lie more than the lease's margin in the future, and for 60 s after, they count as unknown. Its lists, deltas and contact count as before. Counter peer_clocks_ahead. The wire format is unchanged. TestTimesInTheFutureAreClampedToNow asked for the fault, that any time in the future confirms the list; TestTimesFarInTheFutureConfirmNothing asks for no lease in its place. Open: a step of seconds is found out only by a younger answer.

--- a/internal/discovery/membership.go
+++ b/internal/discovery/membership.go
@@ -131,9 +131,9 @@
 // MembershipMessage handles a membership message from another relay. It is called on the loop.
 func (c *Client) MembershipMessage(from relay.ID, body []byte) {
 	node := c.membership.node
-	unreadable := node.Counters().Unreadable
+	before := node.Counters()
 	c.membership.step(membership.MessageReceived{From: from, Body: body})
-	if node.Counters().Unreadable > unreadable {
-		c.loop.Metrics.Add(metrics.BadInput, 1)
-	}
+	after := node.Counters()
+	c.loop.Metrics.Add(metrics.BadInput, int64(after.Unreadable-before.Unreadable))
+	c.loop.Metrics.Add(metrics.PeerClocksAhead, int64(after.ClockAhead-before.ClockAhead))
 }
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -66,6 +66,7 @@
 	DiscoveryFailed
 	DiscoveryStalled        // calls that failed because no response arrived in time
 	EndpointsRemovedByPeers // removals that a peer reported before discovery did
+	PeerClocksAhead         // messages whose times were not used, as the clock of the peer is ahead
 
 	// Bad input and the program's own limits.
 	BadInput
@@ -118,6 +119,7 @@
 	DiscoveryFailed:         "discovery_failed",
 	DiscoveryStalled:        "discovery_stalled",
 	EndpointsRemovedByPeers: "endpoints_removed_by_peers",
+	PeerClocksAhead:         "peer_clocks_ahead",
 	BadInput:                "bad_input",
 	DuplicateIDs:            "duplicate_ids",
 	ConnLimitReached:        "bound_conns",
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -25,7 +25,7 @@
 	Relays       int           // in the fleet, this one included
 	PeerMessages bool          // relays may send each other datagrams
 	PollInterval relay.Seconds // how long a relay without a watch may use its list after a poll; 0: unlimited
-	Epoch        relay.Seconds // Unix time of the node's time zero; the clocks of all relays must be synchronized
+	Epoch        relay.Seconds // Unix time of the node's time zero; the clocks of all relays should be synchronized
 }
 
 // Output is what the host must do after a step.
@@ -60,7 +60,9 @@
 	relocation relocation
 	gossip     gossip
 	assemblies map[relay.ID]*assembly
-	counters   Counters
+
+	clockAheadAt map[relay.ID]relay.Seconds // by peer, when a time of its last lay in the future
+	counters     Counters
 }
 
 // Counters counts the messages that a node has received and sent since its start.
@@ -69,6 +71,7 @@
 	Deltas     int // datagrams of deltas sent
 	Received   int // messages accepted
 	Unreadable int // messages dropped because they were malformed or came from this relay itself
+	ClockAhead int // messages whose times were not used, as the clock of the sender is ahead
 	Conflicts  int // messages with the same generation as this node, but a different digest
 }
 
@@ -89,6 +92,7 @@
 		newestGeneration: noGeneration,
 		gossip:           newGossip(),
 		assemblies:       map[relay.ID]*assembly{},
+		clockAheadAt:     map[relay.ID]relay.Seconds{},
 		relocation:       newRelocation(),
 	}
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -367,11 +367,16 @@
 	}
 }
 
-func TestTimesInTheFutureAreClampedToNow(t *testing.T) {
-	n := newRestartedNode()
-	out := n.Step(10.5, MessageReceived{1, heartbeat(n.version, 1e9, 2e9)})
-	wantLease(t, out.LeaseExpiresAt, 10.5+leaseTime)
-	n = newRestartedNode()
-	out = n.Step(10.5, MessageReceived{1, message{version: n.version, answeredAt: math.MaxInt64}.encode()})
-	wantLease(t, out.LeaseExpiresAt, 10.5+leaseTime)
+// TestTimesFarInTheFutureConfirmNothing guards against a list that a time confirms whatever it is, if it only lies in the future.
+func TestTimesFarInTheFutureConfirmNothing(t *testing.T) {
+	for _, m := range []message{
+		{answeredAt: wireTime(1e9), failedPollAt: wireTime(2e9)},
+		{answeredAt: math.MaxInt64},
+		{answeredAt: wireTime(10.2), failedPollAt: math.MaxInt64},
+	} {
+		n := newRestartedNode()
+		m.version = n.version
+		out := n.Step(10.5, MessageReceived{1, m.encode()})
+		wantLease(t, out.LeaseExpiresAt, 0)
+	}
 }
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -21,9 +21,9 @@
 	}
 	n.counters.Received++
 	n.recordContact()
-	answeredAt := n.timeFromWire(m.answeredAt)
+	answeredAt, failedPollAt := n.timesFromPeer(event.From, m)
 	n.recordDiscoveryAnswer(answeredAt)
-	n.failedPollAt = later(n.failedPollAt, n.timeFromWire(m.failedPollAt))
+	n.failedPollAt = later(n.failedPollAt, failedPollAt)
 	n.newestGeneration = max(n.newestGeneration, m.version.generation)
 	switch {
 	case m.version == n.version:
