platform: one owner orders the statuses of several connections

Cause: the reply to a vote and the notices of the watch come on two connections, whose order is lost as soon as both have input, and nothing owned that order: the module applied each status as it came. The guard had another rule, which refused an undone rollback for good.

Change: rollout.StatusOrder is the one owner, with one instance for each platform client. It goes by the order of each connection, by calls that were sent after a status was received, and by the direction of a rollout. The connection for votes requests a watch first, so that replies stand in order with notices. What has no known order, or goes backward, is applied when the platform has repeated it; a lower limit holds meanwhile.

--- a/cmd/lichenroad/serve.go
+++ b/cmd/lichenroad/serve.go
@@ -126,7 +126,7 @@
 	} else {
 		log.WithField("peer", "discovery").WithError(err).Warn("no endpoint list at start")
 	}
-	loop.Post(pipeline.Func(func(l *pipeline.Loop) { l.RolloutStatusReceived(c.RolloutStatus) }))
+	platformClient.SetInitialStatus(c.RolloutStatus)
 	discoveryClient.Start()
 	platformClient.Start()
 	if p.guard != nil {
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -11,6 +11,7 @@
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/readahead"
+	"lichenroad/rollout"
 )
 
 var (
@@ -30,7 +31,9 @@
 	splitter   linewire.Splitter
 	lines      []string // received, but not returned by nextLine yet
 	openedAt   time.Time
-	callsSent  int // logged by close; in a voteConn guarded by its mu
+	source     rollout.StatusSource
+	watchAfter rollout.StatusVersion // present status when the watch was requested: its notices are later
+	callsSent  int                   // logged by close; in a voteConn guarded by its mu
 }
 
 // dial opens a connection. It logs and counts failures itself.
@@ -42,7 +45,24 @@
 		return nil, err
 	}
 	_ = connection.SetWriteTimeout(c.timeout) // always returns nil
-	return &lineConn{client: c, address: address, connection: connection, openedAt: time.Now()}, nil
+	source := rollout.StatusSource(c.lastSource.Add(1))
+	return &lineConn{client: c, address: address, connection: connection, openedAt: time.Now(), source: source}, nil
+}
+
+// requestWatch writes the request for a watch.
+func (c *lineConn) requestWatch() error {
+	c.callsSent++
+	c.watchAfter = c.client.statusVersion()
+	_, err := c.connection.Write([]byte(linewire.WatchLine))
+	return err
+}
+
+// handleNotice reports a line that the platform sent without a request. Notices without a status, such as keep-alives, are
+// only reported if OnStatus is set.
+func (c *lineConn) handleNotice(reply linewire.Reply) {
+	if reply.Status.Valid || c.client.OnStatus != nil {
+		c.client.reportStatus(statusOrigin{conn: c, after: c.watchAfter}, reply.Status)
+	}
 }
 
 // close closes the connection and logs the reason.
@@ -56,6 +76,7 @@
 		Requests: c.callsSent,
 	}
 	end.Log(c.client.loop.Log)
+	c.client.connectionClosed(c.source)
 }
 
 // nextLine returns the next line without its line end. It may be called again after errLineTimeout.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,6 +1,9 @@
 // Package platform is the client of the release platform. It sends votes on one connection and watches the rollout status
 // on another.
 //
+// Both connections watch: on one connection the replies to votes and the notices arrive in the order in which the platform
+// wrote them, which two connections lose. A rollout.StatusOrder uses that to tell which status is the present one.
+//
 // A Client runs two goroutines until the process ends: voteLoop sends the votes that the decision module casts, and
 // watchLoop keeps a watch established. Another goroutine reads each connection. Replies of the platform are passed to the
 // decision module as rollout statuses, on the loop. The package imports internal/pipeline for the loop, internal/linewire
@@ -15,13 +18,14 @@
 	"lichenroad/internal/metrics"
 	"lichenroad/internal/pipeline"
 	"lichenroad/relay"
+	"lichenroad/rollout"
 )
 
 // Client is the connection of one service to the platform. Its methods may be called on any goroutine and do not block.
 type Client struct {
-	// OnStatus, if set, receives all statuses on the loop instead of the decision module. It is also called with a status
-	// that is not valid for each other notice, such as a keep-alive, which shows that the platform is alive. It must be set
-	// before Start or StartWatch.
+	// OnStatus, if set, receives the statuses that are applied on the loop instead of the decision module. It is also called
+	// with a status that is not valid for each other notice, such as a keep-alive, which shows that the platform is alive. It
+	// must be set before Start or StartWatch.
 	OnStatus func(*pipeline.Loop, relay.RolloutStatus)
 
 	loop        *pipeline.Loop
@@ -29,6 +33,10 @@
 	timeout     time.Duration // for connecting and for each reply
 	votes       chan relay.Vote
 	watchEvents chan watchEvent // handled by watchLoop
+	lastSource  atomic.Uint64   // last rollout.StatusSource given to a connection
+	version     atomic.Uint64   // order.Version(), for other goroutines than the loop's
+
+	order *rollout.StatusOrder // owned by the loop
 }
 
 // New returns a client. If address is empty, the client does not watch, and reports each vote as not counted.
@@ -38,6 +46,7 @@
 		timeout:     limits.DefaultCallTimeout,
 		votes:       make(chan relay.Vote, limits.MaxQueuedVotes),
 		watchEvents: make(chan watchEvent),
+		order:       rollout.NewStatusOrder(loop.Site.Rollout.StatusInterval),
 	}
 	c.address.Store(address)
 	if seconds := loop.Site.Rollout.CallTimeout; seconds > 0 {
@@ -83,35 +92,7 @@
 			c.loop.Metrics.Add(metrics.QueueLimitReached, 1)
 		}
 	}
-	c.reportStatus(relay.RolloutStatus{Reply: relay.ReplyNotCounted})
+	c.reportResult(relay.ReplyNotCounted)
 }
 
 func (c *Client) currentAddress() string { return c.address.Load().(string) }
-
-// reportStatus counts a status and passes it on the loop to OnStatus or the decision module.
-func (c *Client) reportStatus(status relay.RolloutStatus) {
-	c.countStatus(status.Reply)
-	c.loop.Post(pipeline.Func(func(l *pipeline.Loop) {
-		if c.OnStatus != nil {
-			c.OnStatus(l, status)
-			return
-		}
-		l.RolloutStatusReceived(status)
-	}))
-}
-
-// countStatus increments the counter for the kind of a status.
-func (c *Client) countStatus(reply relay.VoteReply) {
-	switch reply {
-	case relay.ReplyNone:
-		c.loop.Metrics.Add(metrics.RolloutStatuses, 1)
-	case relay.ReplyCounted:
-		c.loop.Metrics.Add(metrics.VotesCounted, 1)
-	case relay.ReplyNotCounted:
-		c.loop.Metrics.Add(metrics.VotesNotCounted, 1)
-	case relay.ReplyStale:
-		c.loop.Metrics.Add(metrics.VotesStale, 1)
-	case relay.ReplyMaybeCounted:
-		c.loop.Metrics.Add(metrics.VotesMaybeCounted, 1)
-	}
-}
--- a/internal/platform/vote.go
+++ b/internal/platform/vote.go
@@ -11,17 +11,36 @@
 	"lichenroad/internal/linewire"
 	"lichenroad/internal/metrics"
 	"lichenroad/relay"
+	"lichenroad/rollout"
 )
 
-// voteConn is a connection for votes. Votes are pipelined: replies arrive in the order of the votes. The goroutine of
+// voteConn is a connection for votes. Calls are pipelined: replies arrive in the order of the calls. The goroutine of
 // voteLoop writes; another one runs readReplies, which reads and finally closes the connection.
+//
+// The connection also watches, so that the statuses in replies arrive in order with the notices. A platform that refuses the
+// watch still takes the votes.
 type voteConn struct {
 	*lineConn
 
-	mu      sync.Mutex  // guards the fields below and the writes
-	pending []time.Time // times when the votes without a reply yet were sent, oldest first
-	usedAt  time.Time   // time of the latest vote, or of opening the connection before that
-	closed  bool        // no more votes may be sent on it
+	mu      sync.Mutex    // guards the fields below and the writes
+	pending []pendingCall // calls without a reply yet, oldest first
+	usedAt  time.Time     // time of the latest vote, or of opening the connection before that
+	closed  bool          // no more votes may be sent on it
+}
+
+// callKind is the kind of a call to the platform.
+type callKind int
+
+const (
+	voteCall callKind = iota
+	watchCall
+)
+
+// pendingCall is a call without a reply yet.
+type pendingCall struct {
+	kind   callKind
+	sentAt time.Time
+	after  rollout.StatusVersion // present status when the call was sent: its reply is later
 }
 
 // voteLoop sends the queued votes in order. It keeps one connection and opens a new one only after the old one has closed
@@ -35,13 +54,14 @@
 		}
 		opened, err := c.dialCurrent(address)
 		if err != nil {
-			c.reportStatus(relay.RolloutStatus{Reply: relay.ReplyNotCounted})
+			c.reportResult(relay.ReplyNotCounted)
 			continue
 		}
 		conn = &voteConn{lineConn: opened, usedAt: time.Now()}
+		conn.startWatch()
 		go conn.readReplies()
 		if !conn.send(vote) { // closed again before anything was written
-			c.reportStatus(relay.RolloutStatus{Reply: relay.ReplyNotCounted})
+			c.reportResult(relay.ReplyNotCounted)
 		}
 	}
 }
@@ -57,6 +77,12 @@
 	return conn, err
 }
 
+// startWatch requests a watch as the first call. It must be called before readReplies.
+func (c *voteConn) startWatch() {
+	c.pending = append(c.pending, pendingCall{kind: watchCall, sentAt: time.Now()})
+	_ = c.requestWatch() // after an error readReplies finds the connection closed
+}
+
 // send writes a vote unless the connection is closed, and returns whether it did. If so, readReplies reports the result.
 func (c *voteConn) send(vote relay.Vote) bool {
 	c.mu.Lock()
@@ -65,13 +91,13 @@
 		return false
 	}
 	c.usedAt = time.Now()
-	c.pending = append(c.pending, c.usedAt)
+	c.pending = append(c.pending, pendingCall{kind: voteCall, sentAt: c.usedAt, after: c.client.statusVersion()})
 	c.callsSent++
 	_, _ = c.connection.Write([]byte(linewire.VoteLine(vote))) // after an error readReplies finds the connection closed
 	return true
 }
 
-// remaining returns the time left until the reply to the oldest pending vote is late. If no vote is pending, idle is true and
+// remaining returns the time left until the reply to the oldest pending call is late. If no call is pending, idle is true and
 // left is the time until the idle connection is closed.
 func (c *voteConn) remaining() (left time.Duration, idle bool) {
 	c.mu.Lock()
@@ -79,10 +105,10 @@
 	if len(c.pending) == 0 {
 		return limits.VoteConnIdleTimeout - time.Since(c.usedAt), true
 	}
-	return c.client.timeout - time.Since(c.pending[0]), false
+	return c.client.timeout - time.Since(c.pending[0].sentAt), false
 }
 
-// closeIfIdle marks the connection closed unless a vote is pending, and returns whether it did. It checks for pending votes
+// closeIfIdle marks the connection closed unless a call is pending, and returns whether it did. It checks for pending calls
 // again because a vote may have been sent since remaining was called. If the connection were closed with that vote pending,
 // the vote would be reported as one that may have been counted.
 func (c *voteConn) closeIfIdle() bool {
@@ -102,8 +128,10 @@
 	c.pending = nil
 	c.close(reason)
 	c.mu.Unlock()
-	for range pending {
-		c.client.reportStatus(relay.RolloutStatus{Reply: relay.ReplyMaybeCounted})
+	for _, call := range pending {
+		if call.kind == voteCall {
+			c.client.reportResult(relay.ReplyMaybeCounted)
+		}
 	}
 }
 
@@ -134,16 +162,41 @@
 	}
 }
 
-// handleReply reports the result of the oldest pending vote. It ignores notices.
+// handleReply reports the result of the oldest pending call, or a notice.
 func (c *voteConn) handleReply(line string) error {
 	reply, err := linewire.ParseReply(line)
-	if err != nil || reply.Unsolicited {
+	if err != nil {
 		return err
 	}
-	if reply.Error == "" && !reply.Status.Valid {
+	if reply.Unsolicited {
+		c.handleNotice(reply)
+		return nil
+	}
+	call, ok := c.takePending()
+	if !ok {
 		return errUnexpectedLine
 	}
-	if !c.takePending() {
+	if call.kind == watchCall {
+		return c.handleWatchReply(reply)
+	}
+	return c.handleVoteReply(reply, call)
+}
+
+// handleWatchReply handles the reply to the request for a watch. Without a watch the connection still carries votes.
+func (c *voteConn) handleWatchReply(reply linewire.Reply) error {
+	if reply.Status.Valid {
+		return errUnexpectedLine
+	}
+	if reply.Error != "" {
+		c.client.loop.Log.WithFields(logrus.Fields{"peer": "platform", "error": reply.Error}).Info("watch beside votes refused")
+	}
+	return nil
+}
+
+// handleVoteReply reports the result of a vote.
+func (c *voteConn) handleVoteReply(reply linewire.Reply, call pendingCall) error {
+	if reply.Error == "" && !reply.Status.Valid {
+		c.client.reportResult(relay.ReplyMaybeCounted)
 		return errUnexpectedLine
 	}
 	status := reply.Status
@@ -155,17 +208,18 @@
 	if reply.Error == linewire.CodeStale {
 		status.Reply = relay.ReplyStale
 	}
-	c.client.reportStatus(status)
+	c.client.reportStatus(statusOrigin{conn: c.lineConn, after: call.after}, status)
 	return nil
 }
 
-// takePending removes the oldest pending vote, and returns whether there was one.
-func (c *voteConn) takePending() bool {
+// takePending removes the oldest pending call, and returns whether there was one.
+func (c *voteConn) takePending() (call pendingCall, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) == 0 {
-		return false
+		return pendingCall{}, false
 	}
+	call = c.pending[0]
 	c.pending = c.pending[1:]
-	return true
+	return call, true
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -118,8 +118,7 @@
 	if err != nil {
 		return // dial has logged it
 	}
-	conn.callsSent++
-	if _, err = conn.connection.Write([]byte(linewire.WatchLine)); err == nil {
+	if err = conn.requestWatch(); err == nil {
 		err = w.read(conn)
 	}
 	reason := w.client.closeReason(err)
@@ -145,26 +144,15 @@
 			timeout = limits.HeartbeatTimeout
 			w.client.watchEvents <- watchEvent{w, watchEstablished}
 		default:
-			if err := w.client.handleNotice(line); err != nil {
+			reply, err := linewire.ParseReply(line)
+			if err != nil {
 				return err
 			}
+			if !reply.Unsolicited {
+				return errUnexpectedLine
+			}
+			conn.handleNotice(reply)
 		}
 	}
 	return nil
 }
-
-// handleNotice reports a line that the platform sent without a request. Notices without a status, such as keep-alives, are
-// only reported if OnStatus is set.
-func (c *Client) handleNotice(line string) error {
-	reply, err := linewire.ParseReply(line)
-	if err != nil {
-		return err
-	}
-	if !reply.Unsolicited {
-		return errUnexpectedLine
-	}
-	if reply.Status.Valid || c.OnStatus != nil {
-		c.reportStatus(reply.Status)
-	}
-	return nil
-}
--- a/policy/canary.go
+++ b/policy/canary.go
@@ -60,11 +60,16 @@
 	}
 }
 
-// statusReceived applies a status from the platform; it ignores one about an older build.
+// statusReceived applies a status from the platform; it ignores one about an older build that is not
+// confirmed.
 func (c *canary) statusReceived(status relay.RolloutStatus) {
-	if !status.Valid || c.hasStatus && status.Build < c.status.Build {
+	older := c.hasStatus && status.Build < c.status.Build
+	if !status.Valid || older && !status.Confirmed {
 		return
 	}
+	if older {
+		c.withdrawAnnouncements(status.Build)
+	}
 	changed := !c.hasStatus || status.Build != c.status.Build || status.Stage != c.status.Stage ||
 		status.Phase != c.status.Phase
 	if changed {
@@ -82,11 +87,7 @@
 	c.hasStatus = true
 	c.status = status
 	c.stageStartedAt = c.p.now - status.Age
-	budget := c.budgetOf(status.Build)
-	if status.ExposureLimit < budget.limit {
-		budget.exhaust()
-	}
-	budget.limit = status.ExposureLimit
+	c.budgetOf(status.Build).setLimit(status.ExposureLimit)
 }
 
 // dropStickyKeys removes the keys of earlier builds, and those of a build that is rolled back.
@@ -99,6 +100,15 @@
 	}
 }
 
+// withdrawAnnouncements gives all builds after the newest one the limit of builds that are not announced.
+func (c *canary) withdrawAnnouncements(newest relay.Build) {
+	for _, budget := range c.budgets {
+		if budget.build > newest {
+			budget.setLimit(c.unannouncedLimit())
+		}
+	}
+}
+
 func (c *canary) newBuildAnnounced() {
 	if c.buildAnnouncedAt > 0 {
 		c.releaseInterval = c.p.now - c.buildAnnouncedAt
--- a/policy/exposure.go
+++ b/policy/exposure.go
@@ -29,6 +29,14 @@
 	clear(b.target)
 }
 
+// setLimit changes the limit. A lower one leaves nothing of the budget.
+func (b *exposureBudget) setLimit(limit float64) {
+	if limit < b.limit {
+		b.exhaust()
+	}
+	b.limit = limit
+}
+
 // index is the position of a class in the budget.
 func (b *exposureBudget) index(class relay.RequestClass) int {
 	return min(int(class), len(b.allowed)-1)
@@ -46,9 +54,11 @@
 	if rollout.PerClass {
 		n = len(c.p.classes)
 	}
-	budget := &exposureBudget{build: build, allowed: make([]float64, n), target: make([]float64, n)}
-	if len(rollout.ExposureLimits) > 0 {
-		budget.limit = rollout.ExposureLimits[0]
+	budget := &exposureBudget{
+		build:   build,
+		limit:   c.unannouncedLimit(),
+		allowed: make([]float64, n),
+		target:  make([]float64, n),
 	}
 	for i := range budget.allowed {
 		budget.allowed[i] = rollout.ExposureAllowance
@@ -59,6 +69,14 @@
 	return budget
 }
 
+// unannouncedLimit returns the exposure limit of builds that are not announced: that of the first stage.
+func (c *canary) unannouncedLimit() float64 {
+	if limits := c.p.settings.Rollout.ExposureLimits; len(limits) > 0 {
+		return limits[0]
+	}
+	return 0
+}
+
 // exposure is the limit on attempts at a build.
 type exposure struct {
 	limit   float64 // fraction of the requests
--- a/policy/exposure_test.go
+++ b/policy/exposure_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// TestConfirmedEarlierBuild guards against a platform that went back to an earlier build and is refused for good, and
+// against the limit that the later build had: it is not announced any more.
+func TestConfirmedEarlierBuild(t *testing.T) {
+	settings := testSettings()
+	settings.Rollout.ExposureLimits = []float64{0.1, 0.4, 1}
+	p := New(settings, 1)
+	p.Step(0, []relay.Event{relay.RolloutStatus{Valid: true, Build: 6, Stage: 2, ExposureLimit: 1}})
+	earlier := relay.RolloutStatus{Valid: true, Build: 5, Stage: 2, Phase: relay.PhaseReleased, ExposureLimit: 1}
+	p.Step(1, []relay.Event{earlier})
+	if got := p.canary.exposureOf(6).limit; p.canary.status.Build != 6 || got != 1 {
+		t.Errorf("newest build %d, limit of build 6 is %g; want the status ignored", p.canary.status.Build, got)
+	}
+	earlier.Confirmed = true
+	p.Step(2, []relay.Event{earlier})
+	if got := p.canary.exposureOf(6).limit; p.canary.status.Build != 5 || got != settings.Rollout.ExposureLimits[0] {
+		t.Errorf("newest build %d, limit of build 6 is %g; want that of the first stage", p.canary.status.Build, got)
+	}
+	p.Step(3, []relay.Event{relay.RolloutStatus{Valid: true, Build: 6, Stage: 1, ExposureLimit: 0.4}})
+	if got := p.canary.exposureOf(6).limit; got != 0.4 {
+		t.Errorf("limit of build 6 is %g when it is offered again, want 0.4", got)
+	}
+}
+
 // BenchmarkExposure measures the accounting and the check of the exposure limit for one request.
 func BenchmarkExposure(b *testing.B) {
 	for _, scoped := range []bool{false, true} {
--- a/relay/rollout.go
+++ b/relay/rollout.go
@@ -11,6 +11,9 @@
 	PhaseWithdrawn
 )
 
+// isRolledBack reports whether a build is rolling back or withdrawn.
+func (p Phase) isRolledBack() bool { return p == PhaseRollingBack || p == PhaseWithdrawn }
+
 // VoteReply is the result of a vote, reported with a RolloutStatus.
 type VoteReply int
 
@@ -36,6 +39,17 @@
 	ExposureLimit float64 // fraction of the requests that may be sent to the build
 	Age           Seconds // time since the present state of the rollout began
 	Reply         VoteReply
+	Confirmed     bool // the platform has repeated the status for long enough to be believed although it goes backward
+}
+
+// GoesBackward reports whether the status contradicts that an earlier one was sent before it: it is about an earlier build, or
+// undoes a rollback. Builds are offered in ascending order, and a build that has been rolled back is not offered again. No
+// status goes backward from one that is not valid.
+func (s RolloutStatus) GoesBackward(from RolloutStatus) bool {
+	if !from.Valid || s.Build > from.Build {
+		return false
+	}
+	return s.Build < from.Build || from.Phase.isRolledBack() && !s.Phase.isRolledBack()
 }
 
 // CanaryScope restricts the trial of a build to some tenants and sets the groups of tenants by which exposure is counted.
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -114,6 +114,7 @@
 	HoldQuorum           int       // votes needed to hold a stage
 	VoteTTL              Seconds   // time after which a vote expires; infinite: never
 	CallTimeout          Seconds   // timeout of a call to the platform
+	StatusInterval       Seconds   // time after which the platform repeats an unchanged status
 	VotesPerSec          float64   // rate at which the platform accepts votes from all relays together
 	MinStageTime         Seconds   // minimum duration of a stage
 	MaxStageTime         Seconds   // time after which a timed stage is promoted
--- a/rollout/guard_exposure.go
+++ b/rollout/guard_exposure.go
@@ -58,11 +58,6 @@
 	}
 }
 
-// statusesDiffer reports whether two statuses differ in build, stage, phase or exposure limit.
-func statusesDiffer(a, b *relay.RolloutStatus) bool {
-	return a.Build != b.Build || a.Stage != b.Stage || a.Phase != b.Phase || a.ExposureLimit != b.ExposureLimit
-}
-
 // canaryScope returns the scope with the groups of tenants to which a build is open at a step.
 func (g *Guard) canaryScope(key scopeKey) relay.CanaryScope {
 	scope := relay.CanaryScope{Build: key.build, Stage: relay.Stage(max(key.step, 0))}
--- a/rollout/guard_status.go
+++ b/rollout/guard_status.go
@@ -14,10 +14,10 @@
 		return
 	}
 	first := !g.known
-	if !first && !g.disabled.BackwardStatus && goesBackward(g.status, status) {
+	if !first && !g.disabled.BackwardStatus && !status.Confirmed && status.GoesBackward(g.status) {
 		return
 	}
-	if first || status.Build > g.status.Build {
+	if first || status.Build != g.status.Build {
 		g.grantedStep = -1
 	}
 	g.known, g.status, g.since = true, status, g.clock-status.Age
@@ -30,27 +30,13 @@
 	g.grantSteps()
 }
 
-// goesBackward reports whether a received status is older than the known one: it is about an earlier build, or undoes
-// a rollback. Such a status was delayed, or its controller has lost its latest events.
-func goesBackward(known, received relay.RolloutStatus) bool {
-	if received.Build < known.Build {
-		return true
-	}
-	return received.Build == known.Build && isRolledBack(known) && !isRolledBack(received)
-}
-
-// isRolledBack reports whether a build is rolling back or withdrawn.
-func isRolledBack(status relay.RolloutStatus) bool {
-	return status.Phase == relay.PhaseRollingBack || status.Phase == relay.PhaseWithdrawn
-}
-
 // DependencyStatusReceived records the status of another service. The caller must call Evaluate next.
 func (g *Guard) DependencyStatusReceived(now plan.Unix, service plan.ServiceIndex, status relay.RolloutStatus) {
 	g.advanceClock(now)
 	if !status.Valid || int(service) >= len(g.dependencies) {
 		return
 	}
-	if !g.disabled.BackwardStatus && goesBackward(g.dependencies[service].status, status) {
+	if !g.disabled.BackwardStatus && !status.Confirmed && status.GoesBackward(g.dependencies[service].status) {
 		return
 	}
 	g.dependencies[service] = dependencyStatus{status: status, receivedAt: g.clock}
--- a/rollout/guard_test.go
+++ b/rollout/guard_test.go
@@ -176,6 +176,31 @@
 	}
 }
 
+// TestGuardAcceptsConfirmedStatus guards against a status that goes backward and is refused for good.
+func TestGuardAcceptsConfirmedStatus(t *testing.T) {
+	h := newGuardHarness(t, GuardSafeguards{})
+	h.receive(day, withPhase(canaryStatus(3, 1, 0, 0), relay.PhaseRollingBack))
+	undone := canaryStatus(3, 1, 0.3, 0)
+	undone.Confirmed = true
+	if got := h.receive(day+1, undone); got != 0.3 {
+		t.Errorf("exposure limit %g after a confirmed status, want 0.3", got)
+	}
+	earlier := canaryStatus(2, 0, 0.1, 0)
+	earlier.Confirmed = true
+	if got := h.receive(day+2, earlier); got != 0.1 || h.status.Build != 2 {
+		t.Errorf("exposure limit %g for build %d, want 0.1 for build 2", got, h.status.Build)
+	}
+	h.DependencyStatusReceived(day+3, serviceA, withPhase(canaryStatus(1, 1, 0, 0), relay.PhaseRollingBack))
+	dependency := canaryStatus(1, 1, 0.3, 0)
+	for _, confirmed := range []bool{false, true} {
+		dependency.Confirmed = confirmed
+		h.DependencyStatusReceived(day+4, serviceA, dependency)
+		if got, isOpen := h.evaluate(day+4), confirmed; (got == 0.1) != isOpen {
+			t.Errorf("exposure limit %g after a status of a dependency, confirmed: %v", got, confirmed)
+		}
+	}
+}
+
 func TestGuardWithUnknownOrBackwardStatus(t *testing.T) {
 	h := newGuardHarness(t, GuardSafeguards{})
 	if h.evaluate(day); h.evaluated {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -170,6 +170,7 @@
 		HoldQuorum:           w.Rollout.HoldQuorum,
 		VoteTTL:              secondsOrNever(w.Rollout.VoteTTL),
 		CallTimeout:          seconds(w.Rollout.CallTimeout),
+		StatusInterval:       seconds(w.Rollout.StatusInterval),
 		VotesPerSec:          w.Rollout.VotesPerSec,
 		MinStageTime:         seconds(w.Rollout.MinStageTime),
 		MaxStageTime:         seconds(w.Rollout.MaxStageTime),
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -65,6 +65,7 @@
 		HoldQuorum           int       `json:"votes_to_hold"`
 		VoteTTL              float64   `json:"ballot_ttl"`
 		CallTimeout          float64   `json:"call_timeout"`
+		StatusInterval       float64   `json:"repeat_every"`
 		VotesPerSec          float64   `json:"votes_per_s"`
 		MinStageTime         float64   `json:"min_dwell"`
 		MaxStageTime         float64   `json:"moves_after"`
