--- a/rollout/status_order_test.go
+++ b/rollout/status_order_test.go
@@ -32,8 +32,9 @@
 	return withPhase(canaryStatus(build, 2, 1, 0), relay.PhaseReleased)
 }
 
-func rollingBack(build relay.Build, stage relay.Stage) relay.RolloutStatus {
-	return withPhase(canaryStatus(build, stage, 0, 0), relay.PhaseRollingBack)
+// rollingBack returns the status of build 3 that is rolling back.
+func rollingBack(stage relay.Stage) relay.RolloutStatus {
+	return withPhase(canaryStatus(3, stage, 0, 0), relay.PhaseRollingBack)
 }
 
 // TestStatusesOfConnectionsThatAreBehind guards against a status that was sent earlier than the present one, and is read later on
@@ -51,38 +52,38 @@
 			{watchSource, 0, first, StatusApplied},
 			{voteSource, 1, first, StatusApplied},
 			{watchSource, 0, second, StatusApplied},
-			{watchSource, 0, rollingBack(3, 1), StatusApplied},
+			{watchSource, 0, rollingBack(1), StatusApplied},
 			{voteSource, 1, second, StatusUnordered},
 			{voteSource, 1, second, StatusUnordered}, // the notice of the same
-			{voteSource, 1, rollingBack(3, 1), StatusApplied},
-		}, rollingBack(3, 1)},
+			{voteSource, 1, rollingBack(1), StatusApplied},
+		}, rollingBack(1)},
 		{"the reply to a vote after a rollback, which the watch did not have", []receivedStatus{
 			{watchSource, 0, first, StatusApplied},
-			{watchSource, 0, rollingBack(3, 1), StatusApplied},
+			{watchSource, 0, rollingBack(1), StatusApplied},
 			{voteSource, 1, second, StatusUnordered},
-		}, rollingBack(3, 1)},
+		}, rollingBack(1)},
 		{"a notice after the reply that told a rollback", []receivedStatus{
 			{watchSource, 0, first, StatusApplied},
 			{voteSource, 1, second, StatusApplied},
-			{voteSource, 1, rollingBack(3, 1), StatusApplied},
+			{voteSource, 1, rollingBack(1), StatusApplied},
 			{watchSource, 0, second, StatusUnordered},
-			{watchSource, 0, rollingBack(3, 1), StatusApplied},
-		}, rollingBack(3, 1)},
+			{watchSource, 0, rollingBack(1), StatusApplied},
+		}, rollingBack(1)},
 		{"a release that was taken back", []receivedStatus{
 			{watchSource, 0, third, StatusApplied},
-			{watchSource, 0, rollingBack(3, 2), StatusApplied},
+			{watchSource, 0, rollingBack(2), StatusApplied},
 			{voteSource, 1, releasedStatus(3), StatusUnordered},
-		}, rollingBack(3, 2)},
+		}, rollingBack(2)},
 		{"the reply to a vote on the build before", []receivedStatus{
-			{watchSource, 0, rollingBack(3, 1), StatusApplied},
+			{watchSource, 0, rollingBack(1), StatusApplied},
 			{watchSource, 0, canaryStatus(4, 0, 0.1, 0), StatusApplied},
-			{voteSource, 1, rollingBack(3, 1), StatusUnordered},
+			{voteSource, 1, rollingBack(1), StatusUnordered},
 		}, canaryStatus(4, 0, 0.1, 0)},
 		{"a next build that a reply tells first", []receivedStatus{
 			{watchSource, 0, first, StatusApplied},
-			{watchSource, 0, rollingBack(3, 0), StatusApplied},
+			{watchSource, 0, rollingBack(0), StatusApplied},
 			{voteSource, 1, canaryStatus(4, 0, 0.1, 0), StatusApplied},
-			{watchSource, 0, withPhase(rollingBack(3, 0), relay.PhaseWithdrawn), StatusUnordered},
+			{watchSource, 0, withPhase(rollingBack(0), relay.PhaseWithdrawn), StatusUnordered},
 			{watchSource, 0, canaryStatus(4, 0, 0.1, 0), StatusApplied},
 		}, canaryStatus(4, 0, 0.1, 0)},
 		{"a limit that was lowered within a stage", []receivedStatus{
@@ -135,10 +136,10 @@
 		{"a watch that takes the place of another", []receivedStatus{
 			{watchSource, 0, first, StatusApplied},
 			{laterWatchSource, 1, second, StatusApplied},
-			{laterWatchSource, 1, rollingBack(3, 1), StatusApplied},
+			{laterWatchSource, 1, rollingBack(1), StatusApplied},
 			{watchSource, 0, first, StatusUnordered},
 			{watchSource, 0, second, StatusUnordered},
-		}, rollingBack(3, 1)},
+		}, rollingBack(1)},
 		{"a call that was sent after all other statuses", []receivedStatus{
 			{watchSource, 0, first, StatusApplied},
 			{watchSource, 0, narrowed, StatusApplied},
@@ -171,13 +172,13 @@
 		interval     float64
 		wantFirst    StatusDecision
 	}{
-		{"a rollback is undone", rollingBack(3, 1), canaryStatus(3, 1, 0.4, 0), watchSource, testInterval, StatusBackward},
-		{"a rollback of a release is undone", rollingBack(3, 2), releasedStatus(3), watchSource, testInterval, StatusBackward},
+		{"a rollback is undone", rollingBack(1), canaryStatus(3, 1, 0.4, 0), watchSource, testInterval, StatusBackward},
+		{"a rollback of a release is undone", rollingBack(2), releasedStatus(3), watchSource, testInterval, StatusBackward},
 		{"an earlier build", canaryStatus(4, 0, 0.1, 0), releasedStatus(3), watchSource, testInterval, StatusBackward},
 		{"a higher limit of another connection", canaryStatus(3, 1, 0.1, 0), canaryStatus(3, 1, 0.4, 0), voteSource, testInterval, StatusUnordered},
 		{"a lower stage of another connection", canaryStatus(3, 1, 0.4, 0), canaryStatus(3, 0, 0.1, 0), voteSource, testInterval, StatusRestricting},
-		{"a long interval", rollingBack(3, 1), canaryStatus(3, 1, 0.4, 0), watchSource, 6, StatusBackward},
-		{"no interval in the settings", rollingBack(3, 1), canaryStatus(3, 1, 0.4, 0), watchSource, 0, StatusBackward},
+		{"a long interval", rollingBack(1), canaryStatus(3, 1, 0.4, 0), watchSource, 6, StatusBackward},
+		{"no interval in the settings", rollingBack(1), canaryStatus(3, 1, 0.4, 0), watchSource, 0, StatusBackward},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			order := NewStatusOrder(c.interval)
@@ -204,7 +205,7 @@
 // TestContradictedStatusIsNotConfirmed repeats a status that goes backward, but the platform says the present one in between.
 func TestContradictedStatusIsNotConfirmed(t *testing.T) {
 	order := NewStatusOrder(testInterval)
-	known, backward := rollingBack(3, 1), canaryStatus(3, 1, 0.4, 0)
+	known, backward := rollingBack(1), canaryStatus(3, 1, 0.4, 0)
 	order.Receive(0, StatusReport{Source: watchSource, Status: known})
 	for i := range 10 {
 		now := float64(i+1) * testInterval
--- a/systemtest/endpoint_test.go
+++ b/systemtest/endpoint_test.go
@@ -18,6 +18,7 @@
 type endpoint struct {
 	fakes.Server
 	address       string
+	build         int                                  // 0: 1
 	ServiceTimeOf func(statement string) time.Duration // nil: serviceTime of startEndpoint for each
 
 	mu   sync.Mutex
--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -64,6 +64,7 @@
 	limits   object        // entries of policy_limits that replace the defaults
 	cores    float64       // 0: 1
 	platform string        // address of the platform; empty: none
+	rollout  object        // entries of family_info that replace the defaults
 	deadline time.Duration // of all classes; 0: classDeadline
 }
 
@@ -73,6 +74,8 @@
 	address string
 	process *fakes.Process
 	dir     string
+
+	discovery *fakes.Discovery
 }
 
 // startRelay starts a relay that knows the endpoints, and waits until it is ready. It is killed at the end of the test.
@@ -83,17 +86,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(discovery.Close)
-	var entries []fakes.Endpoint
-	for i, e := range endpoints {
-		entries = append(entries, fakes.Endpoint{ID: fmt.Sprint("s-", i), HostPort: e.address, Zone: "a", MachineType: "m1",
-			Lifecycle: "SERVING", Weight: 1, Build: 1})
-	}
-	discovery.Set(entries)
+	discovery.Set(entriesOf(endpoints))
 	addresses, err := fakes.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relayProcess{t: t, address: addresses[0], dir: t.TempDir()}
+	r := &relayProcess{t: t, address: addresses[0], dir: t.TempDir(), discovery: discovery}
 	path := filepath.Join(r.dir, "config.json")
 	config, err := json.Marshal(options.config(r.address, discovery))
 	if err != nil {
@@ -117,6 +115,15 @@
 	return r
 }
 
+// entriesOf returns the entries of endpoints in discovery's list.
+func entriesOf(endpoints []*endpoint) (entries []fakes.Endpoint) {
+	for i, e := range endpoints {
+		entries = append(entries, fakes.Endpoint{ID: fmt.Sprint("s-", i), HostPort: e.address, Zone: "a", MachineType: "m1",
+			Lifecycle: "SERVING", Weight: 1, Build: defaultTo(e.build, 1)})
+	}
+	return entries
+}
+
 // config returns the configuration of a relay that is alone in its fleet.
 func (o relayOptions) config(address string, discovery *fakes.Discovery) object {
 	limits := object{"cancel": true, "conn_idle": int64(30 * time.Second), "dial_timeout": int64(250 * time.Millisecond),
@@ -124,6 +131,11 @@
 	for name, value := range o.limits {
 		limits[name] = value
 	}
+	rollout := object{"call_timeout": int64(300 * time.Millisecond), "exposure_caps": []float64{1}, "waves": []float64{1},
+		"decided_by": "first_voice", "to_advance": 1, "to_abort": 1, "votes_per_s": 100}
+	for name, value := range o.rollout {
+		rollout[name] = value
+	}
 	deadline := defaultTo(o.deadline, classDeadline)
 	target := min(deadline, 1500*time.Millisecond)
 	class := func(name, repeat string) object {
@@ -139,8 +151,7 @@
 			"tenants":       []object{{"name": "acme", "share": 1, "quota_per_s": 100000}},
 			"policy_limits": limits,
 			"rules":         object{"answer_slack": int64(20 * time.Millisecond), "drain_grace": int64(250 * time.Millisecond), "ask_every": int64(10 * time.Second)},
-			"family_info": object{"call_timeout": int64(300 * time.Millisecond), "exposure_caps": []float64{1}, "waves": []float64{1},
-				"decided_by": "first_voice", "to_advance": 1, "to_abort": 1, "votes_per_s": 100},
+			"family_info":   rollout,
 		},
 	}
 	if o.platform != "" {
