policy, guard: builds of which nothing is known count as in the first stage, or are closed

Cause: without a status the module gave no build a limit, and the guard sends nothing before its first status.

Change: without a status the oldest build in use stands for the released one, and later ones have the limit of the first stage.

TestLaterBuildWithoutAStatus failed before (668 of 2,000 attempts where 201 pass).

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -110,9 +110,12 @@
 
 func wallClock() plan.Unix { return float64(time.Now().UnixNano()) / 1e9 }
 
-// Start opens a watch on each service that this one depends on. After a change of the plan, it opens watches on new
-// dependencies and changes the others to their present addresses.
+// Start closes builds that are not announced while there is no status, and opens a watch on each service that this one depends
+// on. After a change of the plan, it opens watches on new dependencies and changes the others to their present addresses.
 func (h *Host) Start() {
+	if scope, needed := h.guard.InitialScope(); needed {
+		h.loop.AddEvent(scope)
+	}
 	service, _ := h.plan.Service(h.serviceName) // New and Replan have checked that the service exists
 	for _, dependency := range rollout.DependenciesOf(h.plan, service) {
 		spec := &h.plan.Services[dependency]
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// TestNoStatusClosesLaterBuilds guards against a relay under a plan that sends requests of any tenant to a build of which it knows
+// nothing, as the release controller is silent.
+func TestNoStatusClosesLaterBuilds(t *testing.T) {
+	h := newHostHarness(t)
+	h.Start()
+	_, scopes := h.moduleEvents()
+	if len(scopes) != 1 || scopes[0].Build != 0 || len(scopes[0].GroupOpen) != 2 || scopes[0].GroupOpen[0] || scopes[0].GroupOpen[1] {
+		t.Fatalf("scopes %+v, want one that is closed", scopes)
+	}
+	h.dependencyStatusReceived("a", relay.RolloutStatus{Valid: true, Build: 1, Phase: relay.PhaseReleased, ExposureLimit: 1})
+	h.loop.RolloutStatusReceived(canaryStatus(0.9))
+	if _, scopes := h.moduleEvents(); len(scopes) != 1 || scopes[0].Build != 3 || !scopes[0].GroupOpen[0] {
+		t.Errorf("scopes %+v after a status, want the one of its step", scopes)
+	}
+	h.Start()
+	if _, scopes := h.moduleEvents(); len(scopes) != 0 {
+		t.Errorf("scopes %+v, but the status is known", scopes)
+	}
+}
+
 func TestRepliesGoToOriginOfVote(t *testing.T) {
 	h := newHostHarness(t)
 	h.dependencyStatusReceived("a", relay.RolloutStatus{Valid: true, Build: 1, Phase: relay.PhaseReleased, ExposureLimit: 1})
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -95,6 +95,7 @@
 		e.removedAt = e.p.now
 	}
 	e.Endpoint = entry
+	e.p.endpoints.stale = true
 	e.startTime = math.Inf(-1)
 	if entry.StartKnown {
 		e.startTime = entry.StartedAt
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -25,6 +25,8 @@
 	byID   map[relay.EndpointID]*trackedEndpoint
 	byHash map[peerwire.EndpointHash]*trackedEndpoint
 	all    []*trackedEndpoint // sorted by id; includes removed endpoints until they are evicted
+	oldest relay.Build        // see oldestBuild
+	stale  bool               // oldest has to be determined again
 
 	pollPending    bool               // no call has been made since the start or since the last failure
 	pollAt         relay.Seconds      // time of the next poll; never: a call was answered and its watch is open
@@ -134,6 +136,22 @@
 	l.evictRemoved()
 }
 
+// oldestBuild returns the lowest build of the ready endpoints; 0 if there are none.
+func (l *endpointList) oldestBuild() relay.Build {
+	if !l.stale {
+		return l.oldest
+	}
+	l.oldest, l.stale = 0, false
+	found := false
+	for _, endpoint := range l.all {
+		ready := endpoint.listed && endpoint.State == relay.Ready
+		if ready && (!found || endpoint.Build < l.oldest) {
+			l.oldest, found = endpoint.Build, true
+		}
+	}
+	return l.oldest
+}
+
 func (l *endpointList) add(id relay.EndpointID) *trackedEndpoint {
 	endpoint := &trackedEndpoint{p: l.p, id: id}
 	columns := len(l.p.classes) * evidenceColumns
--- a/policy/exposure.go
+++ b/policy/exposure.go
@@ -77,6 +77,18 @@
 	return 0
 }
 
+// newestAnnounced returns the build of the last status. Without a status it is the oldest build that is in
+// use: any later one may be on trial. Without exposure limits in the settings no build is.
+func (c *canary) newestAnnounced() relay.Build {
+	switch {
+	case c.hasStatus:
+		return c.status.Build
+	case len(c.p.settings.Rollout.ExposureLimits) == 0:
+		return math.MaxInt
+	}
+	return c.p.endpoints.oldestBuild()
+}
+
 // exposure is the limit on attempts at a build.
 type exposure struct {
 	limit   float64 // fraction of the requests
@@ -87,10 +99,11 @@
 // exposureOf returns the exposure of a build. A build that is not announced yet has the limit of the
 // first stage.
 func (c *canary) exposureOf(build relay.Build) exposure {
-	if !c.hasStatus || build < c.status.Build {
+	announced := c.newestAnnounced()
+	if build < announced || build == announced && !c.hasStatus {
 		return exposure{limit: 1}
 	}
-	if build > c.status.Build {
+	if build > announced {
 		return exposure{limit: c.budgetOf(build).limit, onTrial: true}
 	}
 	if c.status.Phase == relay.PhaseReleased {
--- a/policy/exposure_test.go
+++ b/policy/exposure_test.go
@@ -71,6 +71,42 @@
 	}
 }
 
+// TestLaterBuildWithoutAStatus guards against a relay that has no status of any build, and sends to one that may be on trial
+// without a limit. The oldest build in use has none, and where the settings have no limits, no build has one.
+func TestLaterBuildWithoutAStatus(t *testing.T) {
+	const requests = 2000
+	drained := entries(8, 5, 1)
+	for i := range drained {
+		drained[i].State = relay.Draining
+	}
+	for _, c := range []struct {
+		name      string
+		endpoints []relay.Endpoint
+		limits    []float64
+		least     int // attempts at build 6
+		most      int
+	}{
+		{"two builds", append(entries(8, 5, 1), entries(4, 6, 40)...), []float64{0.1, 0.4, 1}, 0, requests/10 + 1},
+		{"a higher limit", append(entries(8, 5, 1), entries(4, 6, 40)...), []float64{0.3, 1}, 0, 3*requests/10 + 1},
+		{"one build", entries(8, 6, 40), []float64{0.1, 0.4, 1}, requests, requests},
+		{"the earlier build drains", append(drained, entries(8, 6, 40)...), []float64{0.1, 0.4, 1}, requests, requests},
+		{"no limits", append(entries(2, 5, 1), entries(10, 6, 40)...), nil, requests / 2, requests},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			settings := testSettings()
+			settings.Rollout.ExposureLimits = c.limits
+			w := newWorld(t, settings)
+			w.step(relay.ListUpdate{Kind: relay.ListFull, Endpoints: c.endpoints})
+			for range requests {
+				w.run(0.01, func() []relay.Event { return []relay.Event{w.newRequest(0, 0)} })
+			}
+			if got := w.attemptsAt(6, w.sent); got < c.least || got > c.most {
+				t.Errorf("%d of %d attempts at build 6, want %d to %d", got, len(w.sent), c.least, c.most)
+			}
+		})
+	}
+}
+
 // TestConfirmedEarlierBuild guards against a platform that went back to an earlier build and is refused for good, and
 // against the limit that the later build had: it is not announced any more.
 func TestConfirmedEarlierBuild(t *testing.T) {
--- a/rollout/guard_exposure.go
+++ b/rollout/guard_exposure.go
@@ -72,6 +72,15 @@
 	return scope
 }
 
+// InitialScope returns the scope that the module has to receive while the guard has no status, and whether that is so: a build
+// that is not announced is open to no tenant.
+func (g *Guard) InitialScope() (scope relay.CanaryScope, needed bool) {
+	if g.known {
+		return relay.CanaryScope{}, false
+	}
+	return g.canaryScope(scopeKey{step: -1}), true
+}
+
 // ExposureLimit returns the share of a group's requests at this relay that the newest build may get, from 0 to 1.
 func (g *Guard) ExposureLimit(group plan.GroupIndex) float64 {
 	current := g.boundedExposure()
