platform: notices on connections for votes have a counter of their own

TestReloadPlatformAddress waits for exactly two statuses on watches, and failed 1 of 2 times since the connection for votes watches as well: its notices were counted in rollout_statuses. They are counted in rollout_statuses_beside_votes now; rollout_statuses means what it did before.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -25,15 +25,16 @@
 
 // lineConn is a connection that one goroutine reads line by line.
 type lineConn struct {
-	client     *Client
-	address    string
-	connection netpoll.Connection
-	splitter   linewire.Splitter
-	lines      []string // received, but not returned by nextLine yet
-	openedAt   time.Time
-	source     rollout.StatusSource
-	watchAfter rollout.StatusVersion // present status when the watch was requested: its notices are later
-	callsSent  int                   // logged by close; in a voteConn guarded by its mu
+	client       *Client
+	address      string
+	connection   netpoll.Connection
+	splitter     linewire.Splitter
+	lines        []string // received, but not returned by nextLine yet
+	openedAt     time.Time
+	source       rollout.StatusSource
+	watchAfter   rollout.StatusVersion // present status when the watch was requested: its notices are later
+	carriesVotes bool                  // in a voteConn
+	callsSent    int                   // logged by close; in a voteConn guarded by its mu
 }
 
 // dial opens a connection. It logs and counts failures itself.
--- a/internal/platform/order_test.go
+++ b/internal/platform/order_test.go
@@ -32,7 +32,10 @@
 // testConn is a connection to a testPlatform.
 type testConn struct {
 	net.Conn
-	votes    chan string // the votes received
+	votes chan string // the votes received
+
+	carriesVotes bool // set by the test
+
 	mu       sync.Mutex
 	watching bool
 }
@@ -98,8 +101,9 @@
 // testClient is a client whose loop runs, and the statuses that it delivers.
 type testClient struct {
 	*Client
-	t       *testing.T
-	notices int64 // written by the platforms of the test so far
+	t *testing.T
+	// numbers of notices that the platforms of the test have written to watches and to connections for votes
+	watchNotices, voteNotices int64
 
 	mu       sync.Mutex
 	statuses []relay.RolloutStatus
@@ -176,9 +180,14 @@
 	}
 	for _, state := range states {
 		fmt.Fprintf(conn, "* news %s 5\r\n", state)
-		c.notices++
+		if conn.carriesVotes {
+			c.voteNotices++
+		} else {
+			c.watchNotices++
+		}
 	}
-	c.waitCounter(metrics.RolloutStatuses, c.notices)
+	c.waitCounter(metrics.RolloutStatuses, c.watchNotices)
+	c.waitCounter(metrics.RolloutStatusesBesideVotes, c.voteNotices)
 }
 
 // answer writes the reply to a vote, and waits until it is handled.
@@ -199,9 +208,10 @@
 	case <-time.After(testTimeout):
 		c.t.Fatal("the platform received no vote")
 	}
+	conn.carriesVotes = true
 	if conn.isWatching() {
-		c.notices++
-		c.waitCounter(metrics.RolloutStatuses, c.notices)
+		c.voteNotices++
+		c.waitCounter(metrics.RolloutStatusesBesideVotes, c.voteNotices)
 	}
 	return conn
 }
@@ -210,8 +220,8 @@
 func (c *testClient) connect(p *testPlatform) *testConn {
 	c.t.Helper()
 	watch := p.accept()
-	c.notices++
-	c.waitCounter(metrics.RolloutStatuses, c.notices)
+	c.watchNotices++
+	c.waitCounter(metrics.RolloutStatuses, c.watchNotices)
 	return watch
 }
 
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -38,7 +38,7 @@
 
 // reportStatus counts a status and passes it to the loop.
 func (c *Client) reportStatus(origin statusOrigin, status relay.RolloutStatus) {
-	c.countStatus(status.Reply)
+	c.countStatus(origin, status.Reply)
 	c.loop.Post(pipeline.Func(func(l *pipeline.Loop) { c.statusReceived(l, origin, status) }))
 }
 
@@ -82,10 +82,14 @@
 }
 
 // countStatus increments the counter for the kind of a status.
-func (c *Client) countStatus(reply relay.VoteReply) {
+func (c *Client) countStatus(origin statusOrigin, reply relay.VoteReply) {
 	switch reply {
 	case relay.ReplyNone:
-		c.loop.Metrics.Add(metrics.RolloutStatuses, 1)
+		id := metrics.RolloutStatuses
+		if origin.conn.carriesVotes {
+			id = metrics.RolloutStatusesBesideVotes
+		}
+		c.loop.Metrics.Add(id, 1)
 	case relay.ReplyCounted:
 		c.loop.Metrics.Add(metrics.VotesCounted, 1)
 	case relay.ReplyNotCounted:
--- a/internal/platform/vote.go
+++ b/internal/platform/vote.go
@@ -57,6 +57,7 @@
 			c.reportResult(relay.ReplyNotCounted)
 			continue
 		}
+		opened.carriesVotes = true
 		conn = &voteConn{lineConn: opened, usedAt: time.Now()}
 		conn.startWatch()
 		go conn.readReplies()
