releasecontroller: refusals for too many calls keep the order of the calls

Cause: the refusal of a call beyond 64 pending ones was sent past the replies to those.

Change: replyQueue keeps a place for each pending call; refusals wait behind the calls before them, within the bound on unsent bytes.

--- a/internal/releasecontroller/controller.go
+++ b/internal/releasecontroller/controller.go
@@ -204,7 +204,7 @@
 // replyAfterFlush sends a reply once the batch is on disk. text is called at that time, so the reply shows the state after
 // the whole batch. Only the loop may call it.
 func (ctl *Controller) replyAfterFlush(c *relayConn, text func() string) {
-	ctl.pendingReplies = append(ctl.pendingReplies, func() { c.send(text()) })
+	ctl.pendingReplies = append(ctl.pendingReplies, func() { c.reply(text()) })
 }
 
 // flush writes the batch to disk, then sends the replies and notifies watchers. Only the loop may call it.
--- a/internal/releasecontroller/relayconn.go
+++ b/internal/releasecontroller/relayconn.go
@@ -43,10 +43,11 @@
 	watching bool // a watch was requested; owned by the controller's loop
 
 	mu            sync.Mutex // guards the fields below
-	sendQueue     []string   // texts that writeQueue has not taken yet
-	unsentBytes   int
-	writerRunning bool // writeQueue runs
-	stopped       bool // nothing more is sent: the connection is closed or about to be
+	replies       replyQueue
+	sendQueue     []string // texts that writeQueue has not taken yet
+	unsentBytes   int      // in sendQueue, in replies and being written
+	writerRunning bool     // writeQueue runs
+	stopped       bool     // nothing more is sent: the connection is closed or about to be
 	closeReason   metrics.CloseReason
 	closeErr      error // the error behind closeReason; may be nil
 }
@@ -107,15 +108,16 @@
 }
 
 // handleLine handles one line. A line that can't be parsed gets an error reply and the connection stays open, as the
-// platform's protocol requires. A connection with too many calls in flight gets an error reply at once.
+// platform's protocol requires. A connection with too many calls in flight gets an error reply, behind those that are due.
 func (c *relayConn) handleLine(line string) {
 	c.calls.Add(1)
 	c.lastCallAt.Store(time.Now().UnixNano())
 	if c.callsInFlight.Add(1) > maxCallsInFlight {
 		c.callsInFlight.Add(-1)
-		c.send(linewire.ErrorLine("Throttling"))
+		c.refuseCall()
 		return
 	}
+	c.expectReply()
 	call, err := linewire.ParseCall(line)
 	c.listener.controller.post(func(ctl *Controller) {
 		c.callsInFlight.Add(-1)
@@ -161,15 +163,58 @@
 	ctl.replyAfterFlush(c, func() string { return linewire.StatusReplyLine(ctl.core.RolloutStatus(service, ctl.now())) })
 }
 
-// send queues text for writeQueue, so that the caller never waits for a slow peer. Any goroutine may call it.
+// expectReply keeps a place for the reply to a call that is passed to the loop.
+func (c *relayConn) expectReply() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replies.expect()
+}
+
+// refuseCall replies to a call that is over maxCallsInFlight, when the calls before it have their replies.
+func (c *relayConn) refuseCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refusal := linewire.ErrorLine("Throttling")
+	if c.reserve(refusal) {
+		c.queue(c.replies.refuse(refusal))
+	}
+}
+
+// reply sends the reply to the oldest call that was passed to the loop. Only the loop may call it.
+func (c *relayConn) reply(text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reserve(text) {
+		c.queue(c.replies.reply(text))
+	}
+}
+
+// send queues text that is not a reply. Any goroutine may call it.
 func (c *relayConn) send(text string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reserve(text) {
+		c.queue(text)
+	}
+}
+
+// reserve counts text that will be sent, and reports whether it may be. If too much is unsent, it closes the connection. The
+// caller holds mu.
+func (c *relayConn) reserve(text string) bool {
 	if c.stopped {
-		return
+		return false
 	}
-	if c.unsentBytes += len(text); c.unsentBytes > maxUnsentBytes {
+	c.unsentBytes += len(text)
+	if c.unsentBytes > maxUnsentBytes {
 		go c.close(metrics.ClosedByWriteError, errSendQueueFull) // close locks mu, and the caller may be the loop
+		return false
+	}
+	return true
+}
+
+// queue passes text to writeQueue, so that the caller never waits for a slow peer. The caller holds mu.
+func (c *relayConn) queue(text string) {
+	if text == "" {
 		return
 	}
 	c.sendQueue = append(c.sendQueue, text)
