--- a/internal/releasecontroller/controller.go
+++ b/internal/releasecontroller/controller.go
@@ -113,11 +113,15 @@
 	events := 0
 	journal, err := Open(options.Dir, func(e rollout.Event) error {
 		events++
-		return ctl.core.Apply(e)
+		return ctl.core.Replay(e)
 	})
 	if err != nil {
 		return err
 	}
+	if err := ctl.core.EndReplay(); err != nil {
+		journal.Close()
+		return fmt.Errorf("the plan does not fit the journal in %s: %w", options.Dir, err)
+	}
 	journal.CrashPoint = options.CrashPoint
 	ctl.journal = journal
 	if journal.TruncatedBytes > 0 {
--- a/internal/releasecontroller/controller_test.go
+++ b/internal/releasecontroller/controller_test.go
@@ -21,6 +21,7 @@
 	"lichenroad/internal/planxml"
 	"lichenroad/lab/fakes"
 	"lichenroad/plan"
+	"lichenroad/relay"
 	"lichenroad/rollout"
 )
 
@@ -45,6 +46,7 @@
 	addresses  Addresses
 	controller *Controller
 	ended      chan error
+	cancel     context.CancelFunc
 	mu         sync.Mutex
 	now        plan.Unix
 }
@@ -55,6 +57,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
 	ready := make(chan struct{})
 	go func() {
 		r.ended <- Start(ctx, Options{Plan: testPlan(t), Dir: dir, Log: log, CrashPoint: crash, Clock: r.clock,
@@ -74,6 +77,15 @@
 	return r
 }
 
+// stop ends the controller and waits for its end.
+func (r *runningController) stop() {
+	r.t.Helper()
+	r.cancel()
+	if err := <-r.ended; err != nil {
+		r.t.Fatal(err)
+	}
+}
+
 func (r *runningController) clock() plan.Unix {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -286,6 +298,33 @@
 	}
 }
 
+// TestRestartAfterAPlanWithMoreSteps guards against a controller that can't start again after its plan has gained a step and a build
+// was released by it, neither with the new plan nor with the old one.
+func TestRestartAfterAPlanWithMoreSteps(t *testing.T) {
+	dir := t.TempDir()
+	r := start(t, dir, 1000, nil)
+	release := func(build relay.Build) {
+		r.mustCall(Request{Verb: VerbOffer, Service: "a", Build: build})
+		for step := 0; r.mustCall(Request{Verb: VerbStatus}).Status[0].Phase != "released"; step++ {
+			for _, name := range []string{"r0", "r1"} {
+				dial(t, r.addresses.Relays["a"][name]).call(fmt.Sprintf("VOTE %d %d approve", build, step))
+			}
+			r.advance(1)
+		}
+	}
+	release(7)
+	next := testPlan(t)
+	next.Services[0].Steps = append(next.Services[0].Steps, next.Services[0].Steps[1])
+	r.controller.Replan(next, nil)
+	release(8)
+	r.stop()
+	r = start(t, dir, 2000, nil) // with the old plan
+	if status := r.mustCall(Request{Verb: VerbStatus}).Status[0]; status.Build != 8 || status.Phase != "released" {
+		t.Errorf("status %+v after the restart, want build 8 released", status)
+	}
+	release(9)
+}
+
 // TestInputOfAFastRelayIsNotReadAhead guards against a release controller whose memory grows with the speed of a peer: a
 // relay writes calls at full speed and reads the replies. At most what a socket's receive buffer holds may be read of the
 // connection before its calls have been handled.
--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -11,8 +11,8 @@
 // Apply applies an event to the state. If the event can't follow the present state, Apply returns an *EventError and
 // changes nothing.
 func (c *Core) Apply(e Event) error {
-	if !(e.At >= 0) || math.IsInf(e.At, 0) { // the negated comparison also rejects NaN
-		return rejectEvent(e, "time is negative or not finite")
+	if err := checkTime(e); err != nil {
+		return err
 	}
 	if err := c.apply(e); err != nil {
 		return err
@@ -21,14 +21,17 @@
 	return nil
 }
 
+// checkTime returns an error if an event has no valid time.
+func checkTime(e Event) error {
+	if !(e.At >= 0) || math.IsInf(e.At, 0) { // the negated comparison also rejects NaN
+		return rejectEvent(e, "time is negative or not finite")
+	}
+	return nil
+}
+
 func (c *Core) apply(e Event) error {
-	switch e.Kind {
-	case EventControllerStarted:
-		return nil
-	case EventFrozen:
-		return c.applyFrozen(e)
-	case EventUnfrozen:
-		return c.applyUnfrozen(e)
+	if applied, err := c.applyToAll(e); applied {
+		return err
 	}
 	service, ok := c.plan.Service(e.Service)
 	if !ok {
@@ -37,6 +40,19 @@
 	return c.services[service].apply(e, &c.plan.Services[service])
 }
 
+// applyToAll applies an event that is not of one service's rollout, and reports whether it is one.
+func (c *Core) applyToAll(e Event) (applied bool, err error) {
+	switch e.Kind {
+	case EventControllerStarted:
+		return true, nil
+	case EventFrozen:
+		return true, c.applyFrozen(e)
+	case EventUnfrozen:
+		return true, c.applyUnfrozen(e)
+	}
+	return false, nil
+}
+
 func rejectEvent(e Event, reason string) error { return &EventError{Event: e, Reason: reason} }
 
 func (c *Core) applyFrozen(e Event) error {
@@ -64,7 +80,8 @@
 	return slices.IndexFunc(c.freezes, func(freeze Event) bool { return freeze.FreezeName == name })
 }
 
-// apply applies an event of one service to its state. The service's entry in the plan gives the number of steps.
+// apply applies an event of one service to its state. The service's entry in the plan gives the number of steps; without it
+// any number is possible.
 func (s *serviceState) apply(e Event, spec *plan.Service) error {
 	switch e.Kind {
 	case EventOffered:
@@ -126,7 +143,7 @@
 }
 
 func (s *serviceState) applyPromoted(e Event, spec *plan.Service) error {
-	nextStep := e.Step == s.newest.Step+1 && int(e.Step) < len(spec.Steps)
+	nextStep := e.Step == s.newest.Step+1 && (spec == nil || int(e.Step) < len(spec.Steps))
 	if !s.isNewest(e.Build) || !s.inPhase(relay.PhaseCanary) || !nextStep {
 		return rejectEvent(e, "not the next step of the canary")
 	}
@@ -135,7 +152,7 @@
 }
 
 func (s *serviceState) applyReleased(e Event, spec *plan.Service) error {
-	lastStep := int(s.newest.Step) == len(spec.Steps)-1
+	lastStep := spec == nil || int(s.newest.Step) == len(spec.Steps)-1
 	if !s.isNewest(e.Build) || !s.inPhase(relay.PhaseCanary) || !lastStep {
 		return rejectEvent(e, "not a canary at its last step")
 	}
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -11,7 +11,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"lichenroad/plan"
 	"lichenroad/relay"
@@ -29,13 +31,14 @@
 // Core is the state of all services of a plan, with the rules by which it changes. Only events change it, through Apply
 // and Advance; Vote, Offer and Operate check a request and return the event that carries it out.
 type Core struct {
-	plan     *plan.Plan
-	calendar *plan.Calendar
-	order    []plan.ServiceIndex // each service after those that it depends on
-	services []serviceState      // by plan.ServiceIndex
-	freezes  []Event             // the EventFrozen of each operators' freeze in force
-	clock    plan.Unix           // latest time seen; it never goes back
-	disabled Safeguards
+	plan      *plan.Plan
+	calendar  *plan.Calendar
+	order     []plan.ServiceIndex      // each service after those that it depends on
+	services  []serviceState           // by plan.ServiceIndex
+	unplanned map[string]*serviceState // by name: services that the plan does not have any more
+	freezes   []Event                  // the EventFrozen of each operators' freeze in force
+	clock     plan.Unix                // latest time seen; it never goes back
+	disabled  Safeguards
 }
 
 // Safeguards selects safeguards of Core to switch off. Only tests and experiments that measure the effect of a
@@ -55,13 +58,17 @@
 		calendar: plan.NewCalendar(p, false),
 		order:    p.Order(),
 		services: make([]serviceState, len(p.Services)),
+
+		unplanned: map[string]*serviceState{},
 	}
 	for i := range c.services {
-		c.services[i].votes = map[string]vote{}
+		c.services[i] = newServiceState()
 	}
 	return c
 }
 
+func newServiceState() serviceState { return serviceState{votes: map[string]vote{}} }
+
 // DisableSafeguards switches safeguards off, for tests and experiments only.
 func (c *Core) DisableSafeguards(disabled Safeguards) { c.disabled = disabled }
 
@@ -76,27 +83,51 @@
 
 func (e *ReplanError) Error() string { return "service " + e.Service + " " + e.Reason }
 
-// Replan replaces the plan in force. Services of the same name keep their state. If the new plan lacks the service of a
+// Replan replaces the plan in force. Services of the same name keep their state, and one that the plan lacks has it again when
+// it comes back. If the new plan lacks the service of a
 // build that waits, or the service or step of a rollout in progress, Replan returns a *ReplanError and changes nothing.
 func (c *Core) Replan(p *plan.Plan) error {
 	next := New(p)
 	next.disabled, next.freezes, next.clock = c.disabled, c.freezes, c.clock
+	for name, state := range c.unplanned {
+		next.setState(name, state)
+	}
 	for i := range c.plan.Services {
-		state, name := &c.services[i], c.plan.Services[i].Name
-		service, planned := p.Service(name)
-		if !planned {
-			if state.inProgress() || state.waiting != 0 {
-				build := max(state.newest.Build, state.waiting)
-				return &ReplanError{Service: name, Reason: fmt.Sprintf("has build %d waiting or in progress and is not in the new plan", build)}
-			}
-			continue
+		next.setState(c.plan.Services[i].Name, &c.services[i])
+	}
+	if err := next.checkPlan(); err != nil {
+		return err
+	}
+	*c = *next
+	return nil
+}
+
+// setState sets the state of a service, which the plan may not have.
+func (c *Core) setState(name string, state *serviceState) {
+	if service, planned := c.plan.Service(name); planned {
+		c.services[service] = *state
+		return
+	}
+	kept := *state
+	c.unplanned[name] = &kept
+}
+
+// checkPlan returns a *ReplanError if the plan lacks the service of a build that waits, or the service or step of a rollout in
+// progress. A build that is rolled back needs no step.
+func (c *Core) checkPlan() error {
+	for _, name := range slices.Sorted(maps.Keys(c.unplanned)) {
+		state := c.unplanned[name]
+		if state.inProgress() || state.waiting != 0 {
+			build := max(state.newest.Build, state.waiting)
+			return &ReplanError{Service: name, Reason: fmt.Sprintf("has build %d waiting or in progress and is not in the new plan", build)}
 		}
-		if state.inProgress() && int(state.newest.Step) >= len(p.Services[service].Steps) {
-			return &ReplanError{Service: name, Reason: fmt.Sprintf("is at step %d, which the new plan does not have", state.newest.Step)}
+	}
+	for i := range c.services {
+		state, spec := &c.services[i], &c.plan.Services[i]
+		if state.inPhase(relay.PhaseCanary) && int(state.newest.Step) >= len(spec.Steps) {
+			return &ReplanError{Service: spec.Name, Reason: fmt.Sprintf("is at step %d, which the new plan does not have", state.newest.Step)}
 		}
-		next.services[service] = *state
 	}
-	*c = *next
 	return nil
 }
 
--- a/rollout/event.go
+++ b/rollout/event.go
@@ -45,8 +45,7 @@
 	Reason     string         `json:"why,omitempty"`
 }
 
-// EventError reports an event that can't follow the present state. A journal that contains such an event is damaged or
-// belongs to another plan.
+// EventError reports an event that can't follow the present state. A journal that contains such an event is damaged.
 type EventError struct {
 	Event  Event
 	Reason string
--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -8,12 +8,15 @@
 	"lichenroad/relay"
 )
 
-// Snapshot returns events that restore the state when they are applied in order. A compacted journal begins with them.
+// Snapshot returns events that restore the state when they are replayed in order, under any plan. A compacted journal begins with them.
 func (c *Core) Snapshot() []Event {
 	var out []Event
 	for i := range c.services {
 		out = append(out, c.services[i].snapshot(c.plan.Services[i].Name)...)
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.unplanned)) {
+		out = append(out, c.unplanned[name].snapshot(name)...)
+	}
 	out = append(out, c.freezes...)
 	return append(out, Event{At: c.clock, Kind: EventControllerStarted, Reason: SnapshotReason})
 }
