--- a/rollout/core.go
+++ b/rollout/core.go
@@ -33,6 +33,7 @@
 type Core struct {
 	plan      *plan.Plan
 	calendar  *plan.Calendar
+	voters    []map[string]bool        // by plan.ServiceIndex: the names of the relays that may vote
 	order     []plan.ServiceIndex      // each service after those that it depends on
 	services  []serviceState           // by plan.ServiceIndex
 	unplanned map[string]*serviceState // by name: services that the plan does not have any more
@@ -57,16 +58,27 @@
 		plan:     p,
 		calendar: plan.NewCalendar(p, false),
 		order:    p.Order(),
+		voters:   make([]map[string]bool, len(p.Services)),
 		services: make([]serviceState, len(p.Services)),
 
 		unplanned: map[string]*serviceState{},
 	}
 	for i := range c.services {
 		c.services[i] = newServiceState()
+		c.voters[i] = voterNames(&p.Services[i])
 	}
 	return c
 }
 
+// voterNames returns the names of the relays of a service, whose votes count.
+func voterNames(spec *plan.Service) map[string]bool {
+	names := map[string]bool{}
+	for _, r := range spec.Relays {
+		names[r.Name] = true
+	}
+	return names
+}
+
 func newServiceState() serviceState { return serviceState{votes: map[string]vote{}} }
 
 // DisableSafeguards switches safeguards off, for tests and experiments only.
--- a/rollout/votes.go
+++ b/rollout/votes.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"lichenroad/plan"
 	"lichenroad/relay"
@@ -36,8 +35,7 @@
 func (c *Core) Vote(service plan.ServiceIndex, voter string, v relay.Vote, at plan.Unix) (Event, Rejection) {
 	now := c.advanceClock(at)
 	state, spec := &c.services[service], &c.plan.Services[service]
-	mayVote := slices.ContainsFunc(spec.Relays, func(r plan.Relay) bool { return r.Name == voter })
-	if !mayVote || !validVerdict(v.Verdict) {
+	if !c.voters[service][voter] || !validVerdict(v.Verdict) {
 		return Event{}, RejectedInvalid
 	}
 	if !state.voteBudget.take(now, spec.Votes.PerSecond) {
@@ -86,12 +84,13 @@
 }
 
 // countVotes returns how many relays' latest votes have a verdict on the newest build and have not expired. Votes count
-// only if they were cast on and in the present step; votes to roll back count for any step.
+// only if they were cast on and in the present step; votes to roll back count for any step. The votes of relays that the plan
+// does not have any more don't count, but do again if it has them before they expire.
 func (c *Core) countVotes(service plan.ServiceIndex, verdict relay.Verdict, now plan.Unix) int {
 	state, ttl := &c.services[service], c.plan.Services[service].Votes.TTL
 	count := 0
-	for _, v := range state.votes {
-		if v.verdict != verdict || v.build != state.newest.Build || now-v.at >= ttl {
+	for voter, v := range state.votes {
+		if !c.voters[service][voter] || v.verdict != verdict || v.build != state.newest.Build || now-v.at >= ttl {
 			continue
 		}
 		onPresentStep := v.step == state.newest.Step && v.at >= state.newest.Since
--- a/rollout/votes_test.go
+++ b/rollout/votes_test.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"errors"
 	"testing"
 
+	"lichenroad/plan"
 	"lichenroad/relay"
 )
 
@@ -59,6 +61,56 @@
 	})
 }
 
+// TestVotesOfRelaysThatLeftThePlan guards against a vote that outlives its relay's place in the plan, and promotes, holds or rolls
+// back a build in the name of a fleet that the relay does not belong to.
+func TestVotesOfRelaysThatLeftThePlan(t *testing.T) {
+	smaller := func() *plan.Plan {
+		p := testPlan(t)
+		p.Services[serviceA].Relays = p.Services[serviceA].Relays[:2]
+		return p
+	}
+	for _, c := range []struct {
+		name    string
+		verdict relay.Verdict
+		want    string // events when a relay that has stayed votes too
+	}{
+		{"promotion", relay.VotePromote, "a:moved"},
+		{"rollback", relay.VoteRollBack, "a:sent_back"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newControllerHarness(t)
+			h.offer(serviceA, 7, day)
+			e, rejection := h.core.Vote(serviceA, "r3", relay.Vote{Build: 7, Verdict: c.verdict}, day+9)
+			if rejection != VoteCounted {
+				t.Fatal(rejection)
+			}
+			h.apply(e, nil)
+			if err := h.core.Replan(smaller()); err != nil {
+				t.Fatal(err)
+			}
+			wantEvents(t, h.advance(day+12), "")
+			if status := h.core.ServiceStatuses(day + 12)[serviceA]; status.PromoteVotes+status.RollBackVotes != 0 {
+				t.Errorf("votes counted: %+v", status)
+			}
+			if _, rejection = h.vote(serviceA, 3, c.verdict, day+12); rejection != RejectedInvalid {
+				t.Errorf("another vote of the relay: rejection %q, want %q", rejection, RejectedInvalid)
+			}
+			out, _ := h.vote(serviceA, 0, c.verdict, day+12)
+			wantEvents(t, out, c.want)
+		})
+	}
+	t.Run("a relay that comes back", func(t *testing.T) {
+		h := newControllerHarness(t)
+		h.offer(serviceA, 7, day)
+		h.vote(serviceA, 3, relay.VotePromote, day+9)
+		if err := errors.Join(h.core.Replan(smaller()), h.core.Replan(testPlan(t))); err != nil {
+			t.Fatal(err)
+		}
+		out, _ := h.vote(serviceA, 0, relay.VotePromote, day+12)
+		wantEvents(t, out, "a:moved")
+	})
+}
+
 func TestRollbackIsNeverBlocked(t *testing.T) {
 	h := newControllerHarness(t)
 	h.offer(serviceA, 7, freezeStart-5)
