platform: the watch beside votes is requested when the first vote has its reply

Cause: with the watch as the first call, the reply to a vote waited for that to the watch, so that a spoilt or late answer to the watch cost the vote its answer, which it did not before.

Change: the watch is requested behind the first reply, and only at the present address. The status that comes then is later than all that was received before, so it settles the order of the reply. A watch without an answer closes no connection.

A trial that wrote the watch right behind the vote was dropped: stand-ins that answer a vote late answered out of order.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -50,14 +50,6 @@
 	return &lineConn{client: c, address: address, connection: connection, openedAt: time.Now(), source: source}, nil
 }
 
-// requestWatch writes the request for a watch.
-func (c *lineConn) requestWatch() error {
-	c.callsSent++
-	c.watchAfter = c.client.statusVersion()
-	_, err := c.connection.Write([]byte(linewire.WatchLine))
-	return err
-}
-
 // handleNotice reports a line that the platform sent without a request. Notices without a status, such as keep-alives, are
 // only reported if OnStatus is set.
 func (c *lineConn) handleNotice(reply linewire.Reply) {
--- a/internal/platform/vote.go
+++ b/internal/platform/vote.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,9 @@
 // voteConn is a connection for votes. Calls are pipelined: replies arrive in the order of the calls. The goroutine of
 // voteLoop writes; another one runs readReplies, which reads and finally closes the connection.
 //
-// The connection also watches, so that the statuses in replies arrive in order with the notices. A platform that refuses the
-// watch still takes the votes.
+// When its first vote has a reply, the connection requests a watch: the status that follows is later than all that was received
+// before, and the statuses in further replies arrive in order with the notices. A platform that refuses the watch still takes
+// the votes.
 type voteConn struct {
 	*lineConn
 
@@ -26,6 +28,8 @@
 	pending []pendingCall // calls without a reply yet, oldest first
 	usedAt  time.Time     // time of the latest vote, or of opening the connection before that
 	closed  bool          // no more votes may be sent on it
+
+	watchRequested bool // used by readReplies only
 }
 
 // callKind is the kind of a call to the platform.
@@ -59,7 +63,6 @@
 		}
 		opened.carriesVotes = true
 		conn = &voteConn{lineConn: opened, usedAt: time.Now()}
-		conn.startWatch()
 		go conn.readReplies()
 		if !conn.send(vote) { // closed again before anything was written
 			c.reportResult(relay.ReplyNotCounted)
@@ -78,12 +81,6 @@
 	return conn, err
 }
 
-// startWatch requests a watch as the first call. It must be called before readReplies.
-func (c *voteConn) startWatch() {
-	c.pending = append(c.pending, pendingCall{kind: watchCall, sentAt: time.Now()})
-	_ = c.requestWatch() // after an error readReplies finds the connection closed
-}
-
 // send writes a vote unless the connection is closed, and returns whether it did. If so, readReplies reports the result.
 func (c *voteConn) send(vote relay.Vote) bool {
 	c.mu.Lock()
@@ -92,30 +89,50 @@
 		return false
 	}
 	c.usedAt = time.Now()
-	c.pending = append(c.pending, pendingCall{kind: voteCall, sentAt: c.usedAt, after: c.client.statusVersion()})
-	c.callsSent++
-	_, _ = c.connection.Write([]byte(linewire.VoteLine(vote))) // after an error readReplies finds the connection closed
+	c.call(voteCall, linewire.VoteLine(vote))
 	return true
 }
 
-// remaining returns the time left until the reply to the oldest pending call is late. If no call is pending, idle is true and
+// requestWatch writes the request for a watch unless the connection is closed.
+func (c *voteConn) requestWatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.call(watchCall, linewire.WatchLine)
+	}
+}
+
+// call writes a call. The caller holds mu.
+func (c *voteConn) call(kind callKind, line string) {
+	c.pending = append(c.pending, pendingCall{kind: kind, sentAt: time.Now(), after: c.client.statusVersion()})
+	c.callsSent++
+	_, _ = c.connection.Write([]byte(line)) // after an error readReplies finds the connection closed
+}
+
+// remaining returns the time left until the reply to the oldest pending vote is late. If no vote is pending, idle is true and
 // left is the time until the idle connection is closed.
 func (c *voteConn) remaining() (left time.Duration, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) == 0 {
+	oldest := c.oldestPendingVote()
+	if oldest < 0 {
 		return limits.VoteConnIdleTimeout - time.Since(c.usedAt), true
 	}
-	return c.client.timeout - time.Since(c.pending[0].sentAt), false
+	return c.client.timeout - time.Since(c.pending[oldest].sentAt), false
+}
+
+// oldestPendingVote returns the index in pending of the oldest vote, or -1. The caller holds mu.
+func (c *voteConn) oldestPendingVote() int {
+	return slices.IndexFunc(c.pending, func(call pendingCall) bool { return call.kind == voteCall })
 }
 
-// closeIfIdle marks the connection closed unless a call is pending, and returns whether it did. It checks for pending calls
+// closeIfIdle marks the connection closed unless a vote is pending, and returns whether it did. It checks for pending votes
 // again because a vote may have been sent since remaining was called. If the connection were closed with that vote pending,
 // the vote would be reported as one that may have been counted.
 func (c *voteConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = len(c.pending) == 0
+	c.closed = c.oldestPendingVote() < 0
 	return c.closed
 }
 
@@ -178,9 +195,18 @@
 		return errUnexpectedLine
 	}
 	if call.kind == watchCall {
+		c.watchAfter = call.after
 		return c.handleWatchReply(reply)
 	}
-	return c.handleVoteReply(reply, call)
+	if err := c.handleVoteReply(reply, call); err != nil {
+		return err
+	}
+	carriesMoreVotes := c.address == c.client.currentAddress()
+	if !c.watchRequested && carriesMoreVotes {
+		c.watchRequested = true
+		c.requestWatch()
+	}
+	return nil
 }
 
 // handleWatchReply handles the reply to the request for a watch. Without a watch the connection still carries votes.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -118,7 +118,9 @@
 	if err != nil {
 		return // dial has logged it
 	}
-	if err = conn.requestWatch(); err == nil {
+	conn.callsSent++
+	conn.watchAfter = w.client.statusVersion()
+	if _, err = conn.connection.Write([]byte(linewire.WatchLine)); err == nil {
 		err = w.read(conn)
 	}
 	reason := w.client.closeReason(err)
