rollout: what a connection reports itself does not put it behind

Cause: the watch beside votes is requested before the loop has handled the reply, whose order may not be known. That reply counted as a change, so the status of the watch counted as sent before it, and a higher limit within a stage waited for repetitions.

Change: a source is in order when it is known to be later than the changes of other sources.

--- a/rollout/status_order.go
+++ b/rollout/status_order.go
@@ -84,6 +84,9 @@
 	version      StatusVersion
 	present      relay.RolloutStatus // as it was received
 	presentAt    relay.Seconds       // when it was received
+	// lastSource is the source of the latest change, and lastOfOthers the version before all changes that it made in a row.
+	lastSource   StatusSource
+	lastOfOthers StatusVersion
 	// provenAfter holds, by source, the version after which it sends its statuses.
 	provenAfter map[StatusSource]StatusVersion
 	// restrictions holds the exposure limits of sources whose latest status has no known order.
@@ -133,7 +136,7 @@
 func (o *StatusOrder) Receive(now relay.Seconds, report StatusReport) StatusDecision {
 	status := report.Status
 	o.provenAfter[report.Source] = max(o.provenAfter[report.Source], report.After)
-	inOrder := o.provenAfter[report.Source] == o.version
+	inOrder := o.provenAfter[report.Source] >= o.latestOfOthers(report.Source)
 	delete(o.restrictions, report.Source) // sent before this one
 	goesBackward := status.GoesBackward(o.present)
 	switch {
@@ -151,7 +154,7 @@
 	if goesBackward {
 		return backwardDecision(inOrder)
 	}
-	o.version++
+	o.countChange(report.Source)
 	o.restrictions[report.Source] = restriction{limit: status.ExposureLimit, since: now}
 	if status.ExposureLimit < o.present.ExposureLimit {
 		return StatusRestricting
@@ -169,13 +172,29 @@
 
 // apply makes a status the present one, which was sent later than all others that were received.
 func (o *StatusOrder) apply(now relay.Seconds, report StatusReport) {
-	o.version++
+	o.countChange(report.Source)
 	o.present, o.presentAt = report.Status, now
 	o.provenAfter[report.Source] = o.version
 	clear(o.restrictions)
 	o.withheld = relay.RolloutStatus{}
 }
 
+// countChange counts a change that a source makes.
+func (o *StatusOrder) countChange(source StatusSource) {
+	if source != o.lastSource {
+		o.lastSource, o.lastOfOthers = source, o.version
+	}
+	o.version++
+}
+
+// latestOfOthers returns the version of the latest change that a source did not make itself.
+func (o *StatusOrder) latestOfOthers(source StatusSource) StatusVersion {
+	if source == o.lastSource {
+		return o.lastOfOthers
+	}
+	return o.version
+}
+
 // repeatPresent handles a repetition of the present status. What is withheld has to be repeated from the start. A restriction
 // ends if it is known to be earlier, or has been contradicted for long enough.
 func (o *StatusOrder) repeatPresent(now relay.Seconds, status relay.RolloutStatus, inOrder bool) {
--- a/rollout/status_order_test.go
+++ b/rollout/status_order_test.go
@@ -128,6 +128,12 @@
 			{voteSource, 1, canaryStatus(3, 0, 0.08, 0), StatusUnordered},
 			{watchSource, 0, canaryStatus(3, 0, 0.2, 0), StatusUnordered},
 		}, canaryStatus(3, 0, 0.05, 0)},
+		{"a watch that was requested before the reply was handled", []receivedStatus{
+			{watchSource, 0, second, StatusApplied},
+			{watchSource, 0, narrowed, StatusApplied},
+			{voteSource, 1, second, StatusUnordered},
+			{voteSource, 2, second, StatusApplied}, // the reply counts as version 3
+		}, second},
 		{"a lower stage on one connection", []receivedStatus{
 			{watchSource, 0, second, StatusApplied},
 			{watchSource, 0, first, StatusApplied},
@@ -304,14 +310,20 @@
 
 func (p *simulatedPlatform) connect(watching bool) {
 	p.lastSource++
-	c := &simulatedConn{source: p.lastSource, watching: watching, after: p.order.Version()}
+	c := &simulatedConn{source: p.lastSource}
 	p.conns = append(p.conns, c)
 	if watching {
-		p.written++
-		p.write(c, c.after)
+		p.watch(c)
 	}
 }
 
+// watch has a connection request a watch, which begins with the present status.
+func (p *simulatedPlatform) watch(c *simulatedConn) {
+	c.watching, c.after = true, p.order.Version()
+	p.written++
+	p.write(c, c.after)
+}
+
 // answerVote answers a vote that is cast now.
 func (p *simulatedPlatform) answerVote(c *simulatedConn) {
 	p.written++
@@ -342,6 +354,9 @@
 		p.notify()
 	case 4:
 		p.answerVote(c)
+		if !c.watching && rapid.Bool().Draw(p.t, "watch") {
+			p.watch(c)
+		}
 	case 5:
 		if len(p.conns) < 4 {
 			p.connect(rapid.IntRange(0, 3).Draw(p.t, "watching") > 0)
