--- a/systemtest/bad_platform_test.go
+++ b/systemtest/bad_platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -43,22 +44,13 @@
 	t.Helper()
 	listener := listen(t)
 	watched := make(chan struct{}, 1000)
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
+	serveConnections(t, listener, func(connection net.Conn) {
+		for lines := bufio.NewScanner(connection); lines.Scan(); {
+			if lines.Text() == "WATCH" {
+				watched <- struct{}{}
+				_, _ = connection.Write([]byte(answer))
 			}
-			t.Cleanup(func() { connection.Close() })
-			go func() {
-				for lines := bufio.NewScanner(connection); lines.Scan(); {
-					if lines.Text() == "WATCH" {
-						watched <- struct{}{}
-						_, _ = connection.Write([]byte(answer))
-					}
-				}
-			}()
 		}
-	}()
+	})
 	return listener.Addr().String(), watched
 }
--- a/systemtest/endpoint_test.go
+++ b/systemtest/endpoint_test.go
@@ -38,6 +38,20 @@
 	return listener
 }
 
+// serveConnections calls serve with each connection, on a goroutine of its own, and closes the connections at the end of the test.
+func serveConnections(t *testing.T, listener net.Listener, serve func(net.Conn)) {
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { connection.Close() })
+			go serve(connection)
+		}
+	}()
+}
+
 func newEndpoint(listener net.Listener) *endpoint {
 	return &endpoint{address: listener.Addr().String(), runs: map[string][]time.Time{}, hold: map[string]chan struct{}{}, ran: make(chan string, 1<<20)}
 }
--- a/systemtest/platform_test.go
+++ b/systemtest/platform_test.go
@@ -28,7 +28,7 @@
 // platform is an emulated release platform. Whatever writes to connections holds mu, so that all writes have one order.
 type platform struct {
 	address string
-	votes   chan platformVote // votes that onVote does not answer
+	votes   chan platformVote // the votes received
 
 	mu       sync.Mutex
 	state    rolloutState
@@ -45,16 +45,7 @@
 	t.Helper()
 	listener := listen(t)
 	p := &platform{address: listener.Addr().String(), votes: make(chan platformVote, 1<<10), state: state, watchers: map[net.Conn]bool{}}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { connection.Close() })
-			go p.serve(connection)
-		}
-	}()
+	serveConnections(t, listener, p.serve)
 	ticker := time.NewTicker(signInterval)
 	t.Cleanup(ticker.Stop)
 	go func() {
