--- a/cmd/lichenroad/relocation_test.go
+++ b/cmd/lichenroad/relocation_test.go
@@ -42,7 +42,9 @@
 			client := dialClient(t, p)
 			client.readUntil('Z')
 			client.SetDeadline(time.Now().Add(watched + testTimeout))
+			next.mu.Lock()
 			c.move(next)
+			next.mu.Unlock()
 			config := p.config
 			config.Discovery = next.srv.Listener.Addr().String()
 			moved := time.Now()
